--- /dev/null
+++ b/core/ring/reply.go
@@ -0,0 +1,44 @@
+package ring
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// Reply is a one-slot mailbox for the answer to one request message. The
+// duty that handles the message sends exactly once.
+type Reply[T any] struct {
+	slot chan T
+}
+
+// NewReply returns an empty reply.
+func NewReply[T any]() Reply[T] {
+	return Reply[T]{slot: make(chan T, 1)}
+}
+
+// Send fills the slot and never blocks. It reports false when the slot was
+// filled before or the reply is the zero value; the first answer stands.
+func (r Reply[T]) Send(v T) bool {
+	select {
+	case r.slot <- v:
+		return true
+	default:
+		return false
+	}
+}
+
+// Wait blocks until the answer is there or ctx ends, and then returns the
+// context's error.
+func (r Reply[T]) Wait(ctx context.Context) (T, error) {
+	select {
+	case v := <-r.slot:
+		return v, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, errors.Wrap(ctx.Err(), "wait for reply")
+	}
+}
+
+// Chan returns the channel on which the answer arrives, for use in a select.
+func (r Reply[T]) Chan() <-chan T { return r.slot }
--- /dev/null
+++ b/model/types.go
@@ -0,0 +1,76 @@
+// Package model holds the plain types that the policies, the transports and
+// the configuration share. It imports no transport or codec.
+package model
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+// Names of the objects of a configuration.
+type (
+	// Instance names a machine; it hosts one target and its node.
+	Instance string
+	// Zone names an availability zone.
+	Zone string
+	// Region names a set of availability zones.
+	Region string
+	// Service names a set of targets that serve the same routes.
+	Service string
+	// Customer names the owner of keys, a rate and a burst.
+	Customer string
+	// Class names a request class. Its rank comes from the configuration.
+	Class string
+)
+
+// Incarnation identifies one life of a node process. It is random and
+// changes at each start.
+type Incarnation uint64
+
+// NodeID identifies one life of the node on an instance.
+type NodeID struct {
+	Instance    Instance    `json:"instance"`
+	Incarnation Incarnation `json:"incarnation"`
+}
+
+// RequestID identifies a non-idempotent request. It is a UUIDv7, so that it
+// carries the time at which it was made.
+type RequestID = uuid.UUID
+
+// Time returns the time at which id was made, with a resolution of 1 ms.
+func Time(id RequestID) time.Time {
+	sec, nsec := id.Time().UnixTime()
+	return time.Unix(sec, nsec)
+}
+
+// KeyHash is the SHA-256 of a customer's key. Keys themselves are never kept.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash under which key is stored and compared.
+func HashKey(key string) KeyHash {
+	return sha256.Sum256([]byte(key))
+}
+
+// String returns the hash in hexadecimal.
+func (h KeyHash) String() string { return hex.EncodeToString(h[:]) }
+
+// Short returns the first 8 digits, for logs.
+func (h KeyHash) Short() string { return h.String()[:8] }
+
+// ParseKeyHash reads the hexadecimal form of a hash.
+func ParseKeyHash(text string) (KeyHash, error) {
+	var h KeyHash
+	raw, err := hex.DecodeString(text)
+	if err != nil {
+		return h, errors.Wrap(err, "parse key hash")
+	}
+	if len(raw) != len(h) {
+		return h, errors.Errorf("parse key hash: %d bytes, want %d", len(raw), len(h))
+	}
+	copy(h[:], raw)
+	return h, nil
+}
