Serve a keyed call from caller to target over two nodes

Cause: the shape needs one whole path before policies are built on it.

The path: caller -> routing duty of the entry node -> yamux stream -> admission duty of the target's node -> target, and back, under a configuration published to the in-memory log service. The interfaces for token leases, request records and control payloads between nodes are declared for the policies that follow.

--- /dev/null
+++ b/agent/links/send.go
@@ -0,0 +1,60 @@
+package links
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/transport/peerlink"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+// PayloadHandler takes a payload of one kind. It runs on the session's
+// reading goroutine: it decodes, offers a message to a ring and returns.
+type PayloadHandler func(from model.Member, body []byte)
+
+// Dispatcher passes payloads from peers to the duties. Handlers are set
+// before the node starts.
+type Dispatcher struct {
+	handlers map[uint32]PayloadHandler
+	log      *event.Log
+}
+
+// NewDispatcher returns a dispatcher without handlers.
+func NewDispatcher(log *event.Log) *Dispatcher {
+	return &Dispatcher{handlers: make(map[uint32]PayloadHandler), log: log}
+}
+
+// Register sets the handler of a kind of payload.
+func (d *Dispatcher) Register(kind uint32, h PayloadHandler) { d.handlers[kind] = h }
+
+// Dispatch passes a payload to its handler. An unknown kind is logged and
+// dropped, since a newer peer may send it.
+func (d *Dispatcher) Dispatch(s *peerlink.Session, p *wire.Payload) {
+	h := d.handlers[p.GetKind()]
+	if h == nil {
+		d.log.Emit(event.PayloadUnknown, "peer", s.Peer().Instance, "kind", p.GetKind())
+		return
+	}
+	h(s.Peer(), p.GetBody())
+}
+
+// Send queues a payload for a peer, on the link that this node opened or on
+// the one that the peer opened. It reports false when there is no link or its
+// queue is full; the payload is then dropped. It is safe for use by several
+// threads.
+func (h *Handler) Send(to model.Instance, kind uint32, m proto.Message) bool {
+	s := h.Session(to)
+	if s == nil {
+		s = h.Inbound(to)
+	}
+	if s == nil {
+		return false
+	}
+	f, err := wire.NewPayload(kind, m)
+	if err != nil {
+		h.log.Emit(event.PayloadUnknown, "peer", to, "kind", kind, "error", err)
+		return false
+	}
+	return s.Send(f)
+}
--- /dev/null
+++ b/agent/node.go
@@ -0,0 +1,250 @@
+// Package agent builds a node: its duties, the rings between them and its
+// listeners.
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+
+	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
+	"github.com/oleanderworks/oleanderworks/agent/entry"
+	"github.com/oleanderworks/oleanderworks/agent/follower"
+	"github.com/oleanderworks/oleanderworks/agent/links"
+	"github.com/oleanderworks/oleanderworks/agent/local"
+	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
+	"github.com/oleanderworks/oleanderworks/core/duty"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/admission"
+	"github.com/oleanderworks/oleanderworks/policy/link"
+	"github.com/oleanderworks/oleanderworks/policy/routing"
+	"github.com/oleanderworks/oleanderworks/settings"
+	"github.com/oleanderworks/oleanderworks/transport/caller"
+	"github.com/oleanderworks/oleanderworks/transport/peerlink"
+	"github.com/oleanderworks/oleanderworks/transport/target"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+const (
+	// targetConnections bounds the connections to the target until the
+	// configuration gives the service's number.
+	targetConnections = 2048
+	readHeaderTimeout = 5 * time.Second
+)
+
+// Node is one oleanderworks process beside one target.
+type Node struct {
+	settings *settings.Node
+	self     model.Member
+	log      *event.Log
+	service  logservice.Log
+	vars     *expvar.Map
+
+	routing   *duty.Duty[routingduty.Message]
+	admission *duty.Duty[admissionduty.Message]
+	follower  *duty.Duty[follower.Message]
+	links     *duty.Duty[links.Message]
+
+	endpoint  *peerlink.Endpoint
+	entry     *entry.Entry
+	listeners listeners
+	tomb      tomb.Tomb
+}
+
+// listeners hold the node's addresses. They are open before the node starts,
+// so that its addresses are known when it announces itself.
+type listeners struct {
+	call, sub, peer, ops net.Listener
+}
+
+// New builds a node and opens its listeners. Start runs it.
+func New(s *settings.Node, log logservice.Log, out hclog.Logger) (*Node, error) {
+	n := &Node{
+		settings: s,
+		service:  log,
+		log:      event.New(out.Named(s.Instance)),
+		vars:     new(expvar.Map).Init(),
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.self = model.Member{
+		NodeID: model.NodeID{
+			Instance:    model.Instance(s.Instance),
+			Incarnation: model.Incarnation(rand.Uint64()),
+		},
+		Service:     model.Service(s.Service),
+		Zone:        model.Zone(s.Zone),
+		Region:      model.Region(s.Region),
+		PeerAddress: n.listeners.peer.Addr().String(),
+	}
+	if err := n.build(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) build() error {
+	client, err := target.New(n.settings.Target, targetConnections)
+	if err != nil {
+		return err
+	}
+	n.admission = admissionduty.New(admission.New(n.self), n.log)
+	n.routing = routingduty.New(routing.New(n.self, newRand()), n.log)
+	server := &local.Server{Admission: n.admission.Ring(), Target: client}
+	dispatcher := links.NewDispatcher(n.log)
+	n.endpoint = &peerlink.Endpoint{Self: n.self, Calls: server.Serve, Control: controlHandler(dispatcher)}
+	var sessions *links.Handler
+	n.links, sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand()), n.endpoint, n.log)
+	n.endpoint.Accepted = sessions.Accept
+	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: sessions, Local: server.Serve}
+	n.follower = follower.New(n.log, []follower.Subscriber{
+		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
+		func(s *model.Snapshot) bool {
+			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
+		},
+		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
+	})
+	n.vars.Set("routing", n.routing.Vars())
+	n.vars.Set("admission", n.admission.Vars())
+	n.vars.Set("follower", n.follower.Vars())
+	n.vars.Set("links", n.links.Vars())
+	return nil
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// controlHandler passes the frames of a control stream to their duties.
+func controlHandler(d *links.Dispatcher) peerlink.ControlHandler {
+	return func(s *peerlink.Session, f *wire.ControlFrame) {
+		if p := f.GetPayload(); p != nil {
+			d.Dispatch(s, p)
+		}
+	}
+}
+
+func (n *Node) listen() error {
+	addresses := []struct {
+		address string
+		l       *net.Listener
+	}{
+		{n.settings.CallAddress, &n.listeners.call},
+		{n.settings.SubAddress, &n.listeners.sub},
+		{n.settings.PeerAddress, &n.listeners.peer},
+		{n.settings.OpsAddress, &n.listeners.ops},
+	}
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a.address)
+		if err != nil {
+			n.closeListeners()
+			return fault.At("listen", a.address, err)
+		}
+		*a.l = l
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.listeners.call, n.listeners.sub, n.listeners.peer, n.listeners.ops} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// Start runs the duties and listeners and announces the target.
+func (n *Node) Start() {
+	n.admission.Start(&n.tomb)
+	n.routing.Start(&n.tomb)
+	n.links.Start(&n.tomb)
+	n.follower.Start(&n.tomb)
+	ctx := n.tomb.Context(context.Background())
+	for _, stream := range n.streams() {
+		n.tomb.Go(func() error {
+			follower.Read(ctx, n.service, stream, n.follower.Ring(), n.log)
+			return nil
+		})
+	}
+	n.tomb.Go(func() error { return n.endpoint.Serve(&n.tomb, n.listeners.peer) })
+	n.serveHTTP(n.listeners.call, caller.NewHandler(n.entry.Serve, false))
+	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.entry.Serve, true))
+	n.serveHTTP(n.listeners.ops, n.operatorsHandler())
+	n.tomb.Go(func() error { return n.announce(ctx) })
+	n.log.Emit(event.NodeStarted, "instance", n.self.Instance, "service", n.self.Service, "zone", n.self.Zone,
+		"calls", n.CallAddress(), "peers", n.self.PeerAddress, "operators", n.OpsAddress())
+}
+
+// streams lists the streams that the node follows.
+func (n *Node) streams() []string {
+	services := n.settings.Entry
+	if len(services) == 0 {
+		services = []string{n.settings.Service}
+	}
+	streams := []string{model.ConfigStream}
+	for _, s := range services {
+		streams = append(streams, model.MemberStream(model.Service(s)))
+	}
+	return streams
+}
+
+// announce appends the target to the members of its service.
+func (n *Node) announce(ctx context.Context) error {
+	record := model.MemberRecord{ID: uuid.NewString(), Time: time.Now(), Member: n.self}
+	body, err := json.Marshal(record)
+	if err != nil {
+		return errors.Wrap(err, "encode announcement")
+	}
+	for ctx.Err() == nil {
+		_, err := n.service.Append(ctx, model.MemberStream(n.self.Service), record.ID, body)
+		if err == nil {
+			return nil
+		}
+		n.log.Emit(event.LogUnavailable, "step", "announce", "error", err)
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	context.AfterFunc(n.tomb.Context(context.Background()), func() { server.Close() })
+	n.tomb.Go(func() error {
+		if err := server.Serve(l); err != http.ErrServerClosed {
+			return fault.At("serve HTTP", l.Addr().String(), err)
+		}
+		return nil
+	})
+}
+
+// CallAddress returns the address for callers, IP:port.
+func (n *Node) CallAddress() string { return n.listeners.call.Addr().String() }
+
+// SubAddress returns the loopback address for the node's own target, IP:port.
+func (n *Node) SubAddress() string { return n.listeners.sub.Addr().String() }
+
+// OpsAddress returns the address for operators, IP:port.
+func (n *Node) OpsAddress() string { return n.listeners.ops.Addr().String() }
+
+// Stop ends the node and waits until its threads have ended.
+func (n *Node) Stop() error {
+	n.tomb.Kill(nil)
+	err := n.tomb.Wait()
+	n.log.Emit(event.NodeStopped, "instance", n.self.Instance)
+	return err
+}
--- /dev/null
+++ b/agent/operators.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/uptrace/bunrouter"
+)
+
+// Status is what a node tells its operators.
+type Status struct {
+	Instance string `json:"instance"`
+	Service  string `json:"service"`
+	Zone     string `json:"zone"`
+	Region   string `json:"region"`
+	Calls    string `json:"call_address"`
+	Peers    string `json:"peer_address"`
+}
+
+func (n *Node) operatorsHandler() http.Handler {
+	router := bunrouter.New()
+	router.GET("/status", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		w.Header().Set("Content-Type", "application/json")
+		return json.NewEncoder(w).Encode(n.status())
+	})
+	router.GET("/debug/vars", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		w.Header().Set("Content-Type", "application/json")
+		_, err := w.Write([]byte(n.vars.String()))
+		return err
+	})
+	return router
+}
+
+func (n *Node) status() Status {
+	return Status{
+		Instance: string(n.self.Instance),
+		Service:  string(n.self.Service),
+		Zone:     string(n.self.Zone),
+		Region:   string(n.self.Region),
+		Calls:    n.CallAddress(),
+		Peers:    n.self.PeerAddress,
+	}
+}
--- /dev/null
+++ b/agent/quorum/messages.go
@@ -0,0 +1,50 @@
+// Package quorum runs the votes of quorum groups, the token leases and the
+// request records on their own thread.
+package quorum
+
+import (
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+)
+
+// Message is what the quorum duty takes.
+type Message interface{ quorumMessage() }
+
+// AcquireTokens asks for tokens of a customer on behalf of this node's
+// routing duty. Deliver runs on the quorum thread and must not block.
+type AcquireTokens struct {
+	Customer model.Customer
+	Want     int // tokens
+	Deliver  func(tokenlease.Result)
+}
+
+// AcquireClaim asks for the right to hand a non-idempotent request to a
+// target. Attempt counts from 0 and grows when an earlier attempt was
+// certainly not run. Deliver runs on the quorum thread and must not block.
+type AcquireClaim struct {
+	CallID    model.CallID
+	Customer  model.Customer
+	RequestID model.RequestID
+	Target    model.NodeID
+	Attempt   int
+	Deliver   func(record.Result)
+}
+
+// CompleteClaim stores the first answer of a request for re-sends.
+type CompleteClaim struct {
+	Claim  *model.Claim
+	Answer *model.Answer
+}
+
+// ReleaseClaim gives up a claim that was certainly not handed to a target.
+type ReleaseClaim struct{ Claim *model.Claim }
+
+// SnapshotChanged carries a new configuration.
+type SnapshotChanged struct{ Snapshot *model.Snapshot }
+
+func (*AcquireTokens) quorumMessage()   {}
+func (*AcquireClaim) quorumMessage()    {}
+func (*CompleteClaim) quorumMessage()   {}
+func (*ReleaseClaim) quorumMessage()    {}
+func (*SnapshotChanged) quorumMessage() {}
--- /dev/null
+++ b/command/charts/charts.go
@@ -0,0 +1,59 @@
+// Package charts implements the subcommand "charts".
+package charts
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/charts"
+	"github.com/oleanderworks/oleanderworks/core/chart"
+)
+
+// New returns the subcommand. It writes its result to stdout.
+func New(stdout io.Writer) *ff.Command {
+	check := &ff.Command{
+		Name:      "check",
+		Usage:     "oleanderworks charts check",
+		ShortHelp: "check every embedded state chart",
+		Exec: func(context.Context, []string) error {
+			return checkAll(stdout)
+		},
+	}
+	return &ff.Command{
+		Name:        "charts",
+		Usage:       "oleanderworks charts check",
+		ShortHelp:   "inspect the state charts",
+		Subcommands: []*ff.Command{check},
+	}
+}
+
+func checkAll(stdout io.Writer) error {
+	failed := 0
+	for _, file := range charts.Names() {
+		name := strings.TrimSuffix(file, ".yaml")
+		if err := checkOne(name); err != nil {
+			failed++
+			fmt.Fprintf(stdout, "%s: %v\n", file, err)
+			continue
+		}
+		fmt.Fprintf(stdout, "%s: ok\n", file)
+	}
+	if failed > 0 {
+		return errors.Errorf("%d charts are faulty", failed)
+	}
+	return nil
+}
+
+func checkOne(name string) error {
+	text, err := charts.Read(name)
+	if err != nil {
+		return err
+	}
+	_, err = chart.Parse(text)
+	return err
+}
--- /dev/null
+++ b/command/dev/fleet.go
@@ -0,0 +1,158 @@
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/agent"
+	"github.com/oleanderworks/oleanderworks/logservice/httplog"
+	"github.com/oleanderworks/oleanderworks/logservice/memlog"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/settings"
+)
+
+const loopback = "127.0.0.1:0"
+
+// sampleKeys are fixed, so that the printed commands can be copied.
+var sampleKeys = []struct{ customer, key string }{
+	{"vanua-herders", "dev-key-vanua-herders"},
+	{"nightly-export", "dev-key-nightly-export"},
+}
+
+// members of the fleet: two availability zones, two services.
+var fleetMembers = []struct{ instance, service, zone string }{
+	{"registry-1", "registry", "north"},
+	{"registry-2", "registry", "south"},
+	{"tally-1", "tally", "north"},
+	{"tally-2", "tally", "south"},
+}
+
+// fleet is a log service, targets and nodes in one process.
+type fleet struct {
+	log        *memlog.Log
+	logAddress string
+	targets    []*http.Server
+	nodes      []*agent.Node
+	served     atomic.Int64
+}
+
+func newRequestID() string { return uuid.Must(uuid.NewV7()).String() }
+
+func startFleet(ctx context.Context, out hclog.Logger) (*fleet, error) {
+	f := &fleet{log: memlog.New(time.Now, memlog.DefaultRetention)}
+	if err := f.publish(ctx); err != nil {
+		return nil, err
+	}
+	address, err := f.serve(httplog.NewHandler(f.log))
+	if err != nil {
+		return nil, err
+	}
+	f.logAddress = address
+	for _, m := range fleetMembers {
+		target, err := f.serve(http.HandlerFunc(f.serveTarget))
+		if err != nil {
+			return nil, err
+		}
+		s := &settings.Node{
+			Instance: m.instance, Service: m.service, Zone: m.zone, Region: "dev",
+			Target:      "http://" + target,
+			CallAddress: loopback, SubAddress: loopback, PeerAddress: loopback, OpsAddress: loopback,
+			Entry:     []string{"registry", "tally"},
+			DrainTime: time.Second,
+			Insecure:  true,
+		}
+		n, err := agent.New(s, f.log, out)
+		if err != nil {
+			return nil, err
+		}
+		n.Start()
+		f.nodes = append(f.nodes, n)
+	}
+	return f, nil
+}
+
+func (f *fleet) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	f.targets = append(f.targets, server)
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// serveTarget is the target of every service: it echoes what it was asked.
+func (f *fleet) serveTarget(w http.ResponseWriter, r *http.Request) {
+	f.served.Add(1)
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]string{"path": r.URL.Path, "method": r.Method, "body": string(body)})
+}
+
+func (f *fleet) publish(ctx context.Context) error {
+	p := model.Publication{ID: uuid.NewString(), Time: time.Now()}
+	for _, d := range documents() {
+		body, err := json.Marshal(d.body)
+		if err != nil {
+			return errors.Wrap(err, d.name)
+		}
+		p.Amendments = append(p.Amendments, model.Amendment{Document: d.name, Body: body})
+	}
+	body, err := json.Marshal(p)
+	if err != nil {
+		return errors.Wrap(err, "encode publication")
+	}
+	_, err = f.log.Append(ctx, model.ConfigStream, p.ID, body)
+	return err
+}
+
+type document struct {
+	name string
+	body any
+}
+
+func documents() []document {
+	second := model.Duration(time.Second)
+	docs := []document{
+		{model.FleetDocument, model.FleetConfig{Classes: []model.Class{"browse", "lookup", "filing"}, Groups: 1, RetryBudget: 2}},
+		{"service/registry", model.ServiceConfig{
+			Name: "registry", Slots: 120, Connections: 840, ColdFloor: 12, RampTime: 10 * second,
+			Routes: []model.Route{{Prefix: "/", Class: "lookup", Idempotent: true, Timeout: 5 * second}},
+		}},
+		{"service/tally", model.ServiceConfig{
+			Name: "tally", Slots: 160, Connections: 1100, ColdFloor: 16, RampTime: 10 * second,
+			Routes: []model.Route{{Prefix: "/", Class: "filing", Timeout: 5 * second}},
+		}},
+	}
+	for _, k := range sampleKeys {
+		customer := model.Customer(k.customer)
+		docs = append(docs,
+			document{"customer/" + k.customer, model.CustomerConfig{Name: customer, Rate: 500, Burst: 100, Weight: 1, Home: "dev"}},
+			document{fmt.Sprintf("key/%s", model.HashKey(k.key)), model.KeyConfig{Customer: customer}})
+	}
+	return docs
+}
+
+func (f *fleet) stop() error {
+	var first error
+	for _, n := range f.nodes {
+		if err := n.Stop(); err != nil && first == nil {
+			first = err
+		}
+	}
+	for _, t := range f.targets {
+		t.Close()
+	}
+	return first
+}
--- /dev/null
+++ b/command/root.go
@@ -0,0 +1,56 @@
+// Package command assembles the subcommands of the oleanderworks binary.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/command/charts"
+	"github.com/oleanderworks/oleanderworks/command/dev"
+	"github.com/oleanderworks/oleanderworks/command/node"
+)
+
+// Exit codes of the binary.
+const (
+	exitOK    = 0
+	exitError = 1
+	exitUsage = 2
+)
+
+// Run runs the subcommand that args name and returns the exit code. Errors
+// are written to stderr in one line.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := &ff.Command{
+		Name:      "oleanderworks",
+		Usage:     "oleanderworks SUBCOMMAND ...",
+		ShortHelp: "overload control for service call graphs",
+		Subcommands: []*ff.Command{
+			node.New(stdout, stderr),
+			dev.New(stdout, stderr),
+			charts.New(stdout),
+		},
+	}
+	err := root.ParseAndRun(ctx, args)
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, ff.ErrHelp), errors.Is(err, ff.ErrNoExec):
+		fmt.Fprintln(stdout, ffhelp.Command(root.GetSelected()))
+		return helpCode(err)
+	default:
+		fmt.Fprintf(stderr, "oleanderworks: %v\n", err)
+		return exitError
+	}
+}
+
+func helpCode(err error) int {
+	if errors.Is(err, ff.ErrHelp) {
+		return exitOK
+	}
+	return exitUsage
+}
--- /dev/null
+++ b/core/event/link.go
@@ -0,0 +1,15 @@
+package event
+
+import "github.com/hashicorp/go-hclog"
+
+// Events of the links duty.
+var (
+	LinkUp = define(700, "link_up", hclog.Info,
+		"A connection to a peer is open.", "None.")
+	LinkClosed = define(701, "link_closed", hclog.Info,
+		"A connection to a peer has ended.", "None, unless it repeats.")
+	DialFailed = define(702, "dial_failed", hclog.Warn,
+		"A peer could not be reached.", "Check the peer's address and its node.")
+	PayloadUnknown = define(703, "payload_unknown", hclog.Warn,
+		"A control payload could not be encoded or has an unknown kind.", "Check that the peers run the same version.")
+)
--- /dev/null
+++ b/core/ring/ring_test.go
@@ -0,0 +1,102 @@
+package ring
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against unbounded queueing and uncounted loss.
+func TestOfferReportsFullRing(t *testing.T) {
+	r := New[int]("test", 2)
+	assert.Assert(t, r.Offer(1))
+	assert.Assert(t, r.Offer(2))
+	assert.Assert(t, !r.Offer(3))
+	assert.Equal(t, r.Stats().Refused, int64(1))
+
+	batch := make([]int, 4)
+	n, err := r.Take(batch, nil, nil)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, batch[:n], []int{1, 2})
+}
+
+// Guards against a sender that waits for ever and against lost wake-ups.
+func TestPutWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New[int]("test", 1)
+		assert.Assert(t, r.Offer(1))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, r.Put(ctx, 2), context.DeadlineExceeded)
+
+		go func() {
+			time.Sleep(time.Second)
+			_, _ = r.Take(make([]int, 1), nil, nil)
+		}()
+		assert.NilError(t, r.Put(context.Background(), 2))
+	})
+}
+
+// Guards against messages that are lost when a ring is closed.
+func TestCloseKeepsWaitingMessages(t *testing.T) {
+	r := New[int]("test", 2)
+	r.Offer(7)
+	r.Close()
+	assert.Assert(t, !r.Offer(8))
+	batch := make([]int, 1)
+	n, err := r.Take(batch, nil, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, n, 1)
+	_, err = r.Take(batch, nil, nil)
+	assert.ErrorIs(t, err, ErrClosed)
+}
+
+// Guards against several producers overwriting each other.
+func TestManyProducers(t *testing.T) {
+	const producers, each = 8, 1000
+	r := New[int]("test", 16)
+	for p := range producers {
+		go func() {
+			for i := range each {
+				_ = r.Put(context.Background(), p*each+i)
+			}
+		}()
+	}
+	seen := make(map[int]bool)
+	batch := make([]int, 5)
+	for len(seen) < producers*each {
+		n, err := r.Take(batch, nil, nil)
+		assert.NilError(t, err)
+		for _, v := range batch[:n] {
+			assert.Assert(t, !seen[v])
+			seen[v] = true
+		}
+	}
+}
+
+// BenchmarkHandoff measures a request and its reply between two threads.
+func BenchmarkHandoff(b *testing.B) {
+	type message struct{ reply Reply[int] }
+	r := New[message]("bench", 64)
+	go func() {
+		batch := make([]message, 16)
+		for {
+			n, err := r.Take(batch, nil, nil)
+			if err != nil {
+				return
+			}
+			for _, m := range batch[:n] {
+				m.reply.Send(1)
+			}
+		}
+	}()
+	for b.Loop() {
+		m := message{reply: NewReply[int]()}
+		r.Offer(m)
+		<-m.reply.Chan()
+	}
+	r.Close()
+}
--- /dev/null
+++ b/logservice/memlog/memlog.go
@@ -0,0 +1,170 @@
+// Package memlog is an in-memory stand-in for the platform's log service. It
+// can be slow, be down, lose answers after taking effect and expire records.
+package memlog
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/logservice"
+)
+
+// DefaultRetention is how long records are kept unless set otherwise.
+const DefaultRetention = 24 * time.Hour
+
+// Faults describes how the service misbehaves. The zero value is healthy.
+type Faults struct {
+	Down        bool          // every call fails and has no effect
+	Delay       time.Duration // added to every call
+	LoseAnswers int           // so many of the next appends take effect and fail
+}
+
+// Log is an in-memory log service.
+type Log struct {
+	now       func() time.Time
+	retention time.Duration
+
+	mu      sync.Mutex
+	faults  Faults
+	streams map[string]*stream
+	appends int64
+}
+
+type stream struct {
+	first   logservice.Offset // offset of records[0]
+	records []logservice.Record
+	grown   chan struct{} // closed when a record is appended
+}
+
+// New returns an empty log that keeps records for retention.
+func New(now func() time.Time, retention time.Duration) *Log {
+	return &Log{now: now, retention: retention, streams: make(map[string]*stream)}
+}
+
+// SetFaults replaces the faults.
+func (l *Log) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Appends returns the number of records appended so far.
+func (l *Log) Appends() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Append implements logservice.Log.
+func (l *Log) Append(ctx context.Context, name, id string, body json.RawMessage) (logservice.Offset, error) {
+	if len(body) > logservice.MaxRecordBytes {
+		return 0, fault.At("append", name, logservice.ErrTooLarge)
+	}
+	if err := l.enter(ctx, "append", name); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offset := l.append(name, id, body)
+	if l.faults.LoseAnswers > 0 {
+		l.faults.LoseAnswers--
+		return 0, fault.At("append", name, logservice.ErrUnavailable)
+	}
+	return offset, nil
+}
+
+func (l *Log) append(name, id string, body json.RawMessage) logservice.Offset {
+	s := l.stream(name)
+	offset := s.first + logservice.Offset(len(s.records))
+	s.records = append(s.records, logservice.Record{ID: id, Offset: offset, Time: l.now(), Body: body})
+	l.appends++
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return offset
+}
+
+// Read implements logservice.Log.
+func (l *Log) Read(ctx context.Context, name string, from logservice.Offset, opts logservice.ReadOptions) (logservice.Page, error) {
+	if err := l.enter(ctx, "read", name); err != nil {
+		return logservice.Page{}, err
+	}
+	page, grown := l.page(name, from, opts.Max)
+	if len(page.Records) > 0 || opts.Wait <= 0 {
+		return page, nil
+	}
+	timer := time.NewTimer(opts.Wait)
+	defer timer.Stop()
+	select {
+	case <-grown:
+	case <-timer.C:
+	case <-ctx.Done():
+		return logservice.Page{}, fault.At("read", name, ctx.Err())
+	}
+	if l.down() {
+		return logservice.Page{}, fault.At("read", name, logservice.ErrUnavailable)
+	}
+	page, _ = l.page(name, from, opts.Max)
+	return page, nil
+}
+
+func (l *Log) page(name string, from logservice.Offset, limit int) (logservice.Page, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	l.expire(s)
+	from = max(from, s.first)
+	end := s.first + logservice.Offset(len(s.records))
+	from = min(from, end)
+	if limit <= 0 || limit > logservice.MaxPage {
+		limit = logservice.MaxPage
+	}
+	until := min(end, from+logservice.Offset(limit))
+	records := append([]logservice.Record(nil), s.records[from-s.first:until-s.first]...)
+	page := logservice.Page{Records: records, Next: until, Oldest: s.first, Retention: l.retention}
+	return page, s.grown
+}
+
+func (l *Log) expire(s *stream) {
+	limit := l.now().Add(-l.retention)
+	n := 0
+	for n < len(s.records) && s.records[n].Time.Before(limit) {
+		n++
+	}
+	s.records = s.records[n:]
+	s.first += logservice.Offset(n)
+}
+
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{grown: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (l *Log) down() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults.Down
+}
+
+func (l *Log) enter(ctx context.Context, step, name string) error {
+	l.mu.Lock()
+	f := l.faults
+	l.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+			return fault.At(step, name, ctx.Err())
+		}
+	}
+	if f.Down {
+		return fault.At(step, name, logservice.ErrUnavailable)
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/caller/status.go
@@ -0,0 +1,40 @@
+package caller
+
+import (
+	"net/http"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+var statuses = map[model.Reason]int{
+	model.ReasonBadRequest:    http.StatusBadRequest,
+	model.ReasonTooLarge:      http.StatusRequestEntityTooLarge,
+	model.ReasonNoRoute:       http.StatusNotFound,
+	model.ReasonKeyMissing:    http.StatusUnauthorized,
+	model.ReasonKeyUnknown:    http.StatusUnauthorized,
+	model.ReasonNoCustomer:    http.StatusUnauthorized,
+	model.ReasonParentEnded:   http.StatusConflict,
+	model.ReasonInProgress:    http.StatusConflict,
+	model.ReasonIDTooOld:      http.StatusConflict,
+	model.ReasonRateLimited:   http.StatusTooManyRequests,
+	model.ReasonQuarantined:   http.StatusUnprocessableEntity,
+	model.ReasonDeadline:      http.StatusGatewayTimeout,
+	model.ReasonTargetFailed:  http.StatusBadGateway,
+	model.ReasonAnswerCut:     http.StatusBadGateway,
+	model.ReasonNoContact:     http.StatusServiceUnavailable,
+	model.ReasonClaimDenied:   http.StatusServiceUnavailable,
+	model.ReasonStaleToken:    http.StatusServiceUnavailable,
+	model.ReasonNoTarget:      http.StatusServiceUnavailable,
+	model.ReasonShed:          http.StatusServiceUnavailable,
+	model.ReasonZoneOut:       http.StatusServiceUnavailable,
+	model.ReasonTargetOut:     http.StatusServiceUnavailable,
+	model.ReasonTargetLeaving: http.StatusServiceUnavailable,
+}
+
+// statusOf returns the HTTP status of a refusal or failure.
+func statusOf(r model.Reason) int {
+	if status, ok := statuses[r]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/transport/wire/call.go
@@ -0,0 +1,249 @@
+package wire
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// WriteCall writes a call. Deadline and token life are sent as the time that
+// remains at now, so that the two nodes' clocks need not agree.
+func WriteCall(w io.Writer, c *model.Call, now time.Time) error {
+	head := &CallHead{
+		CallId:      uint64(c.ID),
+		Service:     string(c.Service),
+		Method:      c.Method,
+		Path:        c.Path,
+		Headers:     fromHeader(c.Header),
+		Customer:    string(c.Customer),
+		KeyHash:     c.KeyHash[:],
+		Class:       string(c.Class),
+		Open:        c.Open,
+		Idempotent:  c.Idempotent,
+		RequestId:   c.RequestID[:],
+		Attempt:     int32(c.Attempt),
+		ClientRetry: c.ClientRetry,
+		RetryBudget: int32(c.RetryBudget),
+		Depth:       int32(c.Depth),
+		RemainingNs: int64(c.Deadline.Sub(now)),
+		Fingerprint: c.Fingerprint,
+		Token:       fromToken(c.Token, now),
+		Claim:       fromClaim(c.Claim),
+		Entry:       FromNodeID(c.Entry),
+	}
+	if err := WriteFrame(w, &CallFrame{Kind: &CallFrame_Call{Call: head}}); err != nil {
+		return err
+	}
+	return writeBody(w, c.Body)
+}
+
+// ReadCall reads a call that arrived at now.
+func ReadCall(r *bufio.Reader, now time.Time) (*model.Call, error) {
+	var f CallFrame
+	if err := ReadFrame(r, &f); err != nil {
+		return nil, err
+	}
+	head := f.GetCall()
+	if head == nil {
+		return nil, fault.New("read call", "", "first frame is no call head")
+	}
+	c, err := toCall(head, now)
+	if err != nil {
+		return nil, fault.At("read call", head.GetEntry().GetInstance(), err)
+	}
+	c.Body, err = readBody(r)
+	return c, fault.At("read call body", head.GetEntry().GetInstance(), err)
+}
+
+func toCall(h *CallHead, now time.Time) (*model.Call, error) {
+	c := &model.Call{
+		ID:          model.CallID(h.GetCallId()),
+		Service:     model.Service(h.GetService()),
+		Method:      h.GetMethod(),
+		Path:        h.GetPath(),
+		Header:      toHeader(h.GetHeaders()),
+		Customer:    model.Customer(h.GetCustomer()),
+		Class:       model.Class(h.GetClass()),
+		Open:        h.GetOpen(),
+		Idempotent:  h.GetIdempotent(),
+		Attempt:     int(h.GetAttempt()),
+		ClientRetry: h.GetClientRetry(),
+		RetryBudget: int(h.GetRetryBudget()),
+		Depth:       int(h.GetDepth()),
+		Deadline:    now.Add(time.Duration(h.GetRemainingNs())),
+		Fingerprint: h.GetFingerprint(),
+		Token:       toToken(h.GetToken(), now),
+		Entry:       ToNodeID(h.GetEntry()),
+	}
+	if len(h.GetKeyHash()) != len(c.KeyHash) {
+		return nil, errors.Errorf("key hash has %d bytes, want %d", len(h.GetKeyHash()), len(c.KeyHash))
+	}
+	copy(c.KeyHash[:], h.GetKeyHash())
+	id, err := uuid.FromBytes(h.GetRequestId())
+	if err != nil {
+		return nil, errors.Wrap(err, "request id")
+	}
+	c.RequestID = id
+	c.Claim = toClaim(h.GetClaim(), c)
+	return c, nil
+}
+
+// WriteAnswer writes the answer to a call.
+func WriteAnswer(w io.Writer, a *model.Answer) error {
+	head := &AnswerHead{
+		CallId:       uint64(a.ID),
+		Run:          uint32(a.Run),
+		Reason:       string(a.Reason),
+		Detail:       a.Detail,
+		Status:       int32(a.Status),
+		Headers:      fromHeader(a.Header),
+		RetriesUsed:  int32(a.RetriesUsed),
+		RetryAfterNs: int64(a.RetryAfter),
+		Replayed:     a.Replayed,
+		TargetLost:   a.TargetLost,
+		Load:         FromLoad(a.Load),
+	}
+	if err := WriteFrame(w, &CallFrame{Kind: &CallFrame_Answer{Answer: head}}); err != nil {
+		return err
+	}
+	return writeBody(w, a.Body)
+}
+
+// ReadAnswer reads the answer to the call with the given id. An answer to
+// another call is an error, so that it reaches nobody.
+func ReadAnswer(r *bufio.Reader, id model.CallID) (*model.Answer, error) {
+	var f CallFrame
+	if err := ReadFrame(r, &f); err != nil {
+		return nil, err
+	}
+	h := f.GetAnswer()
+	if h == nil {
+		return nil, fault.New("read answer", "", "first frame is no answer head")
+	}
+	if model.CallID(h.GetCallId()) != id {
+		return nil, fault.New("read answer", "", "answer belongs to call %x, want %x", h.GetCallId(), id)
+	}
+	a := &model.Answer{
+		ID:          id,
+		Run:         model.Run(h.GetRun()),
+		Reason:      model.Reason(h.GetReason()),
+		Detail:      h.GetDetail(),
+		Status:      int(h.GetStatus()),
+		Header:      toHeader(h.GetHeaders()),
+		RetriesUsed: int(h.GetRetriesUsed()),
+		RetryAfter:  time.Duration(h.GetRetryAfterNs()),
+		Replayed:    h.GetReplayed(),
+		TargetLost:  h.GetTargetLost(),
+		Load:        ToLoad(h.GetLoad()),
+	}
+	body, err := readBody(r)
+	if err != nil {
+		return nil, fault.At("read answer body", "", err)
+	}
+	a.Body = body
+	return a, nil
+}
+
+func fromHeader(h http.Header) []*Header {
+	out := make([]*Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, &Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func toHeader(headers []*Header) http.Header {
+	out := make(http.Header, len(headers))
+	for _, h := range headers {
+		out[http.CanonicalHeaderKey(h.GetName())] = h.GetValues()
+	}
+	return out
+}
+
+func fromToken(t *model.Token, now time.Time) *Token {
+	if t == nil {
+		return nil
+	}
+	return &Token{Group: int32(t.Group), Epoch: t.Epoch, LifeNs: int64(t.Expiry.Sub(now))}
+}
+
+func toToken(t *Token, now time.Time) *model.Token {
+	if t == nil {
+		return nil
+	}
+	life := time.Duration(t.GetLifeNs())
+	return &model.Token{
+		Group:  int(t.GetGroup()),
+		Epoch:  t.GetEpoch(),
+		Expiry: now.Add(life),
+		Life:   life,
+	}
+}
+
+func fromClaim(c *model.Claim) *Claim {
+	if c == nil {
+		return nil
+	}
+	return &Claim{
+		RequestId: c.RequestID[:],
+		Group:     int32(c.Group),
+		Epoch:     c.Epoch,
+		Attempt:   int32(c.Attempt),
+	}
+}
+
+func toClaim(c *Claim, call *model.Call) *model.Claim {
+	if c == nil {
+		return nil
+	}
+	return &model.Claim{
+		Customer:  call.Customer,
+		RequestID: call.RequestID,
+		Group:     int(c.GetGroup()),
+		Epoch:     c.GetEpoch(),
+		Attempt:   int(c.GetAttempt()),
+		Holder:    call.Entry,
+	}
+}
+
+// FromNodeID encodes a node id.
+func FromNodeID(n model.NodeID) *NodeID {
+	return &NodeID{Instance: string(n.Instance), Incarnation: uint64(n.Incarnation)}
+}
+
+// ToNodeID decodes a node id.
+func ToNodeID(n *NodeID) model.NodeID {
+	return model.NodeID{
+		Instance:    model.Instance(n.GetInstance()),
+		Incarnation: model.Incarnation(n.GetIncarnation()),
+	}
+}
+
+// FromLoad encodes a load report.
+func FromLoad(l model.Load) *Load {
+	return &Load{
+		InFlight:  int32(l.InFlight),
+		Queued:    int32(l.Queued),
+		Limit:     int32(l.Limit),
+		SojournNs: int64(l.Sojourn),
+		Draining:  l.Draining,
+	}
+}
+
+// ToLoad decodes a load report.
+func ToLoad(l *Load) model.Load {
+	return model.Load{
+		InFlight: int(l.GetInFlight()),
+		Queued:   int(l.GetQueued()),
+		Limit:    int(l.GetLimit()),
+		Sojourn:  time.Duration(l.GetSojournNs()),
+		Draining: l.GetDraining(),
+	}
+}
--- /dev/null
+++ b/transport/wire/codec.go
@@ -0,0 +1,89 @@
+package wire
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderworks/oleanderworks/core/fault"
+)
+
+const (
+	// maxFrameBytes bounds one frame, so that a faulty peer cannot make a
+	// node allocate without bound.
+	maxFrameBytes = 1 << 20
+	// chunkBytes is the size of a body chunk. It stays well under yamux's
+	// stream window of 256 KiB, so that chunks of several calls interleave.
+	chunkBytes = 32 << 10
+	// MaxBodyBytes bounds the body of a request or an answer.
+	MaxBodyBytes = 64 << 20
+)
+
+// ErrIncomplete reports a body that ended early or does not match its
+// checksum.
+var ErrIncomplete = errors.New("body is incomplete")
+
+// WriteFrame writes one frame with its length.
+func WriteFrame(w io.Writer, m proto.Message) error {
+	_, err := protodelim.MarshalTo(w, m)
+	return fault.At("write frame", "", err)
+}
+
+// ReadFrame reads one frame into m.
+func ReadFrame(r *bufio.Reader, m proto.Message) error {
+	err := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}.UnmarshalFrom(r, m)
+	return fault.At("read frame", "", err)
+}
+
+// writeBody writes data as chunks and an end frame.
+func writeBody(w io.Writer, data []byte) error {
+	sum := xxhash.Sum64(data)
+	total := uint64(len(data))
+	for seq := uint32(0); len(data) > 0; seq++ {
+		n := min(len(data), chunkBytes)
+		chunk := &BodyChunk{Sequence: seq, Data: data[:n]}
+		if err := WriteFrame(w, &CallFrame{Kind: &CallFrame_Chunk{Chunk: chunk}}); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	end := &BodyEnd{Length: total, Checksum: sum}
+	return WriteFrame(w, &CallFrame{Kind: &CallFrame_End{End: end}})
+}
+
+// readBody reads chunks up to the end frame. It returns ErrIncomplete when a
+// chunk is missing, or length or checksum do not match.
+func readBody(r *bufio.Reader) ([]byte, error) {
+	var body []byte
+	for seq := uint32(0); ; seq++ {
+		var f CallFrame
+		if err := ReadFrame(r, &f); err != nil {
+			return nil, errors.Wrap(ErrIncomplete, err.Error())
+		}
+		if end := f.GetEnd(); end != nil {
+			return body, checkBody(body, end)
+		}
+		chunk := f.GetChunk()
+		if chunk == nil || chunk.GetSequence() != seq {
+			return nil, errors.Wrap(ErrIncomplete, "chunk out of sequence")
+		}
+		if len(body)+len(chunk.GetData()) > MaxBodyBytes {
+			return nil, errors.Errorf("body exceeds %d bytes", MaxBodyBytes)
+		}
+		body = append(body, chunk.GetData()...)
+	}
+}
+
+func checkBody(body []byte, end *BodyEnd) error {
+	if uint64(len(body)) != end.GetLength() {
+		return errors.Wrapf(ErrIncomplete, "%d of %d bytes", len(body), end.GetLength())
+	}
+	if xxhash.Sum64(body) != end.GetChecksum() {
+		return errors.Wrap(ErrIncomplete, "checksum differs")
+	}
+	return nil
+}
