Add the event catalogue command and the chart to Promela generator

Cause: docs/events.md must not drift from the code, and the model checker must step through the transitions that the program interprets.

The page is generated and compared by core/event.TestPageListsEveryEvent. "charts promela NAME" renders a chart as an inline step for a Spin model.

--- a/command/charts/charts.go
+++ b/command/charts/charts.go
@@ -24,12 +24,36 @@
 			return checkAll(stdout)
 		},
 	}
+	promela := &ff.Command{
+		Name:      "promela",
+		Usage:     "oleanderworks charts promela NAME",
+		ShortHelp: "write a chart as Promela for the model checker",
+		Exec: func(_ context.Context, args []string) error {
+			return writePromela(stdout, args)
+		},
+	}
 	return &ff.Command{
 		Name:        "charts",
-		Usage:       "oleanderworks charts check",
+		Usage:       "oleanderworks charts SUBCOMMAND ...",
 		ShortHelp:   "inspect the state charts",
-		Subcommands: []*ff.Command{check},
+		Subcommands: []*ff.Command{check, promela},
+	}
+}
+
+func writePromela(stdout io.Writer, args []string) error {
+	if len(args) != 1 {
+		return errors.New("want the name of one chart")
+	}
+	text, err := charts.Read(args[0])
+	if err != nil {
+		return err
+	}
+	def, err := chart.Parse(text)
+	if err != nil {
+		return err
 	}
+	_, err = io.WriteString(stdout, def.Promela())
+	return errors.Wrap(err, "write promela")
 }
 
 func checkAll(stdout io.Writer) error {
--- a/command/root.go
+++ b/command/root.go
@@ -12,6 +12,7 @@
 
 	"github.com/oleanderworks/oleanderworks/command/charts"
 	"github.com/oleanderworks/oleanderworks/command/dev"
+	"github.com/oleanderworks/oleanderworks/command/events"
 	"github.com/oleanderworks/oleanderworks/command/node"
 )
 
@@ -33,6 +34,7 @@
 			node.New(stdout, stderr),
 			dev.New(stdout, stderr),
 			charts.New(stdout),
+			events.New(stdout),
 		},
 	}
 	err := root.ParseAndRun(ctx, args)
--- /dev/null
+++ b/core/chart/promela.go
@@ -0,0 +1,73 @@
+package chart
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Promela renders the chart for the Spin model checker: a constant for each
+// state and event, and an inline <chart>_step(s, e) with one option for each
+// transition. A model that includes it defines a macro <chart>_g_<guard> for
+// each guard and <chart>_a_<action> for each action, so that the model steps
+// through the same transitions as the program.
+func (d *Definition) Promela() string {
+	p := promela{def: d}
+	fmt.Fprintf(&p.out, "/* Generated from charts/%s.yaml by \"oleanderworks charts promela %s\"; do not edit. */\n", d.Chart, d.Chart)
+	p.constants()
+	p.step()
+	return p.out.String()
+}
+
+type promela struct {
+	def *Definition
+	out strings.Builder
+}
+
+func (p *promela) constants() {
+	for i, name := range p.def.Order {
+		fmt.Fprintf(&p.out, "#define %s %d\n", p.state(name), i)
+	}
+	for i, name := range p.def.Events {
+		fmt.Fprintf(&p.out, "#define %s %d\n", p.event(name), i)
+	}
+}
+
+func (p *promela) state(name string) string { return p.def.Chart + "_s_" + name }
+func (p *promela) event(name string) string { return p.def.Chart + "_e_" + name }
+
+func (p *promela) step() {
+	fmt.Fprintf(&p.out, "inline %s_step(s, e) {\n\tif\n", p.def.Chart)
+	for _, state := range p.def.Order {
+		for _, event := range p.def.Events {
+			for _, t := range p.def.States[state].On[event] {
+				p.option(state, event, t)
+			}
+		}
+	}
+	p.out.WriteString("\t:: else -> skip /* ignored */\n\tfi\n}\n")
+}
+
+func (p *promela) option(state, event string, t Transition) {
+	fmt.Fprintf(&p.out, "\t:: (s == %s && e == %s%s) ->", p.state(state), p.event(event), p.guards(t))
+	for _, action := range t.Do {
+		fmt.Fprintf(&p.out, " %s_a_%s;", p.def.Chart, action)
+	}
+	to := t.To
+	if to == "" {
+		to = state
+	}
+	fmt.Fprintf(&p.out, " s = %s\n", p.state(to))
+}
+
+func (p *promela) guards(t Transition) string {
+	var out strings.Builder
+	for _, text := range t.If {
+		lit := parseLiteral(text)
+		not := ""
+		if !lit.want {
+			not = "!"
+		}
+		fmt.Fprintf(&out, " && %s(%s_g_%s)", not, p.def.Chart, lit.guard)
+	}
+	return out.String()
+}
--- /dev/null
+++ b/core/event/catalogue_test.go
@@ -0,0 +1,55 @@
+package event
+
+import (
+	"bytes"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against events that the operators' catalogue does not list.
+func TestPageListsEveryEvent(t *testing.T) {
+	page, err := os.ReadFile("../../docs/events.md")
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), Markdown(), "run: go run ./cmd/oleanderworks events > docs/events.md")
+}
+
+// Guards against two events with one number, which an operator could not
+// tell apart.
+func TestNumbersAreUnique(t *testing.T) {
+	seen := make(map[int]string)
+	names := make(map[string]bool)
+	for _, d := range All() {
+		assert.Equal(t, seen[d.Number], "", "number %d is also used by %s", d.Number, d.Name)
+		assert.Assert(t, !names[d.Name], d.Name)
+		assert.Assert(t, d.Text != "" && d.Action != "", d.Name)
+		seen[d.Number], names[d.Name] = d.Name, true
+	}
+}
+
+// Guards against a flood of lines and against lines left out without a count.
+func TestLimiterCountsSuppressedLines(t *testing.T) {
+	var r limiter
+	now := time.Unix(1000, 0)
+	written := 0
+	for range maxPerSecond + 5 {
+		if ok, _ := r.allow(now); ok {
+			written++
+		}
+	}
+	assert.Equal(t, written, maxPerSecond)
+	ok, suppressed := r.allow(now.Add(time.Second))
+	assert.Assert(t, ok)
+	assert.Equal(t, suppressed, int64(5))
+}
+
+// Guards against lines without their event number.
+func TestEmitWritesNumber(t *testing.T) {
+	var out bytes.Buffer
+	log := New(hclog.New(&hclog.LoggerOptions{Output: &out, Level: hclog.Info}))
+	log.Emit(NodeStarted, "instance", "archive-1")
+	assert.Assert(t, bytes.Contains(out.Bytes(), []byte("event=100 instance=archive-1")), out.String())
+}
