--- /dev/null
+++ b/agent/appender/duty.go
@@ -0,0 +1,147 @@
+// Package appender runs the records that a node writes to the log service on
+// its own thread: announcements, refreshes, withdrawals and group records.
+package appender
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/core/duty"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/ring"
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/policy/logappend"
+)
+
+const (
+	// ringCapacity bounds the waiting messages; a writer that finds the ring
+	// full is told so and tries again.
+	ringCapacity = 1024
+	// recordCapacity bounds the records that wait for the log. A record is at
+	// most 512 KiB, most are some hundred bytes.
+	recordCapacity = 1024
+)
+
+// Message is what the appender duty takes: *Append, or the outcome of a call
+// of the log service.
+type Message interface{ appenderMessage() }
+
+// Append asks for a record to be appended. A lost answer is resolved by
+// looking for ID, so that the record is not applied twice.
+type Append struct {
+	Stream string
+	ID     string // UUID
+	Body   json.RawMessage
+	// From is the offset before the append, at which a search for the record
+	// starts. Zero searches all records kept.
+	From logservice.Offset
+	// Done is called once on the duty's thread and must not block. Its error
+	// wraps logservice.ErrTooLarge or logappend.ErrBusy; an outage is no
+	// error, since the record stays until the log is back.
+	Done func(error)
+}
+
+type appendEnded struct {
+	record *logappend.Record
+	offset logservice.Offset
+	err    error
+}
+
+type searchEnded struct {
+	record *logappend.Record
+	offset logservice.Offset
+	found  bool
+	err    error
+}
+
+func (*Append) appenderMessage()      {}
+func (*appendEnded) appenderMessage() {}
+func (*searchEnded) appenderMessage() {}
+
+// Handler is the logic of the appender duty.
+type Handler struct {
+	ctx     context.Context
+	service logservice.Log
+	core    *logappend.Core
+	log     *event.Log
+	inbox   *ring.Ring[Message]
+}
+
+// New returns the duty. Calls of the log service end when ctx ends.
+func New(ctx context.Context, service logservice.Log, rng *rand.Rand, log *event.Log) *duty.Duty[Message] {
+	h := &Handler{ctx: ctx, service: service, core: logappend.New(rng, recordCapacity), log: log}
+	d := duty.New[Message]("appender", ringCapacity, h)
+	h.inbox = d.Ring()
+	return d
+}
+
+// Handle implements duty.Handler.
+func (h *Handler) Handle(now time.Time, batch []Message) {
+	for _, m := range batch {
+		h.handle(now, m)
+	}
+	h.act()
+}
+
+// Tick implements duty.Handler.
+func (h *Handler) Tick(now time.Time) time.Time {
+	next := h.core.Tick(now)
+	h.act()
+	return next
+}
+
+func (h *Handler) handle(now time.Time, m Message) {
+	switch m := m.(type) {
+	case *Append:
+		h.add(now, m)
+	case *appendEnded:
+		h.logFailure("append", m.record, m.err)
+		h.core.OnAppend(now, m.record, m.offset, m.err)
+	case *searchEnded:
+		h.logFailure("search", m.record, m.err)
+		h.core.OnSearch(now, m.record, m.offset, m.found, m.err)
+	}
+}
+
+func (h *Handler) add(now time.Time, m *Append) {
+	done := m.Done
+	if done == nil {
+		done = func(error) {}
+	}
+	r := &logappend.Record{
+		Stream: m.Stream, ID: m.ID, Body: m.Body, From: m.From,
+		Done: func(_ logservice.Offset, err error) { done(err) },
+	}
+	if err := h.core.Add(now, r); err != nil {
+		h.log.Emit(event.RecordDropped, "stream", m.Stream, "id", m.ID, "error", err)
+		done(err)
+	}
+}
+
+func (h *Handler) logFailure(step string, r *logappend.Record, err error) {
+	if err != nil {
+		h.log.Emit(event.LogUnavailable, "step", step, "stream", r.Stream, "id", r.ID, "error", err)
+	}
+}
+
+func (h *Handler) act() {
+	for _, a := range h.core.Actions() {
+		if a.Search {
+			go h.search(a.Record)
+			continue
+		}
+		go h.append(a.Record)
+	}
+}
+
+func (h *Handler) append(r *logappend.Record) {
+	offset, err := h.service.Append(h.ctx, r.Stream, r.ID, r.Body)
+	_ = h.inbox.Put(h.ctx, &appendEnded{record: r, offset: offset, err: err})
+}
+
+func (h *Handler) search(r *logappend.Record) {
+	offset, found, err := logservice.Search(h.ctx, h.service, r.Stream, r.ID, r.From)
+	_ = h.inbox.Put(h.ctx, &searchEnded{record: r, offset: offset, found: found, err: err})
+}
--- /dev/null
+++ b/agent/config.go
@@ -0,0 +1,113 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
+	"github.com/oleanderworks/oleanderworks/agent/appender"
+	"github.com/oleanderworks/oleanderworks/agent/follower"
+	"github.com/oleanderworks/oleanderworks/agent/links"
+	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
+	"github.com/oleanderworks/oleanderworks/core/duty"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// configuration is the part of a node that follows and writes the log.
+type configuration struct {
+	duty     *duty.Duty[follower.Message]
+	follower *follower.Handler
+	appender *duty.Duty[appender.Message]
+	seeds    *follower.Seeds
+}
+
+// buildConfiguration wires the follower and the appender. Contacts get the
+// state of the log contact.
+func (n *Node) buildConfiguration(sessions *links.Handler, dispatcher *links.Dispatcher, contacts ...follower.ContactSubscriber) {
+	ctx := n.tomb.Context(context.Background())
+	c := &n.configuration
+	c.appender = appender.New(ctx, n.service, newRand(), n.log)
+	c.seeds = follower.NewSeeds(sessions, n.endpoint, n.settings.Peers, n.log)
+	c.duty, c.follower = follower.New(follower.Config{
+		Self:      n.self,
+		Streams:   n.streams(),
+		Rand:      newRand(),
+		Checker:   invariant.New(n.log, nil),
+		Log:       n.log,
+		Peers:     c.seeds,
+		Append:    func(a *appender.Append) bool { return c.appender.Ring().Offer(a) },
+		Contacts:  contacts,
+		Snapshots: n.snapshotSubscribers(),
+	})
+	for kind, handler := range follower.PayloadHandlers(c.duty.Ring(), n.log) {
+		dispatcher.Register(kind, handler)
+	}
+	n.vars.Set("follower", c.duty.Vars())
+	n.vars.Set("appender", c.appender.Vars())
+}
+
+// snapshotSubscribers lists the duties that take new configurations.
+func (n *Node) snapshotSubscribers() []follower.Subscriber {
+	return []follower.Subscriber{
+		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
+		func(s *model.Snapshot) bool {
+			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
+		},
+		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
+	}
+}
+
+func (n *Node) startConfiguration(ctx context.Context) {
+	c := &n.configuration
+	c.appender.Start(&n.tomb)
+	c.duty.Start(&n.tomb)
+	for _, stream := range n.streams() {
+		n.tomb.Go(func() error {
+			c.follower.Read(ctx, n.service, stream, c.duty.Ring())
+			return nil
+		})
+	}
+	n.tomb.Go(func() error {
+		c.seeds.Run(ctx)
+		return nil
+	})
+}
+
+// streams lists the streams that the node follows.
+func (n *Node) streams() []string {
+	services := n.settings.Entry
+	if len(services) == 0 {
+		services = []string{n.settings.Service}
+	}
+	streams := []string{model.ConfigStream, model.GroupStream(n.self.Region)}
+	own := false
+	for _, s := range services {
+		own = own || s == n.settings.Service
+		streams = append(streams, model.MemberStream(model.Service(s)))
+	}
+	if !own {
+		streams = append(streams, model.MemberStream(n.self.Service))
+	}
+	return streams
+}
+
+// announce appends the target to the members of its service.
+func (n *Node) announce() {
+	record := model.MemberRecord{ID: uuid.NewString(), Time: time.Now(), Member: n.self}
+	body, err := json.Marshal(record)
+	if err != nil {
+		n.log.Emit(event.RecordMalformed, "error", errors.Wrap(err, "encode announcement"))
+		return
+	}
+	n.configuration.appender.Ring().Offer(&appender.Append{
+		Stream: model.MemberStream(n.self.Service),
+		ID:     record.ID,
+		Body:   body,
+	})
+}
--- a/agent/follower/duty.go
+++ b/agent/follower/duty.go
@@ -1,194 +1,170 @@
-// Package follower runs the configuration state on its own thread and passes
+// Package follower runs the configuration policy on its own thread and passes
 // snapshots to the other duties.
 package follower
 
 import (
-	"cmp"
-	"context"
-	"encoding/json"
-	"slices"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderworks/oleanderworks/agent/appender"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/core/ring"
-	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/configlog"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
 const (
 	// ringCapacity bounds the waiting pages; readers wait beyond it.
 	ringCapacity = 1024
-	// readWait is how long one read waits for a first record.
-	readWait = 2 * time.Second
-	// retryDelay separates reads that failed.
-	retryDelay = 500 * time.Millisecond
+	// maxUnsent bounds the records that the appender's ring had no room for.
+	maxUnsent = 1024
 )
 
-// Message is what the follower duty takes: *PageRead.
-type Message interface{ followerMessage() }
-
-// PageRead carries records of one stream in log order.
-type PageRead struct {
-	Stream string
-	Page   logservice.Page
+// Peers sends payloads to the nodes with open links.
+type Peers interface {
+	Connected() []model.Instance
+	Send(to model.Instance, kind uint32, m proto.Message) bool
 }
 
-func (*PageRead) followerMessage() {}
-
-// Subscriber takes a snapshot without waiting and reports whether it had
-// room.
-type Subscriber func(*model.Snapshot) bool
+// Config wires the duty to its node.
+type Config struct {
+	Self     model.Member
+	Streams  []string // followed streams of the log service
+	Rand     *rand.Rand
+	Checker  *invariant.Checker // may be nil
+	Log      *event.Log
+	Peers    Peers
+	Append   func(*appender.Append) bool // reports whether there was room
+	Contacts []ContactSubscriber
+	// Snapshots get every new snapshot; one that has no room is offered the
+	// newest again at the next tick.
+	Snapshots []Subscriber
+}
 
 // Handler is the logic of the follower duty.
 type Handler struct {
-	log         *event.Log
-	state       *configlog.State
-	members     map[model.Service]map[model.Instance]model.Member
-	subscribers []Subscriber
-	sequence    uint64
-	current     *model.Snapshot
-	pending     []bool // subscribers that had no room for the current snapshot
+	config    Config
+	log       *event.Log
+	core      *configlog.Core
+	readers   map[string]*ring.Ring[*configlog.ReadLog]
+	snapshots offers[model.Snapshot]
+	contacts  offers[Published]
+	unsent    []*appender.Append
+	view      atomic.Pointer[View]
 }
 
-// New returns the duty. Subscribers get every new snapshot; one that has no
-// room is offered the newest again at the next tick.
-func New(log *event.Log, subscribers []Subscriber) *duty.Duty[Message] {
+// New returns the duty and its handler.
+func New(c Config) (*duty.Duty[Message], *Handler) {
 	h := &Handler{
-		log:         log,
-		state:       configlog.NewState(),
-		members:     make(map[model.Service]map[model.Instance]model.Member),
-		subscribers: subscribers,
-		pending:     make([]bool, len(subscribers)),
+		config:    c,
+		log:       c.Log,
+		core:      configlog.New(c.Self, c.Streams, c.Rand, c.Checker),
+		readers:   make(map[string]*ring.Ring[*configlog.ReadLog]),
+		snapshots: newOffers[model.Snapshot](c.Snapshots),
+		contacts:  newOffers[Published](c.Contacts),
+	}
+	for _, stream := range c.Streams {
+		h.readers[stream] = ring.New[*configlog.ReadLog]("read "+stream, 1)
 	}
-	return duty.New[Message]("follower", ringCapacity, h)
+	h.view.Store(&View{})
+	return duty.New[Message]("follower", ringCapacity, h), h
 }
 
+// View returns what operators see. It is safe for use by several threads.
+func (h *Handler) View() *View { return h.view.Load() }
+
 // Handle implements duty.Handler.
-func (h *Handler) Handle(_ time.Time, batch []Message) {
-	changed := false
+func (h *Handler) Handle(now time.Time, batch []Message) {
+	h.core.OnPeers(h.config.Peers.Connected())
 	for _, m := range batch {
-		if page, ok := m.(*PageRead); ok {
-			changed = h.apply(page) || changed
-		}
-	}
-	if changed {
-		h.publish()
+		h.handle(now, m)
 	}
+	h.core.Tick(now)
+	h.act(now)
+	h.publish()
 }
 
 // Tick implements duty.Handler.
-func (h *Handler) Tick(time.Time) time.Time {
-	h.offer()
-	return time.Time{}
+func (h *Handler) Tick(now time.Time) time.Time {
+	h.core.OnPeers(h.config.Peers.Connected())
+	next := h.core.Tick(now)
+	h.sendUnsent()
+	h.act(now)
+	h.publish()
+	h.snapshots.offer()
+	h.contacts.offer()
+	return next
 }
 
-func (h *Handler) apply(page *PageRead) bool {
-	changed := false
-	for _, r := range page.Page.Records {
-		if page.Stream == model.ConfigStream {
-			changed = h.applyConfig(r) || changed
-			continue
+func (h *Handler) handle(now time.Time, m Message) {
+	switch m := m.(type) {
+	case *ReadDone:
+		if m.Err != nil {
+			h.log.Emit(event.LogUnavailable, "step", "read", "stream", m.Read.Stream, "error", m.Err)
+			h.core.OnReadFailed(now, m.Read.Stream)
+			return
 		}
-		changed = h.applyMember(r) || changed
-	}
-	return changed
-}
-
-func (h *Handler) applyConfig(r logservice.Record) bool {
-	verdict, err := h.state.Apply(r)
-	switch verdict {
-	case configlog.Accepted:
-		h.log.Emit(event.ConfigAccepted, "offset", r.Offset, "id", r.ID)
-		return true
-	case configlog.Conflict:
-		h.log.Emit(event.ConfigRejected, "offset", r.Offset, "id", r.ID)
-	case configlog.Malformed:
-		h.log.Emit(event.RecordMalformed, "offset", r.Offset, "error", err)
-	}
-	return false
-}
-
-func (h *Handler) applyMember(r logservice.Record) bool {
-	var record model.MemberRecord
-	if err := json.Unmarshal(r.Body, &record); err != nil {
-		h.log.Emit(event.RecordMalformed, "offset", r.Offset, "error", err)
-		return false
-	}
-	m := record.Member
-	service := h.members[m.Service]
-	if service == nil {
-		service = make(map[model.Instance]model.Member)
-		h.members[m.Service] = service
-	}
-	if !record.Leave {
-		service[m.Instance] = m
-		return true
-	}
-	if service[m.Instance].Incarnation == m.Incarnation {
-		delete(service, m.Instance)
-	}
-	return true
-}
-
-func (h *Handler) publish() {
-	h.sequence++
-	s, err := model.NewSnapshot(h.sequence, h.state.Documents())
-	if err != nil {
-		h.log.Emit(event.RecordMalformed, "error", err)
-		return
-	}
-	for service, members := range h.members {
-		for _, m := range members {
-			s.Members[service] = append(s.Members[service], m)
+		h.core.OnRead(now, m.Read)
+	case *PeerRequest:
+		h.core.OnRequest(now, m.From, m.Request)
+	case *PeerAnswer:
+		h.core.OnAnswer(now, m.From, m.Answer)
+	case *PeerWithdrawals:
+		h.core.OnWithdrawals(now, m.From, m.Withdrawals)
+	case *Withdraw:
+		done := func(a configlog.Acceptance) { m.Reply.Send(a) }
+		if !h.core.OnWithdraw(now, m.Hash, done) {
+			m.Reply.Send(configlog.NotAccepted)
 		}
-		slices.SortFunc(s.Members[service], func(a, b model.Member) int {
-			return cmp.Compare(a.Instance, b.Instance)
-		})
 	}
-	h.current = s
-	for i := range h.pending {
-		h.pending[i] = true
-	}
-	h.offer()
 }
 
-func (h *Handler) offer() {
-	for i, subscriber := range h.subscribers {
-		if h.pending[i] && subscriber(h.current) {
-			h.pending[i] = false
+func (h *Handler) act(now time.Time) {
+	for _, a := range h.core.Actions() {
+		switch a := a.(type) {
+		case *configlog.ReadLog:
+			h.readers[a.Stream].Offer(a)
+		case *configlog.Send:
+			h.send(a)
+		case *configlog.Append:
+			h.append(now, a)
+		case *configlog.Notice:
+			h.notice(a)
 		}
 	}
 }
 
-// Read follows one stream and puts its pages into inbox until ctx ends. It
-// runs on a goroutine of its own, since reads block.
-func Read(ctx context.Context, log logservice.Log, stream string, inbox *ring.Ring[Message], events *event.Log) {
-	var from logservice.Offset
-	for ctx.Err() == nil {
-		page, err := log.Read(ctx, stream, from, logservice.ReadOptions{Wait: readWait})
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			events.Emit(event.LogUnavailable, "stream", stream, "error", err)
-			sleep(ctx, retryDelay)
-			continue
-		}
-		from = page.Next
-		if len(page.Records) == 0 {
-			continue
-		}
-		if err := inbox.Put(ctx, &PageRead{Stream: stream, Page: page}); err != nil {
-			return
-		}
+// send drops a message that a link has no room for: requests, answers and
+// withdrawals are repeated.
+func (h *Handler) send(a *configlog.Send) {
+	switch {
+	case a.Request != nil:
+		h.config.Peers.Send(a.To, wire.KindRecordsRequest, wire.FromRequest(a.Request))
+	case a.Answer != nil:
+		h.config.Peers.Send(a.To, wire.KindRecords, wire.FromAnswer(a.Answer))
+	case a.Withdrawals != nil:
+		h.config.Peers.Send(a.To, wire.KindWithdrawal, wire.FromWithdrawals(a.Withdrawals))
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+// publish passes on what changed.
+func (h *Handler) publish() {
+	s := h.core.Snapshot()
+	if s != nil {
+		h.snapshots.publish(s)
+	}
+	old := h.view.Load()
+	p := Published{LogContact: h.core.Contact(), Positions: h.core.Positions(), Ready: h.core.Ready()}
+	same := p.LogContact.Equal(old.LogContact) && p.Ready == old.Ready && p.ConfigOffset() == old.ConfigOffset()
+	if s == nil && same {
+		return
 	}
+	h.view.Store(&View{Published: p, Snapshot: h.snapshots.current})
+	h.contacts.publish(&p)
 }
--- /dev/null
+++ b/agent/follower/messages.go
@@ -0,0 +1,86 @@
+package follower
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/core/ring"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/configlog"
+)
+
+// Message is what the follower duty takes: *ReadDone, *PeerRequest,
+// *PeerAnswer, *PeerWithdrawals or *Withdraw.
+type Message interface{ followerMessage() }
+
+// ReadDone carries the outcome of a read of the log.
+type ReadDone struct {
+	Read configlog.Read
+	Err  error // the read failed; only Read.Stream is set then
+}
+
+// PeerRequest carries a peer's request for records.
+type PeerRequest struct {
+	From    model.Member
+	Request *configlog.Request
+}
+
+// PeerAnswer carries records or documents from a peer.
+type PeerAnswer struct {
+	From   model.Member
+	Answer *configlog.Answer
+}
+
+// PeerWithdrawals carries withdrawn keys, or their confirmation, from a peer.
+type PeerWithdrawals struct {
+	From        model.Member
+	Withdrawals *configlog.Withdrawals
+}
+
+// Withdraw asks, on behalf of an operator, that a key stop working.
+type Withdraw struct {
+	Hash  model.KeyHash
+	Reply ring.Reply[configlog.Acceptance]
+}
+
+func (*ReadDone) followerMessage()        {}
+func (*PeerRequest) followerMessage()     {}
+func (*PeerAnswer) followerMessage()      {}
+func (*PeerWithdrawals) followerMessage() {}
+func (*Withdraw) followerMessage()        {}
+
+// Published tells other duties where the node stands with the log. It is
+// immutable and published after each change of the contact, about once a
+// second.
+type Published struct {
+	// LogContact is when the latest read that reached the end of the
+	// configuration's stream began. It is zero when there was none.
+	LogContact time.Time
+	// Positions are the next offsets of the streams that the node follows.
+	Positions []configlog.Position
+	// Ready reports whether the node has a whole configuration.
+	Ready bool
+}
+
+// ConfigOffset returns the offset of the next record of the configuration.
+func (p *Published) ConfigOffset() uint64 {
+	for _, position := range p.Positions {
+		if position.Stream == model.ConfigStream {
+			return uint64(position.Next)
+		}
+	}
+	return 0
+}
+
+// View is what operators see of the follower. It is immutable.
+type View struct {
+	Published
+	Snapshot *model.Snapshot // nil until the node is ready
+}
+
+// Subscriber takes a snapshot without waiting and reports whether it had
+// room.
+type Subscriber func(*model.Snapshot) bool
+
+// ContactSubscriber takes the state of the log contact without waiting and
+// reports whether it had room.
+type ContactSubscriber func(*Published) bool
--- /dev/null
+++ b/agent/follower/offer.go
@@ -0,0 +1,35 @@
+package follower
+
+// offers keeps the newest value for subscribers and offers it until each has
+// taken it. A subscriber without room gets the newest value later.
+type offers[T any] struct {
+	current     *T
+	subscribers []func(*T) bool
+	pending     []bool
+}
+
+func newOffers[T any, F ~func(*T) bool](subscribers []F) offers[T] {
+	o := offers[T]{pending: make([]bool, len(subscribers))}
+	for _, s := range subscribers {
+		o.subscribers = append(o.subscribers, s)
+	}
+	return o
+}
+
+// publish replaces the current value.
+func (o *offers[T]) publish(v *T) {
+	o.current = v
+	for i := range o.pending {
+		o.pending[i] = true
+	}
+	o.offer()
+}
+
+// offer passes the current value to the subscribers that do not have it.
+func (o *offers[T]) offer() {
+	for i, subscriber := range o.subscribers {
+		if o.pending[i] && subscriber(o.current) {
+			o.pending[i] = false
+		}
+	}
+}
--- /dev/null
+++ b/agent/follower/plumbing.go
@@ -0,0 +1,84 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/ring"
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/configlog"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+// Read performs the reads of one stream that the duty asks for, until ctx
+// ends. It runs on a goroutine of its own, since reads block.
+func (h *Handler) Read(ctx context.Context, log logservice.Log, stream string, inbox *ring.Ring[Message]) {
+	batch := make([]*configlog.ReadLog, 1)
+	for {
+		n, err := h.readers[stream].Take(batch, nil, ctx.Done())
+		if err != nil || ctx.Err() != nil {
+			return
+		}
+		if n == 0 {
+			continue
+		}
+		if err := inbox.Put(ctx, read(ctx, log, batch[0])); err != nil {
+			return
+		}
+	}
+}
+
+func read(ctx context.Context, log logservice.Log, a *configlog.ReadLog) *ReadDone {
+	started := time.Now()
+	page, err := log.Read(ctx, a.Stream, a.From, logservice.ReadOptions{Wait: a.Wait})
+	done := &ReadDone{Err: err}
+	done.Read = configlog.Read{Stream: a.Stream, From: a.From, Started: started, Page: page}
+	return done
+}
+
+// PayloadHandlers returns the handlers of the follower's payloads, by kind.
+// They run on the sessions' reading goroutines: a message that the ring has
+// no room for is dropped, since peers repeat theirs.
+func PayloadHandlers(inbox *ring.Ring[Message], log *event.Log) map[uint32]func(model.Member, []byte) {
+	malformed := func(from model.Member, err error) {
+		log.Emit(event.PayloadUnknown, "peer", from.Instance, "error", err)
+	}
+	return map[uint32]func(model.Member, []byte){
+		wire.KindRecordsRequest: func(from model.Member, body []byte) {
+			r, err := decode(body, new(wire.RecordsRequest), wire.ToRequest)
+			if err != nil {
+				malformed(from, err)
+				return
+			}
+			inbox.Offer(&PeerRequest{From: from, Request: r})
+		},
+		wire.KindRecords: func(from model.Member, body []byte) {
+			a, err := decode(body, new(wire.Records), wire.ToAnswer)
+			if err != nil {
+				malformed(from, err)
+				return
+			}
+			inbox.Offer(&PeerAnswer{From: from, Answer: a})
+		},
+		wire.KindWithdrawal: func(from model.Member, body []byte) {
+			w, err := decode(body, new(wire.Withdrawal), wire.ToWithdrawals)
+			if err != nil {
+				malformed(from, err)
+				return
+			}
+			inbox.Offer(&PeerWithdrawals{From: from, Withdrawals: w})
+		},
+	}
+}
+
+func decode[M proto.Message, T any](body []byte, m M, convert func(M) (T, error)) (T, error) {
+	if err := proto.Unmarshal(body, m); err != nil {
+		var zero T
+		return zero, err
+	}
+	return convert(m)
+}
--- /dev/null
+++ b/agent/follower/seeds.go
@@ -0,0 +1,125 @@
+package follower
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/transport/peerlink"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+// seedInterval separates the dials to the addresses in the settings. Few
+// nodes start at a time, and each has a handful of addresses.
+const seedInterval = time.Second
+
+// Dialer opens sessions to peers.
+type Dialer interface {
+	Dial(ctx context.Context, peer model.Member) (*peerlink.Session, error)
+}
+
+// Seeds keeps sessions to the peer addresses in the settings while the node
+// has no other links, so that a node without a log can start from its peers.
+// It adds them to the peers of the links duty.
+type Seeds struct {
+	links     Peers
+	dialer    Dialer
+	addresses []string
+	log       *event.Log
+	sessions  atomic.Pointer[map[model.Instance]*peerlink.Session]
+}
+
+// NewSeeds returns seeds without sessions. Run opens them.
+func NewSeeds(links Peers, dialer Dialer, addresses []string, log *event.Log) *Seeds {
+	s := &Seeds{links: links, dialer: dialer, addresses: addresses, log: log}
+	s.sessions.Store(&map[model.Instance]*peerlink.Session{})
+	return s
+}
+
+// Connected implements Peers. A seed is named by its address, since its
+// instance is not known.
+func (s *Seeds) Connected() []model.Instance {
+	out := s.links.Connected()
+	for i := range *s.sessions.Load() {
+		out = append(out, i)
+	}
+	return out
+}
+
+// Send implements Peers.
+func (s *Seeds) Send(to model.Instance, kind uint32, m proto.Message) bool {
+	session := (*s.sessions.Load())[to]
+	if session == nil {
+		return s.links.Send(to, kind, m)
+	}
+	f, err := wire.NewPayload(kind, m)
+	if err != nil {
+		s.log.Emit(event.PayloadUnknown, "peer", to, "kind", kind, "error", err)
+		return false
+	}
+	return session.Send(f)
+}
+
+// Run keeps the sessions until ctx ends. It blocks in dials, so it runs on a
+// goroutine of its own.
+func (s *Seeds) Run(ctx context.Context) {
+	ticker := time.NewTicker(seedInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil && len(s.addresses) > 0 {
+		s.maintain(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	s.closeAll()
+}
+
+func (s *Seeds) maintain(ctx context.Context) {
+	if len(s.links.Connected()) > 0 {
+		s.closeAll()
+		return
+	}
+	open := maps.Clone(*s.sessions.Load())
+	maps.DeleteFunc(open, func(_ model.Instance, session *peerlink.Session) bool { return ended(session) })
+	for _, address := range s.addresses {
+		name := model.Instance(address)
+		if open[name] != nil {
+			continue
+		}
+		seed := model.Member{NodeID: model.NodeID{Instance: name}, PeerAddress: address}
+		session, err := s.dialer.Dial(ctx, seed)
+		if err != nil {
+			s.log.Emit(event.DialFailed, "peer", address, "error", err)
+			continue
+		}
+		open[name] = session
+	}
+	s.sessions.Store(&open)
+}
+
+func (s *Seeds) closeAll() {
+	open := *s.sessions.Load()
+	if len(open) == 0 {
+		return
+	}
+	s.sessions.Store(&map[model.Instance]*peerlink.Session{})
+	for _, session := range slices.Collect(maps.Values(open)) {
+		session.Close()
+	}
+}
+
+func ended(s *peerlink.Session) bool {
+	select {
+	case <-s.Done():
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/agent/links/connected.go
@@ -0,0 +1,19 @@
+package links
+
+import "github.com/oleanderworks/oleanderworks/model"
+
+// Connected returns the instances to which Send has a link, in no order. It
+// is safe for use by several threads.
+func (h *Handler) Connected() []model.Instance {
+	sessions, inbound := *h.sessionsView.Load(), *h.inboundView.Load()
+	out := make([]model.Instance, 0, len(sessions)+len(inbound))
+	for i := range sessions {
+		out = append(out, i)
+	}
+	for i := range inbound {
+		if sessions[i] == nil {
+			out = append(out, i)
+		}
+	}
+	return out
+}
--- a/agent/node.go
+++ b/agent/node.go
@@ -4,21 +4,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
 	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
 	"github.com/oleanderworks/oleanderworks/agent/entry"
-	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
@@ -54,9 +50,10 @@
 
 	routing   *duty.Duty[routingduty.Message]
 	admission *duty.Duty[admissionduty.Message]
-	follower  *duty.Duty[follower.Message]
 	links     *duty.Duty[links.Message]
 
+	configuration configuration
+
 	endpoint  *peerlink.Endpoint
 	entry     *entry.Entry
 	listeners listeners
@@ -111,16 +108,9 @@
 	n.links, sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand()), n.endpoint, n.log)
 	n.endpoint.Accepted = sessions.Accept
 	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: sessions, Local: server.Serve}
-	n.follower = follower.New(n.log, []follower.Subscriber{
-		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
-		func(s *model.Snapshot) bool {
-			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
-		},
-		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
-	})
+	n.buildConfiguration(sessions, dispatcher)
 	n.vars.Set("routing", n.routing.Vars())
 	n.vars.Set("admission", n.admission.Vars())
-	n.vars.Set("follower", n.follower.Vars())
 	n.vars.Set("links", n.links.Vars())
 	return nil
 }
@@ -170,57 +160,16 @@
 	n.admission.Start(&n.tomb)
 	n.routing.Start(&n.tomb)
 	n.links.Start(&n.tomb)
-	n.follower.Start(&n.tomb)
-	ctx := n.tomb.Context(context.Background())
-	for _, stream := range n.streams() {
-		n.tomb.Go(func() error {
-			follower.Read(ctx, n.service, stream, n.follower.Ring(), n.log)
-			return nil
-		})
-	}
+	n.startConfiguration(n.tomb.Context(context.Background()))
 	n.tomb.Go(func() error { return n.endpoint.Serve(&n.tomb, n.listeners.peer) })
 	n.serveHTTP(n.listeners.call, caller.NewHandler(n.entry.Serve, false))
 	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.entry.Serve, true))
 	n.serveHTTP(n.listeners.ops, n.operatorsHandler())
-	n.tomb.Go(func() error { return n.announce(ctx) })
+	n.announce()
 	n.log.Emit(event.NodeStarted, "instance", n.self.Instance, "service", n.self.Service, "zone", n.self.Zone,
 		"calls", n.CallAddress(), "peers", n.self.PeerAddress, "operators", n.OpsAddress())
 }
 
-// streams lists the streams that the node follows.
-func (n *Node) streams() []string {
-	services := n.settings.Entry
-	if len(services) == 0 {
-		services = []string{n.settings.Service}
-	}
-	streams := []string{model.ConfigStream}
-	for _, s := range services {
-		streams = append(streams, model.MemberStream(model.Service(s)))
-	}
-	return streams
-}
-
-// announce appends the target to the members of its service.
-func (n *Node) announce(ctx context.Context) error {
-	record := model.MemberRecord{ID: uuid.NewString(), Time: time.Now(), Member: n.self}
-	body, err := json.Marshal(record)
-	if err != nil {
-		return errors.Wrap(err, "encode announcement")
-	}
-	for ctx.Err() == nil {
-		_, err := n.service.Append(ctx, model.MemberStream(n.self.Service), record.ID, body)
-		if err == nil {
-			return nil
-		}
-		n.log.Emit(event.LogUnavailable, "step", "announce", "error", err)
-		select {
-		case <-time.After(time.Second):
-		case <-ctx.Done():
-		}
-	}
-	return nil
-}
-
 func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	context.AfterFunc(n.tomb.Context(context.Background()), func() { server.Close() })
--- a/model/config.go
+++ b/model/config.go
@@ -129,6 +129,9 @@
 	// Refresh repeats accepted documents, so that they outlive the retention
 	// of the log. It changes nothing for a node that has them.
 	Refresh []Document `json:"refresh,omitempty"`
+	// Withdraw lists hashes of keys, in hexadecimal. A withdrawal has no base
+	// version: it only adds to a set, so that it cannot conflict.
+	Withdraw []string `json:"withdraw,omitempty"`
 }
 
 // Member is a target that has announced itself through its node.
@@ -160,6 +163,9 @@
 	Members []Member  `json:"members"`
 	From    time.Time `json:"from"`   // ids from this time on belong to the epoch
 	Sealed  bool      `json:"sealed"` // a majority of the epoch before sealed it
+	// Refresh repeats a record that was accepted before, so that it outlives
+	// the retention of the log.
+	Refresh bool `json:"refresh,omitempty"`
 }
 
 // Names of the streams of the log service.
--- /dev/null
+++ b/policy/configlog/groups.go
@@ -0,0 +1,150 @@
+package configlog
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// maxEpochs bounds the compositions kept of a group. Ids older than 10 min
+// are refused, and compositions change some times a day.
+const maxEpochs = 8
+
+// Groups is one stream of quorum group compositions. The first record with
+// the next epoch wins.
+type Groups struct {
+	self   model.Instance
+	next   logservice.Offset
+	gap    bool
+	groups map[model.GroupKey]*group
+}
+
+type group struct {
+	epochs    []model.GroupRecord // ascending
+	records   []logservice.Record // of the epochs
+	uncertain bool                // the first epoch was read after a gap
+	born      time.Time
+	delay     float64
+}
+
+// NewGroups returns an empty stream of a node.
+func NewGroups(self model.Instance) *Groups {
+	return &Groups{self: self, groups: make(map[model.GroupKey]*group)}
+}
+
+// Next returns the offset of the next record to apply.
+func (g *Groups) Next() logservice.Offset { return g.next }
+
+// Skip notes that the next record kept is at oldest.
+func (g *Groups) Skip(oldest logservice.Offset) {
+	if oldest > g.next {
+		g.next, g.gap = oldest, true
+	}
+}
+
+// Epochs returns the known compositions of a group, in ascending order. The
+// slice is not changed later.
+func (g *Groups) Epochs(k model.GroupKey) []model.GroupRecord {
+	if known := g.groups[k]; known != nil {
+		return known.epochs
+	}
+	return nil
+}
+
+// Apply applies one record in log order. It returns the group and whether it
+// changed.
+func (g *Groups) Apply(r logservice.Record, born time.Time) (model.GroupKey, bool, error) {
+	g.next = r.Offset + 1
+	var record model.GroupRecord
+	if err := json.Unmarshal(r.Body, &record); err != nil {
+		return model.GroupKey{}, false, errors.Wrapf(err, "record at offset %d", r.Offset)
+	}
+	k := model.GroupKey{Region: record.Region, Group: record.Group}
+	return k, g.accept(k, record, r, born), nil
+}
+
+func (g *Groups) accept(k model.GroupKey, record model.GroupRecord, r logservice.Record, born time.Time) bool {
+	known := g.groups[k]
+	if known == nil {
+		known = &group{uncertain: g.gap && !record.Refresh, delay: refreshDelay(g.self, groupName(k))}
+		g.groups[k] = known
+		known.add(record, r, born)
+		return true
+	}
+	last := known.epochs[len(known.epochs)-1].Epoch
+	switch {
+	case record.Epoch == last+1, record.Refresh && record.Epoch > last:
+		known.add(record, r, born)
+		return true
+	case record.Refresh && record.Epoch == last && known.uncertain:
+		known.epochs, known.records = nil, nil
+		known.uncertain = false
+		known.add(record, r, born)
+		return true
+	case record.Refresh && record.Epoch == last:
+		known.born = born
+		known.records[len(known.records)-1] = r
+	}
+	return false
+}
+
+func (g *group) add(record model.GroupRecord, r logservice.Record, born time.Time) {
+	g.epochs = append(slices.Clip(g.epochs), record)
+	g.records = append(g.records, r)
+	g.born = born
+	if len(g.epochs) > maxEpochs {
+		g.epochs = g.epochs[1:]
+		g.records = g.records[1:]
+	}
+}
+
+// RefreshDue returns the newest compositions that this node appends again
+// now, and the time of the next look.
+func (g *Groups) RefreshDue(now time.Time, retention time.Duration) ([]model.GroupRecord, time.Time) {
+	var out []model.GroupRecord
+	var next time.Time
+	for _, known := range g.groups {
+		d := document{uncertain: known.uncertain, born: known.born, delay: known.delay}
+		due := d.dueAt(retention)
+		if due.After(now) {
+			if next.IsZero() || due.Before(next) {
+				next = due
+			}
+			continue
+		}
+		known.born = now
+		record := known.epochs[len(known.epochs)-1]
+		record.Refresh = true
+		record.ID = "" // the writer gives a new one
+		out = append(out, record)
+	}
+	slices.SortFunc(out, func(a, b model.GroupRecord) int { return cmp.Compare(a.Group, b.Group) })
+	return out, next
+}
+
+// compact returns the records in force, in log order.
+func (g *Groups) compact() []logservice.Record {
+	var out []logservice.Record
+	for _, known := range g.groups {
+		out = append(out, known.records...)
+	}
+	slices.SortFunc(out, func(a, b logservice.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return out
+}
+
+// reset forgets the groups before a compacted stream is applied.
+func (g *Groups) reset() {
+	clear(g.groups)
+	g.gap = false
+}
+
+func groupName(k model.GroupKey) string {
+	return "group/" + string(k.Region) + "/" + strconv.Itoa(k.Group)
+}
--- /dev/null
+++ b/policy/configlog/members.go
@@ -0,0 +1,117 @@
+package configlog
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Members is one stream of joins and leaves. Log order decides: a later join
+// of an instance replaces the earlier one, and a leave counts only for the
+// incarnation that it names.
+type Members struct {
+	next    logservice.Offset
+	joined  map[model.Instance]*joined
+	current []model.Member // sorted by instance
+}
+
+// joined is the newest join of an instance.
+type joined struct {
+	member model.Member
+	record logservice.Record
+	born   time.Time // on this node's clock
+}
+
+// NewMembers returns an empty stream.
+func NewMembers() *Members { return &Members{joined: make(map[model.Instance]*joined)} }
+
+// Next returns the offset of the next record to apply.
+func (m *Members) Next() logservice.Offset { return m.next }
+
+// Current returns the members, sorted by instance. The slice is not changed
+// later.
+func (m *Members) Current() []model.Member { return m.current }
+
+// Skip notes that the next record kept is at oldest.
+func (m *Members) Skip(oldest logservice.Offset) { m.next = max(m.next, oldest) }
+
+// Apply applies one record in log order and reports whether the members
+// changed.
+func (m *Members) Apply(r logservice.Record, born time.Time) (bool, error) {
+	m.next = r.Offset + 1
+	var record model.MemberRecord
+	if err := json.Unmarshal(r.Body, &record); err != nil {
+		return false, errors.Wrapf(err, "record at offset %d", r.Offset)
+	}
+	member := record.Member
+	known := m.joined[member.Instance]
+	if record.Leave {
+		if known == nil || known.member.Incarnation != member.Incarnation {
+			return false, nil
+		}
+		delete(m.joined, member.Instance)
+		m.rebuild()
+		return true, nil
+	}
+	m.joined[member.Instance] = &joined{member: member, record: r, born: born}
+	if known != nil && known.member == member {
+		return false, nil // a refresh
+	}
+	m.rebuild()
+	return true, nil
+}
+
+// Expire drops the members whose newest join is older than limit: their
+// nodes did not refresh it. It reports whether the members changed.
+func (m *Members) Expire(limit time.Time) bool {
+	before := len(m.joined)
+	for instance, j := range m.joined {
+		if j.born.Before(limit) {
+			delete(m.joined, instance)
+		}
+	}
+	if len(m.joined) == before {
+		return false
+	}
+	m.rebuild()
+	return true
+}
+
+// Joined returns when the given life of an instance was last announced.
+func (m *Members) Joined(id model.NodeID) (time.Time, bool) {
+	j := m.joined[id.Instance]
+	if j == nil || j.member.NodeID != id {
+		return time.Time{}, false
+	}
+	return j.born, true
+}
+
+// touch notes that a join is announced again now.
+func (m *Members) touch(now time.Time, i model.Instance) { m.joined[i].born = now }
+
+// compact returns the joins in force, in log order.
+func (m *Members) compact() []logservice.Record {
+	out := make([]logservice.Record, 0, len(m.joined))
+	for _, j := range m.joined {
+		out = append(out, j.record)
+	}
+	slices.SortFunc(out, func(a, b logservice.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return out
+}
+
+// reset forgets the members before a compacted stream is applied.
+func (m *Members) reset() { clear(m.joined) }
+
+func (m *Members) rebuild() {
+	m.current = make([]model.Member, 0, len(m.joined))
+	for _, j := range m.joined {
+		m.current = append(m.current, j.member)
+	}
+	slices.SortFunc(m.current, func(a, b model.Member) int { return cmp.Compare(a.Instance, b.Instance) })
+}
--- /dev/null
+++ b/policy/configlog/seen.go
@@ -0,0 +1,72 @@
+package configlog
+
+import (
+	"crypto/sha256"
+
+	"github.com/google/uuid"
+
+	"github.com/oleanderworks/oleanderworks/logservice"
+)
+
+// maxSeen bounds the ids that a node remembers, at about 100 bytes each. The
+// target's 13,000 changes a day and their refreshes within a retention of a
+// few days stay below it. Without an id, base versions still keep a second
+// copy from being applied; only its verdict reads "conflict".
+const maxSeen = 100_000
+
+// idKey is a record's id in 16 bytes.
+type idKey [16]byte
+
+func keyOf(id string) idKey {
+	if u, err := uuid.Parse(id); err == nil {
+		return idKey(u)
+	}
+	sum := sha256.Sum256([]byte(id))
+	return idKey(sum[:16])
+}
+
+// seenIDs remembers the ids of records for as long as the log keeps them.
+type seenIDs struct {
+	offsets map[idKey]logservice.Offset
+	order   []seenID // ascending offsets; the first head entries are dropped
+	head    int
+}
+
+type seenID struct {
+	key    idKey
+	offset logservice.Offset
+}
+
+func newSeenIDs() seenIDs { return seenIDs{offsets: make(map[idKey]logservice.Offset)} }
+
+// add remembers an id and reports whether it is new.
+func (s *seenIDs) add(id string, offset logservice.Offset) bool {
+	k := keyOf(id)
+	if _, ok := s.offsets[k]; ok {
+		return false
+	}
+	s.offsets[k] = offset
+	s.order = append(s.order, seenID{k, offset})
+	if s.len() > maxSeen {
+		s.drop()
+	}
+	return true
+}
+
+// expire drops the ids of records before an offset.
+func (s *seenIDs) expire(oldest logservice.Offset) {
+	for s.len() > 0 && s.order[s.head].offset < oldest {
+		s.drop()
+	}
+}
+
+func (s *seenIDs) len() int { return len(s.order) - s.head }
+
+func (s *seenIDs) drop() {
+	delete(s.offsets, s.order[s.head].key)
+	s.head++
+	if s.head > len(s.order)/2 {
+		s.order = append([]seenID(nil), s.order[s.head:]...)
+		s.head = 0
+	}
+}
--- a/policy/configlog/state.go
+++ b/policy/configlog/state.go
@@ -5,10 +5,11 @@
 
 import (
 	"encoding/json"
-	"maps"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
 )
@@ -22,78 +23,233 @@
 	Conflict           // a base version was not the current one
 	Duplicate          // a record with the same id came before
 	Malformed          // the record does not decode
-	Superseded         // a refresh of versions that are already known
+	Superseded         // a refresh or withdrawal that changes nothing
 )
 
+// String returns the verdict as operators see it.
+func (v Verdict) String() string {
+	names := [...]string{"accepted", "conflict", "duplicate", "malformed", "superseded"}
+	return names[v]
+}
+
+// Outcome describes the fate of one record.
+type Outcome struct {
+	Verdict     Verdict
+	Publication model.Publication
+	// Document and Current name the first document whose current version was
+	// not the base, in a conflict.
+	Document string
+	Current  uint64
+}
+
+// document is one known document. It is uncertain while records that may
+// have changed it were not read; a refresh or a peer's set settles it.
+type document struct {
+	doc       model.Document
+	uncertain bool
+	born      time.Time // when its newest record was appended, on this node's clock
+	delay     float64   // part of the refresh window that this node waits
+}
+
 // State is the configuration as of an offset of the log. It is owned by one
 // duty.
 type State struct {
-	documents map[string]model.Document
-	seen      map[string]Verdict
+	self      model.Instance
+	documents map[string]*document
+	seen      seenIDs
 	next      logservice.Offset
+	gap       bool // records before next were not read, and no peer's set replaced them
+	changed   []string
+	checker   *invariant.Checker
 }
 
-// NewState returns an empty configuration.
-func NewState() *State {
+// NewState returns an empty configuration of a node. The checker may be nil.
+func NewState(self model.Instance, checker *invariant.Checker) *State {
 	return &State{
-		documents: make(map[string]model.Document),
-		seen:      make(map[string]Verdict),
+		self:      self,
+		documents: make(map[string]*document),
+		seen:      newSeenIDs(),
+		checker:   checker,
 	}
 }
 
 // Next returns the offset of the next record to apply.
 func (s *State) Next() logservice.Offset { return s.next }
 
+// Gap reports whether records are missing before Next.
+func (s *State) Gap() bool { return s.gap }
+
+// Len returns the number of documents, deleted ones included.
+func (s *State) Len() int { return len(s.documents) }
+
+// Document returns a document. Its version is 0 when it is unknown.
+func (s *State) Document(name string) model.Document {
+	if d := s.documents[name]; d != nil {
+		return d.doc
+	}
+	return model.Document{Name: name}
+}
+
 // Documents returns a copy of the current documents.
-func (s *State) Documents() map[string]model.Document { return maps.Clone(s.documents) }
+func (s *State) Documents() map[string]model.Document {
+	out := make(map[string]model.Document, len(s.documents))
+	for name, d := range s.documents {
+		out[name] = d.doc
+	}
+	return out
+}
 
-// Verdict returns the fate of the publication with the given id and whether
-// it was seen.
-func (s *State) Verdict(id string) (Verdict, bool) {
-	v, ok := s.seen[id]
-	return v, ok
+// Changed returns the names of the documents that changed since the last
+// call.
+func (s *State) Changed() []string {
+	out := s.changed
+	s.changed = nil
+	return out
 }
 
-// Apply applies one record in log order. The error describes a malformed
-// record; the record is skipped then.
-func (s *State) Apply(r logservice.Record) (Verdict, error) {
-	s.next = r.Offset + 1
-	var p model.Publication
-	if err := json.Unmarshal(r.Body, &p); err != nil {
-		return Malformed, errors.Wrapf(err, "record at offset %d", r.Offset)
+// Skip notes that the next record kept by the log is at oldest. It reports
+// whether records were missed; every document is uncertain then.
+func (s *State) Skip(oldest logservice.Offset) bool {
+	s.seen.expire(oldest)
+	if oldest <= s.next {
+		return false
 	}
-	if _, ok := s.seen[p.ID]; ok {
-		return Duplicate, nil
+	s.next = oldest
+	s.gap = true
+	for _, d := range s.documents {
+		d.uncertain = true
 	}
-	verdict := s.accept(&p)
-	s.seen[p.ID] = verdict
-	return verdict, nil
+	return true
 }
 
-func (s *State) accept(p *model.Publication) Verdict {
-	if len(p.Refresh) > 0 {
-		return s.refresh(p.Refresh)
+// CloseGap notes that every document was appended again since the gap.
+func (s *State) CloseGap() { s.gap = false }
+
+// Apply applies one record in log order; born is when it was appended, on
+// this node's clock. The error describes a malformed record, which is
+// skipped.
+func (s *State) Apply(r logservice.Record, born time.Time) (Outcome, error) {
+	var out Outcome
+	s.next = r.Offset + 1
+	if err := json.Unmarshal(r.Body, &out.Publication); err != nil {
+		out.Verdict = Malformed
+		return out, errors.Wrapf(err, "record at offset %d", r.Offset)
+	}
+	p := &out.Publication
+	if !s.seen.add(p.ID, r.Offset) {
+		out.Verdict = Duplicate
+		return out, nil
+	}
+	switch {
+	case len(p.Refresh) > 0:
+		out.Verdict = s.refresh(p.Refresh, born)
+	case len(p.Withdraw) > 0:
+		out.Verdict = s.withdraw(p.Withdraw, born)
+	default:
+		s.amend(&out, born)
 	}
-	for _, a := range p.Amendments {
-		if s.documents[a.Document].Version != a.Base {
-			return Conflict
+	return out, nil
+}
+
+// amend accepts all amendments of a publication or none.
+func (s *State) amend(out *Outcome, born time.Time) {
+	amendments := out.Publication.Amendments
+	uncertain := false
+	named := make(map[string]bool, len(amendments))
+	for _, a := range amendments {
+		fits, sure := s.fits(a)
+		if !fits || named[a.Document] {
+			out.Verdict = Conflict
+			out.Document, out.Current = a.Document, s.Document(a.Document).Version
+			return
 		}
+		named[a.Document] = true
+		uncertain = uncertain || !sure
 	}
-	for _, a := range p.Amendments {
-		s.documents[a.Document] = model.Document{Name: a.Document, Version: a.Base + 1, Body: a.Body}
+	out.Verdict = Accepted
+	for _, a := range amendments {
+		doc := model.Document{Name: a.Document, Version: a.Base + 1, Body: a.Body}
+		s.put(doc, uncertain, born)
 	}
-	return Accepted
 }
 
-// refresh merges documents whose version is above the known one. A version
-// never goes down.
-func (s *State) refresh(documents []model.Document) Verdict {
+// fits reports whether an amendment's base is the current version. After a
+// gap the current version may be higher than the known one.
+func (s *State) fits(a model.Amendment) (fits, sure bool) {
+	d := s.documents[a.Document]
+	if d == nil {
+		return s.gap || a.Base == 0, !s.gap
+	}
+	if isWithdrawn(d.doc) {
+		return false, !d.uncertain
+	}
+	if d.uncertain {
+		return a.Base >= d.doc.Version, false
+	}
+	return a.Base == d.doc.Version, true
+}
+
+// refresh merges documents whose version is above the known one, and settles
+// uncertain ones. A version never goes down.
+func (s *State) refresh(documents []model.Document, born time.Time) Verdict {
 	verdict := Superseded
 	for _, doc := range documents {
-		if doc.Version > s.documents[doc.Name].Version {
-			s.documents[doc.Name] = doc
+		d := s.documents[doc.Name]
+		switch {
+		case d == nil || doc.Version > d.doc.Version || d.uncertain && doc.Version == d.doc.Version:
+			s.put(doc, false, born)
 			verdict = Accepted
+		case doc.Version == d.doc.Version:
+			d.born = born
 		}
 	}
 	return verdict
 }
+
+// withdraw marks keys as withdrawn. A key without a document gets one, so
+// that the order of issue and withdrawal does not matter.
+func (s *State) withdraw(hashes []string, born time.Time) Verdict {
+	verdict := Superseded
+	for _, hash := range hashes {
+		doc := s.Document(model.DocumentName(model.KindKey, hash))
+		if isWithdrawn(doc) {
+			continue
+		}
+		var key model.KeyConfig
+		if !model.IsDeleted(doc.Body) {
+			_ = json.Unmarshal(doc.Body, &key) // an unreadable key is withdrawn without its customer
+		}
+		key.Withdrawn = true
+		body, err := json.Marshal(key)
+		if err != nil {
+			continue
+		}
+		d := s.documents[doc.Name]
+		uncertain := d == nil && s.gap || d != nil && d.uncertain
+		s.put(model.Document{Name: doc.Name, Version: doc.Version + 1, Body: body}, uncertain, born)
+		verdict = Accepted
+	}
+	return verdict
+}
+
+// isWithdrawn reports whether a document is a withdrawn key, which is final.
+func isWithdrawn(doc model.Document) bool {
+	kind, _, err := model.SplitDocumentName(doc.Name)
+	if err != nil || kind != model.KindKey || model.IsDeleted(doc.Body) {
+		return false
+	}
+	var key model.KeyConfig
+	return json.Unmarshal(doc.Body, &key) == nil && key.Withdrawn
+}
+
+func (s *State) put(doc model.Document, uncertain bool, born time.Time) {
+	d := s.documents[doc.Name]
+	if d == nil {
+		d = &document{delay: refreshDelay(s.self, doc.Name)}
+		s.documents[doc.Name] = d
+	}
+	s.checker.Assert(doc.Version >= d.doc.Version, "configuration never reverts",
+		"document %s went from version %d to %d", doc.Name, d.doc.Version, doc.Version)
+	d.doc, d.uncertain, d.born = doc, uncertain, born
+	s.changed = append(s.changed, doc.Name)
+}
--- /dev/null
+++ b/policy/configlog/upkeep.go
@@ -0,0 +1,85 @@
+package configlog
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// tickRefresh appends again what is about to expire from the log. It runs
+// only while the log answers: a node that does not see the refreshes of
+// others would repeat them all.
+func (c *Core) tickRefresh(now time.Time) {
+	t := c.byName[model.ConfigStream]
+	if t.state != stateFollowing {
+		return
+	}
+	if !now.Before(c.refreshAt) {
+		c.refreshDocuments(now, t.retention)
+		c.refreshGroups(now)
+	}
+	if c.config.Gap() && now.Sub(c.gapAt) > t.retention {
+		// Every document was appended or refreshed since.
+		c.config.CloseGap()
+	}
+	if !now.Before(c.expireAt) {
+		c.expireAt = now.Add(expiryInterval)
+		c.refreshJoin(now)
+		c.expireMembers(now)
+	}
+}
+
+func (c *Core) refreshDocuments(now time.Time, retention time.Duration) {
+	documents, next := c.config.RefreshDue(now, retention)
+	c.refreshAt = earlier(next, now.Add(max(retention/200, time.Second)))
+	if next.IsZero() {
+		c.refreshAt = now.Add(max(retention/200, time.Second))
+	}
+	if len(documents) == 0 {
+		return
+	}
+	c.emit(&Notice{Kind: NoticeRefreshed, Count: len(documents)})
+	c.emit(&Append{
+		Stream:      model.ConfigStream,
+		From:        c.config.Next(),
+		Publication: &model.Publication{Author: string(c.self.Instance), Refresh: documents},
+	})
+}
+
+func (c *Core) refreshGroups(now time.Time) {
+	for stream, g := range c.groups {
+		t := c.byName[stream]
+		if t.state != stateFollowing {
+			continue
+		}
+		records, _ := g.RefreshDue(now, t.retention)
+		for i := range records {
+			c.emit(&Append{Stream: stream, From: g.Next(), Group: &records[i]})
+		}
+	}
+}
+
+// refreshJoin announces this node's target again. Only the node itself does
+// it, so that the join of a lost target expires.
+func (c *Core) refreshJoin(now time.Time) {
+	stream := model.MemberStream(c.self.Service)
+	members, t := c.members[stream], c.byName[stream]
+	if members == nil || t.state != stateFollowing {
+		return
+	}
+	born, ok := members.Joined(c.self.NodeID)
+	if !ok || now.Sub(born) < time.Duration(refreshAge*float64(t.retention)) {
+		return
+	}
+	members.touch(now, c.self.Instance)
+	c.emit(&Append{Stream: stream, From: members.Next(), Member: &model.MemberRecord{Member: c.self}})
+}
+
+func (c *Core) expireMembers(now time.Time) {
+	for stream, members := range c.members {
+		t := c.byName[stream]
+		if t.state == stateFollowing && members.Expire(now.Add(-t.retention)) {
+			c.membersChanged(stream)
+		}
+	}
+}
--- /dev/null
+++ b/policy/logappend/core.go
@@ -0,0 +1,227 @@
+// Package logappend decides when a record is appended, searched for after a
+// lost answer, and appended again. A record whose answer was lost is looked
+// for by its id first, so that it is not applied twice.
+package logappend
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/charts"
+	"github.com/oleanderworks/oleanderworks/core/chart"
+	"github.com/oleanderworks/oleanderworks/logservice"
+)
+
+const (
+	minBackoff = 200 * time.Millisecond
+	// maxBackoff bounds the delay after an outage. With 19,000 nodes that
+	// wait it gives some thousand appends a second at worst, spread by jitter;
+	// the log service refuses what it cannot take.
+	maxBackoff = 15 * time.Second
+	// maxInFlight bounds the appends and searches of one node at a time.
+	maxInFlight = 4
+)
+
+// ErrBusy reports that too many records wait. Nothing was appended.
+var ErrBusy = errors.New("too many records wait for the log")
+
+// Events of the log_record chart, in the chart's order.
+const (
+	eventDue chart.EventID = iota
+	eventAppendDone
+	eventAppendUnclear
+	eventAppendRefused
+	eventFound
+	eventAbsent
+	eventSearchFailed
+)
+
+// Record is what a writer wants in the log.
+type Record struct {
+	Stream string
+	ID     string // UUID; finds the record when an answer is lost
+	Body   []byte // JSON
+	// From is the offset at which a search starts. Zero searches from the
+	// oldest record kept, which is slower.
+	From logservice.Offset
+	// Done is called once, without blocking, with the record's offset or the
+	// error for which it will never be appended.
+	Done func(logservice.Offset, error)
+}
+
+// Action is one call of the log service. Its outcome goes back with OnAppend
+// or OnSearch.
+type Action struct {
+	Record *Record
+	Search bool
+}
+
+// Core holds the records of one node that are not yet in the log. All methods
+// run on one thread.
+type Core struct {
+	rng      *rand.Rand
+	machine  *chart.Machine[*entry]
+	capacity int
+	entries  map[*Record]*entry
+	order    []*entry // in order of arrival, so that none waits for ever
+	inFlight int
+	out      []Action
+}
+
+type entry struct {
+	core    *Core
+	record  *Record
+	state   chart.StateID
+	now     time.Time
+	dueAt   time.Time
+	backoff time.Duration
+	lost    bool
+	offset  logservice.Offset
+	err     error
+}
+
+// New returns a core that holds at most capacity records.
+func New(rng *rand.Rand, capacity int) *Core {
+	return &Core{rng: rng, machine: newMachine(), capacity: capacity, entries: make(map[*Record]*entry)}
+}
+
+func newMachine() *chart.Machine[*entry] {
+	return chart.MustCompile(charts.MustRead("log_record"), chart.Binding[*entry]{
+		States: []string{"waiting", "appending", "searching", "appended", "refused"},
+		Events: []string{"due", "append_done", "append_unclear", "append_refused", "found", "absent", "search_failed"},
+		Guards: map[string]func(*entry) bool{
+			"answer_lost": func(e *entry) bool { return e.lost },
+		},
+		Actions: map[string]func(*entry){
+			"append":         func(e *entry) { e.emit(Action{Record: e.record}) },
+			"search":         func(e *entry) { e.emit(Action{Record: e.record, Search: true}) },
+			"back_off":       (*entry).backOff,
+			"mark_lost":      func(e *entry) { e.lost = true },
+			"report_done":    func(e *entry) { e.report(e.offset, nil) },
+			"report_refused": func(e *entry) { e.report(0, e.err) },
+		},
+	})
+}
+
+// Len returns the number of records that are not yet in the log.
+func (c *Core) Len() int { return len(c.entries) }
+
+// Add takes a record. It returns ErrBusy when too many wait.
+func (c *Core) Add(now time.Time, r *Record) error {
+	if len(c.entries) >= c.capacity {
+		return ErrBusy
+	}
+	e := &entry{core: c, record: r, dueAt: now, backoff: minBackoff}
+	c.entries[r] = e
+	c.order = append(c.order, e)
+	return nil
+}
+
+// OnAppend reports the outcome of an append.
+func (c *Core) OnAppend(now time.Time, r *Record, offset logservice.Offset, err error) {
+	e := c.returned(r)
+	if e == nil {
+		return
+	}
+	e.offset, e.err = offset, err
+	switch {
+	case err == nil:
+		c.step(now, e, eventAppendDone)
+	case errors.Is(err, logservice.ErrTooLarge):
+		c.step(now, e, eventAppendRefused)
+	default:
+		c.step(now, e, eventAppendUnclear)
+	}
+}
+
+// OnSearch reports the outcome of a search.
+func (c *Core) OnSearch(now time.Time, r *Record, offset logservice.Offset, found bool, err error) {
+	e := c.returned(r)
+	if e == nil {
+		return
+	}
+	e.offset, e.err = offset, err
+	switch {
+	case err != nil:
+		c.step(now, e, eventSearchFailed)
+	case found:
+		c.step(now, e, eventFound)
+	default:
+		c.step(now, e, eventAbsent)
+	}
+}
+
+// Tick starts what is due and returns the time of the next step. A zero time
+// means that none is planned.
+func (c *Core) Tick(now time.Time) time.Time {
+	var next time.Time
+	for _, e := range c.order {
+		if e.dueAt.IsZero() {
+			continue
+		}
+		if e.dueAt.After(now) {
+			if next.IsZero() || e.dueAt.Before(next) {
+				next = e.dueAt
+			}
+			continue
+		}
+		if c.inFlight == maxInFlight {
+			continue
+		}
+		c.step(now, e, eventDue)
+	}
+	return next
+}
+
+// Actions returns the actions since the last call.
+func (c *Core) Actions() []Action {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) returned(r *Record) *entry {
+	e := c.entries[r]
+	if e != nil {
+		c.inFlight--
+	}
+	return e
+}
+
+func (c *Core) step(now time.Time, e *entry, event chart.EventID) {
+	e.now = now
+	e.state = c.machine.Step(e, e.state, event)
+	if c.machine.Final(e.state) {
+		c.remove(e)
+	}
+}
+
+func (c *Core) remove(e *entry) {
+	delete(c.entries, e.record)
+	for i, other := range c.order {
+		if other == e {
+			c.order = append(c.order[:i:i], c.order[i+1:]...)
+			return
+		}
+	}
+}
+
+func (e *entry) emit(a Action) {
+	e.dueAt = time.Time{}
+	e.core.inFlight++
+	e.core.out = append(e.core.out, a)
+}
+
+func (e *entry) backOff() {
+	jitter := time.Duration(e.core.rng.Int64N(int64(e.backoff)))
+	e.dueAt = e.now.Add(e.backoff/2 + jitter)
+	e.backoff = min(2*e.backoff, maxBackoff)
+}
+
+func (e *entry) report(offset logservice.Offset, err error) {
+	if e.record.Done != nil {
+		e.record.Done(offset, err)
+	}
+}
