--- a/policy/configlog/relay.go
+++ b/policy/configlog/relay.go
@@ -96,14 +96,12 @@
 		answer.Set = c.part(now, next, 0)
 		return
 	}
-	if p.Next >= next {
+	if p.Next >= next || config && !c.ready {
 		return
 	}
 	records, kept := t.since(p.Next)
 	if !kept && config {
-		if c.ready {
-			answer.Set = c.part(now, next, 0)
-		}
+		answer.Set = c.part(now, next, 0)
 		return
 	}
 	s := StreamRecords{Stream: p.Stream, From: p.Next, Next: next, Records: records}
@@ -192,6 +190,8 @@
 		for _, r := range s.Records {
 			c.apply(now, t, r)
 		}
+		// The peer has a whole configuration as of Next, and so has this node.
+		c.ready = c.ready || s.Stream == model.ConfigStream && !c.config.Gap()
 	}
 	c.emit(&Notice{Kind: NoticeRelayed, Stream: s.Stream, Offset: s.Next, Peer: from.Instance, Count: len(s.Records)})
 }
