--- a/policy/configlog/core.go
+++ b/policy/configlog/core.go
@@ -40,8 +40,8 @@
 
 	began     time.Time
 	gapAt     time.Time // when records were found missing
-	ready     bool // the node may serve with its configuration
-	dirty     bool // the snapshot differs from the one published last
+	ready     bool      // the node may serve with its configuration
+	dirty     bool      // the snapshot differs from the one published last
 	sequence  uint64
 	refreshAt time.Time
 	expireAt  time.Time
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,12 +2,17 @@
 package settings
 
 import (
-	"net"
+	"fmt"
+	"net/netip"
+	"net/url"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/core/strictyaml"
 )
 
 // Node holds the settings of one node. Addresses are IP:port.
@@ -27,66 +32,104 @@
 	Peers []string `yaml:"peers"` // peer addresses to start from
 	Entry []string `yaml:"entry"` // services for which the node takes calls; its own by default
 
-	DrainTime time.Duration `yaml:"drain_time"` // for running calls at shutdown
-	LogLevel  string        `yaml:"log_level"`  // debug, info, warn or error
-	Insecure  bool          `yaml:"insecure"`   // plain TCP between nodes
+	DrainTime time.Duration `yaml:"-"`         // for running calls at shutdown; drain_time in the file
+	LogLevel  string        `yaml:"log_level"` // debug, info, warn or error
+	Insecure  bool          `yaml:"insecure"`  // plain TCP between nodes
 }
 
 // DefaultDrainTime is how long a shutdown waits for running calls.
 const DefaultDrainTime = 30 * time.Second
 
-// Load reads and checks the settings in a file. The error names the file, the
-// line or the field, and what is expected.
+// Load reads and checks the settings in a file. The error is
+// strictyaml.Faults when the file could be read.
 func Load(path string) (*Node, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "read settings")
 	}
-	n, err := Parse(text)
-	return n, errors.Wrapf(err, "settings %s", path)
+	return Parse(path, text)
 }
 
-// Parse reads and checks settings.
-func Parse(text []byte) (*Node, error) {
-	n := &Node{DrainTime: DefaultDrainTime, LogLevel: "info"}
-	if err := yaml.UnmarshalWithOptions(text, n, yaml.Strict()); err != nil {
+// Parse reads and checks settings. Name stands for the file in errors.
+func Parse(name string, text []byte) (*Node, error) {
+	in := &written{Node: Node{LogLevel: "info"}, DrainTime: DefaultDrainTime.String()}
+	file, err := strictyaml.Read(name, text, in)
+	if err != nil {
 		return nil, err
 	}
-	return n, n.check()
+	c := checker{file: file}
+	in.Node.DrainTime = c.duration("drain_time", in.DrainTime)
+	c.check(&in.Node)
+	if err := file.Err(); err != nil {
+		return nil, err
+	}
+	return &in.Node, nil
+}
+
+// written is the form of the settings in their file.
+type written struct {
+	Node      `yaml:",inline"`
+	DrainTime string `yaml:"drain_time"`
 }
 
-func (n *Node) check() error {
-	required := []struct{ field, value string }{
-		{"instance", n.Instance}, {"service", n.Service}, {"zone", n.Zone},
-		{"region", n.Region}, {"target", n.Target}, {"log", n.Log},
+// checker looks for faults that the types cannot express.
+type checker struct{ file *strictyaml.File }
+
+func (c *checker) check(n *Node) {
+	c.required("instance", n.Instance)
+	c.required("service", n.Service)
+	c.required("zone", n.Zone)
+	c.required("region", n.Region)
+	c.url("target", n.Target)
+	c.url("log", n.Log)
+	c.address("call_address", n.CallAddress)
+	c.address("sub_address", n.SubAddress)
+	c.address("peer_address", n.PeerAddress)
+	c.address("ops_address", n.OpsAddress)
+	for i, peer := range n.Peers {
+		c.address(fmt.Sprintf("peers[%d]", i), peer)
 	}
-	for _, r := range required {
-		if r.value == "" {
-			return errors.Errorf("field %s is missing", r.field)
-		}
+	c.entry(n.Entry)
+	if !slices.Contains(levels, n.LogLevel) {
+		c.file.Faultf("log_level", "is %q, expected one of %s", n.LogLevel, strings.Join(levels, ", "))
 	}
-	addresses := []struct{ field, value string }{
-		{"call_address", n.CallAddress}, {"sub_address", n.SubAddress},
-		{"peer_address", n.PeerAddress}, {"ops_address", n.OpsAddress},
+}
+
+var levels = []string{"debug", "info", "warn", "error"}
+
+func (c *checker) required(field, value string) {
+	if strings.TrimSpace(value) == "" {
+		c.file.Faultf(field, "is missing, expected a name")
 	}
-	for _, a := range addresses {
-		if err := checkAddress(a.field, a.value); err != nil {
-			return err
-		}
+}
+
+func (c *checker) url(field, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		c.file.Faultf(field, "is %q, expected http://IP:port", value)
 	}
-	if n.DrainTime < 0 {
-		return errors.Errorf("field drain_time is %s, want 0 or more", n.DrainTime)
+}
+
+func (c *checker) address(field, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.file.Faultf(field, "is %q, expected IP:port", value)
 	}
-	return nil
 }
 
-func checkAddress(field, value string) error {
-	host, _, err := net.SplitHostPort(value)
-	if err != nil {
-		return errors.Errorf("field %s is %q, want IP:port", field, value)
+func (c *checker) duration(field, value string) time.Duration {
+	d, err := time.ParseDuration(value)
+	if err != nil || d < 0 {
+		c.file.Faultf(field, "is %q, expected a duration of 0s or more, such as 30s", value)
 	}
-	if net.ParseIP(host) == nil {
-		return errors.Errorf("field %s is %q, want an IP number before the port", field, value)
+	return d
+}
+
+func (c *checker) entry(services []string) {
+	for i, s := range services {
+		field := fmt.Sprintf("entry[%d]", i)
+		c.required(field, s)
+		if slices.Contains(services[:i], s) {
+			c.file.Faultf(field, "%q is listed twice", s)
+		}
 	}
-	return nil
 }
