Publish, issue, withdraw and switch from the command line

Cause: operators had no commands; dev wrote its documents by hand.

config, key, zone, target and status work over the log service; a lost answer is resolved by the record's id, a lost race names the winner. Flags may follow the arguments. dev generates its fleet from a questionnaire and prints commands for a lookup, a filing and a withdrawal.

--- a/agent/follower/plumbing.go
+++ b/agent/follower/plumbing.go
@@ -26,7 +26,11 @@
 		if n == 0 {
 			continue
 		}
-		if err := inbox.Put(ctx, read(ctx, log, batch[0])); err != nil {
+		done := read(ctx, log, batch[0])
+		if ctx.Err() != nil {
+			return
+		}
+		if err := inbox.Put(ctx, done); err != nil {
 			return
 		}
 	}
--- a/agent/operators.go
+++ b/agent/operators.go
@@ -3,8 +3,11 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/uptrace/bunrouter"
+
+	"github.com/oleanderworks/oleanderworks/model"
 )
 
 // Status is what a node tells its operators.
@@ -15,6 +18,9 @@
 	Region   string `json:"region"`
 	Calls    string `json:"call_address"`
 	Peers    string `json:"peer_address"`
+
+	Config  ConfigStatus                     `json:"config"`
+	Members map[model.Service][]model.Member `json:"members"`
 }
 
 func (n *Node) operatorsHandler() http.Handler {
@@ -28,11 +34,15 @@
 		_, err := w.Write([]byte(n.vars.String()))
 		return err
 	})
+	router.POST("/keys/withdraw", n.serveWithdraw)
 	return router
 }
 
 func (n *Node) status() Status {
+	config, members := n.configStatus(time.Now())
 	return Status{
+		Config:   config,
+		Members:  members,
 		Instance: string(n.self.Instance),
 		Service:  string(n.self.Service),
 		Zone:     string(n.self.Zone),
--- /dev/null
+++ b/agent/operators_config.go
@@ -0,0 +1,111 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/oleanderworks/oleanderworks/agent/follower"
+	"github.com/oleanderworks/oleanderworks/core/ring"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/configlog"
+)
+
+const (
+	// maxOperatorBody bounds the body of an operator's request.
+	maxOperatorBody = 64 << 10
+	// withdrawTimeout is above the time for which the follower waits for
+	// acceptance.
+	withdrawTimeout = 8 * time.Second
+)
+
+// ConfigStatus is the configuration as a node tells its operators.
+type ConfigStatus struct {
+	Ready      bool              `json:"ready"`    // the node has a whole configuration
+	Sequence   uint64            `json:"sequence"` // of the node's snapshots
+	Offset     uint64            `json:"offset"`   // of the next record of the configuration
+	Positions  map[string]uint64 `json:"positions"`
+	ContactAge string            `json:"log_contact_age,omitempty"` // since the log was read to its end
+	Services   int               `json:"services"`
+	Customers  int               `json:"customers"`
+	Keys       int               `json:"keys"`
+	ZonesOut   []string          `json:"zones_out,omitempty"`
+	TargetsOut []string          `json:"targets_out,omitempty"`
+}
+
+func (n *Node) configStatus(now time.Time) (ConfigStatus, map[model.Service][]model.Member) {
+	v := n.configuration.follower.View()
+	out := ConfigStatus{Ready: v.Ready, Offset: v.ConfigOffset(), Positions: make(map[string]uint64)}
+	for _, p := range v.Positions {
+		out.Positions[p.Stream] = uint64(p.Next)
+	}
+	if !v.LogContact.IsZero() {
+		out.ContactAge = now.Sub(v.LogContact).Round(time.Millisecond).String()
+	}
+	s := v.Snapshot
+	if s == nil {
+		return out, nil
+	}
+	out.Sequence = s.Sequence
+	out.Services, out.Customers, out.Keys = len(s.Services), len(s.Customers), len(s.Keys)
+	out.ZonesOut, out.TargetsOut = switchedOut(s.Zones), switchedOut(s.Targets)
+	return out, s.Members
+}
+
+func switchedOut[K ~string](switches map[K]model.SwitchConfig) []string {
+	var out []string
+	for name, s := range switches {
+		if s.Out {
+			out = append(out, string(name))
+		}
+	}
+	return out
+}
+
+// withdrawRequest names a key by itself or by its hash.
+type withdrawRequest struct {
+	Key  string `json:"key"`
+	Hash string `json:"hash"`
+}
+
+func (r *withdrawRequest) keyHash() (model.KeyHash, error) {
+	if r.Key != "" {
+		return model.HashKey(r.Key), nil
+	}
+	return model.ParseKeyHash(r.Hash)
+}
+
+// serveWithdraw answers 200 when the withdrawal is accepted, and 202 when
+// this node applies it but neither the log nor enough peers have it yet.
+func (n *Node) serveWithdraw(w http.ResponseWriter, r bunrouter.Request) error {
+	var request withdrawRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOperatorBody)).Decode(&request); err != nil {
+		http.Error(w, `expected JSON with "key" or "hash"`, http.StatusBadRequest)
+		return nil
+	}
+	hash, err := request.keyHash()
+	if err != nil || request.Key != "" && request.Hash != "" {
+		http.Error(w, `expected "key" or "hash" with 64 hexadecimal digits`, http.StatusBadRequest)
+		return nil
+	}
+	m := &follower.Withdraw{Hash: hash, Reply: ring.NewReply[configlog.Acceptance]()}
+	if !n.configuration.duty.Ring().Offer(m) {
+		http.Error(w, "the node is busy, try again", http.StatusServiceUnavailable)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), withdrawTimeout)
+	defer cancel()
+	acceptance, err := m.Reply.Wait(ctx)
+	if err != nil {
+		http.Error(w, "the node did not answer in time, try again", http.StatusServiceUnavailable)
+		return nil
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if acceptance == configlog.NotAccepted {
+		w.WriteHeader(http.StatusAccepted)
+	}
+	return json.NewEncoder(w).Encode(map[string]string{"key": hash.Short(), "accepted": string(acceptance)})
+}
--- /dev/null
+++ b/command/config/publish.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/command/internal/operator"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/questionnaire"
+)
+
+func publishCommand(stdout io.Writer) *ff.Command {
+	flags := operator.NewLogFlags("publish")
+	prune := flags.Set.BoolLong("prune", "delete services, customers and availability zones that the questionnaire lacks")
+	dry := flags.Set.BoolLong("dry-run", "show what would change and publish nothing")
+	return &ff.Command{
+		Name:      "publish",
+		Usage:     "oleanderworks config publish FILE --log URL",
+		ShortHelp: "publish a questionnaire and report whether it was accepted",
+		LongHelp: "Only documents that differ are amended, each from the version that was read. When another\n" +
+			"operator changed one of them first, nothing is published and the conflict is reported; run\n" +
+			"the command again to publish from the new version. Keys and switches stay as they are.",
+		Flags: flags.Set,
+		Exec: func(ctx context.Context, args []string) error {
+			path, err := operator.One(args, "one file name")
+			if err != nil {
+				return err
+			}
+			q, err := questionnaire.Load(path)
+			if err != nil {
+				return err
+			}
+			wanted, err := questionnaire.Generate(q)
+			if err != nil {
+				return err
+			}
+			return publishDocuments(ctx, flags, wanted, *prune, *dry, stdout)
+		},
+	}
+}
+
+func publishDocuments(ctx context.Context, flags *operator.LogFlags, wanted []model.Document, prune, dry bool, stdout io.Writer) error {
+	c, ctx, cancel, err := flags.Client(ctx, nil)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	amendments, err := questionnaire.Amendments(c.State().Documents(), wanted, prune)
+	if err != nil {
+		return err
+	}
+	for _, a := range amendments {
+		fmt.Fprintf(stdout, "%s: version %d -> %d%s\n", a.Document, a.Base, a.Base+1, deletion(a))
+	}
+	switch {
+	case len(amendments) == 0:
+		fmt.Fprintln(stdout, "nothing to publish: no document differs")
+		return nil
+	case dry:
+		return nil
+	}
+	p, err := c.Publish(ctx, amendments)
+	if err != nil {
+		return errors.Wrap(err, "publish")
+	}
+	fmt.Fprintf(stdout, "accepted: publication %s, offset %d, %d documents\n", p.Publication.ID, p.Offset, len(amendments))
+	return nil
+}
+
+func deletion(a model.Amendment) string {
+	if model.IsDeleted(a.Body) {
+		return " (deleted)"
+	}
+	return ""
+}
--- /dev/null
+++ b/command/config/read.go
@@ -0,0 +1,117 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/command/internal/operator"
+	"github.com/oleanderworks/oleanderworks/logservice/publish"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/configlog"
+)
+
+const defaultHistory = 20
+
+func showCommand(stdout io.Writer) *ff.Command {
+	flags := operator.NewLogFlags("show")
+	return &ff.Command{
+		Name:      "show",
+		Usage:     "oleanderworks config show [PREFIX] --log URL",
+		ShortHelp: "print the documents in force with their versions",
+		LongHelp:  "PREFIX selects documents by name, such as customer/ or service/tally.",
+		Flags:     flags.Set,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 1 {
+				return errors.Errorf("%d arguments, expected at most one prefix", len(args))
+			}
+			c, _, cancel, err := flags.Client(ctx, nil)
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			return show(c.State(), strings.Join(args, ""), stdout)
+		},
+	}
+}
+
+func show(s *configlog.State, prefix string, w io.Writer) error {
+	var names []string
+	for name, doc := range s.Documents() {
+		if strings.HasPrefix(name, prefix) && !model.IsDeleted(doc.Body) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 && prefix != "" {
+		return errors.Errorf("no document starts with %q", prefix)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		doc := s.Document(name)
+		fmt.Fprintf(w, "%s version %d %s\n", name, doc.Version, doc.Body)
+	}
+	return nil
+}
+
+func historyCommand(stdout io.Writer) *ff.Command {
+	flags := operator.NewLogFlags("history")
+	limit := flags.Set.IntLong("limit", defaultHistory, "number of publications, the newest ones; 0 for all")
+	return &ff.Command{
+		Name:      "history",
+		Usage:     "oleanderworks config history [--limit N] --log URL",
+		ShortHelp: "list the publications that the log keeps, with their fate",
+		Flags:     flags.Set,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 || *limit < 0 {
+				return errors.New("expected no arguments and a limit of 0 or more")
+			}
+			var all []publish.Publication
+			_, _, cancel, err := flags.Client(ctx, func(p publish.Publication) {
+				all = append(all, p)
+				if *limit > 0 && len(all) > *limit {
+					all = all[1:]
+				}
+			})
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			for _, p := range all {
+				fmt.Fprintln(stdout, describe(p))
+			}
+			return nil
+		},
+	}
+}
+
+// describe returns one line about a publication.
+func describe(p publish.Publication) string {
+	r := p.Publication
+	line := fmt.Sprintf("%d %s %s %s %s:", p.Offset, p.Time.UTC().Format(time.RFC3339), p.Verdict, r.ID, author(r.Author))
+	switch {
+	case len(r.Refresh) > 0:
+		return fmt.Sprintf("%s refresh of %d documents", line, len(r.Refresh))
+	case len(r.Withdraw) > 0:
+		return fmt.Sprintf("%s withdrawal of %d keys", line, len(r.Withdraw))
+	}
+	for _, a := range r.Amendments {
+		line += fmt.Sprintf(" %s@%d%s", a.Document, a.Base+1, deletion(a))
+	}
+	if p.Verdict == configlog.Conflict {
+		line += fmt.Sprintf(" (%s was at version %d)", p.Document, p.Current)
+	}
+	return line
+}
+
+func author(name string) string {
+	if name == "" {
+		return "-"
+	}
+	return name
+}
--- a/command/dev/dev.go
+++ b/command/dev/dev.go
@@ -86,12 +86,17 @@
 	for _, k := range sampleKeys {
 		fmt.Fprintf(w, "key of customer %s: %s\n", k.customer, k.key)
 	}
-	key := sampleKeys[0].key
+	key, withdrawn := sampleKeys[0].key, sampleKeys[len(sampleKeys)-1]
 	fmt.Fprintf(w, "\nlookup:\n  curl -i -H 'X-Api-Key: %s' %s\n", key, f.lookupURL())
 	fmt.Fprintf(w, "filing:\n  curl -i -H 'X-Api-Key: %s' -H 'Idempotency-Key: %s' -d '{\"head\":42}' http://%s/tally/tallies\n",
 		key, newRequestID(), entry)
+	fmt.Fprintf(w, "withdrawal of the key of %s:\n  curl -i -d '{\"key\":\"%s\"}' http://%s/keys/withdraw\n",
+		withdrawn.customer, withdrawn.key, ops)
+	fmt.Fprintf(w, "status:\n  curl -s http://%s/status\n", ops)
+	fmt.Fprintf(w, "configuration:\n  oleanderworks config history --log http://%s\n\n", f.logAddress)
 }
 
 func (f *fleet) printSummary(w io.Writer) {
-	fmt.Fprintf(w, "summary: %d targets served %d calls\n", len(f.targets), f.served.Load())
+	fmt.Fprintf(w, "summary: %d nodes, %d calls reached targets, %d records in the log\n",
+		len(f.nodes), f.served.Load(), f.log.Appends())
 }
--- a/command/dev/fleet.go
+++ b/command/dev/fleet.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	_ "embed" // the questionnaire
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,7 +17,9 @@
 	"github.com/oleanderworks/oleanderworks/agent"
 	"github.com/oleanderworks/oleanderworks/logservice/httplog"
 	"github.com/oleanderworks/oleanderworks/logservice/memlog"
+	"github.com/oleanderworks/oleanderworks/logservice/publish"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/questionnaire"
 	"github.com/oleanderworks/oleanderworks/settings"
 )
 
@@ -29,6 +31,11 @@
 	{"nightly-export", "dev-key-nightly-export"},
 }
 
+// answers is the questionnaire from which the fleet is generated.
+//
+//go:embed dev.yaml
+var answers []byte
+
 // members of the fleet: two availability zones, two services.
 var fleetMembers = []struct{ instance, service, zone string }{
 	{"registry-1", "registry", "north"},
@@ -100,48 +107,31 @@
 	_ = json.NewEncoder(w).Encode(map[string]string{"path": r.URL.Path, "method": r.Method, "body": string(body)})
 }
 
+// publish generates the configuration and issues the sample keys.
 func (f *fleet) publish(ctx context.Context) error {
-	p := model.Publication{ID: uuid.NewString(), Time: time.Now()}
-	for _, d := range documents() {
-		body, err := json.Marshal(d.body)
-		if err != nil {
-			return errors.Wrap(err, d.name)
-		}
-		p.Amendments = append(p.Amendments, model.Amendment{Document: d.name, Body: body})
+	q, err := questionnaire.Parse("dev.yaml", answers)
+	if err != nil {
+		return err
 	}
-	body, err := json.Marshal(p)
+	documents, err := questionnaire.Generate(q)
 	if err != nil {
-		return errors.Wrap(err, "encode publication")
+		return err
 	}
-	_, err = f.log.Append(ctx, model.ConfigStream, p.ID, body)
-	return err
-}
-
-type document struct {
-	name string
-	body any
-}
-
-func documents() []document {
-	second := model.Duration(time.Second)
-	docs := []document{
-		{model.FleetDocument, model.FleetConfig{Classes: []model.Class{"browse", "lookup", "filing"}, Groups: 1, RetryBudget: 2}},
-		{"service/registry", model.ServiceConfig{
-			Name: "registry", Slots: 120, Connections: 840, ColdFloor: 12, RampTime: 10 * second,
-			Routes: []model.Route{{Prefix: "/", Class: "lookup", Idempotent: true, Timeout: 5 * second}},
-		}},
-		{"service/tally", model.ServiceConfig{
-			Name: "tally", Slots: 160, Connections: 1100, ColdFloor: 16, RampTime: 10 * second,
-			Routes: []model.Route{{Prefix: "/", Class: "filing", Timeout: 5 * second}},
-		}},
+	c := publish.NewClient(f.log, "dev")
+	amendments, err := questionnaire.Amendments(nil, documents, false)
+	if err != nil {
+		return err
 	}
 	for _, k := range sampleKeys {
-		customer := model.Customer(k.customer)
-		docs = append(docs,
-			document{"customer/" + k.customer, model.CustomerConfig{Name: customer, Rate: 500, Burst: 100, Weight: 1, Home: "dev"}},
-			document{fmt.Sprintf("key/%s", model.HashKey(k.key)), model.KeyConfig{Customer: customer}})
+		body, err := json.Marshal(model.KeyConfig{Customer: model.Customer(k.customer)})
+		if err != nil {
+			return errors.Wrap(err, "encode key")
+		}
+		name := model.DocumentName(model.KindKey, model.HashKey(k.key).String())
+		amendments = append(amendments, model.Amendment{Document: name, Body: body})
 	}
-	return docs
+	_, err = c.Publish(ctx, amendments)
+	return err
 }
 
 func (f *fleet) stop() error {
--- /dev/null
+++ b/command/internal/switches/switches.go
@@ -0,0 +1,131 @@
+// Package switches takes availability zones and targets in and out of
+// service, for the subcommands "zone" and "target".
+package switches
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/command/internal/operator"
+	"github.com/oleanderworks/oleanderworks/logservice/publish"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// maxAttempts bounds the publications after conflicts: the switch is wanted
+// whatever else changed in the document.
+const maxAttempts = 4
+
+// Kind describes what is switched.
+type Kind struct {
+	Document string // kind of document
+	Command  string // such as "zone"
+	Noun     string // such as "availability zone"
+	// MustExist refuses objects without a document.
+	MustExist bool
+}
+
+// New returns the subcommand with "out" and "in".
+func New(k Kind, stdout io.Writer) *ff.Command {
+	return &ff.Command{
+		Name:      k.Command,
+		Usage:     fmt.Sprintf("oleanderworks %s out|in NAME --log URL", k.Command),
+		ShortHelp: fmt.Sprintf("take a %s out of service, or in again", k.Noun),
+		LongHelp: fmt.Sprintf("Nodes make no new choice of a %s that is out; running requests complete.\n"+
+			"What comes in again is ramped up as in a cold start.", k.Noun),
+		Subcommands: []*ff.Command{
+			k.command("out", true, stdout),
+			k.command("in", false, stdout),
+		},
+	}
+}
+
+func (k Kind) command(verb string, out bool, stdout io.Writer) *ff.Command {
+	flags := operator.NewLogFlags(k.Command + " " + verb)
+	return &ff.Command{
+		Name:      verb,
+		Usage:     fmt.Sprintf("oleanderworks %s %s NAME --log URL", k.Command, verb),
+		ShortHelp: fmt.Sprintf("take a %s %s", k.Noun, map[bool]string{true: "out of service", false: "into service again"}[out]),
+		Flags:     flags.Set,
+		Exec: func(ctx context.Context, args []string) error {
+			name, err := operator.One(args, "the name of one "+k.Noun)
+			if err != nil {
+				return err
+			}
+			return k.run(ctx, flags, name, out, stdout)
+		},
+	}
+}
+
+func (k Kind) run(ctx context.Context, flags *operator.LogFlags, name string, out bool, stdout io.Writer) error {
+	c, ctx, cancel, err := flags.Client(ctx, nil)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	for attempt := 1; ; attempt++ {
+		amendment, err := k.amendment(c, name, out)
+		if err != nil {
+			return err
+		}
+		if amendment == nil {
+			fmt.Fprintf(stdout, "%s %s is %s already\n", k.Noun, name, word(out))
+			return nil
+		}
+		p, err := c.Publish(ctx, []model.Amendment{*amendment})
+		if errors.Is(err, publish.ErrConflict) && attempt < maxAttempts {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(stdout, "accepted: %s %s is %s, offset %d\n", k.Noun, name, word(out), p.Offset)
+		return nil
+	}
+}
+
+func word(out bool) string {
+	if out {
+		return "out"
+	}
+	return "in"
+}
+
+// amendment returns nil when the switch is set already.
+func (k Kind) amendment(c *publish.Client, name string, out bool) (*model.Amendment, error) {
+	document := model.DocumentName(k.Document, name)
+	doc := c.State().Document(document)
+	if k.MustExist && model.IsDeleted(doc.Body) {
+		return nil, errors.Errorf("%s %q is not in the configuration, expected one of %s", k.Noun, name, k.known(c))
+	}
+	var config model.SwitchConfig
+	if !model.IsDeleted(doc.Body) {
+		if err := json.Unmarshal(doc.Body, &config); err != nil {
+			return nil, errors.Wrapf(err, "document %s version %d", document, doc.Version)
+		}
+	}
+	if config.Out == out {
+		return nil, nil
+	}
+	config.Out = out
+	body, err := json.Marshal(config)
+	return &model.Amendment{Document: document, Base: doc.Version, Body: body}, err
+}
+
+func (k Kind) known(c *publish.Client) string {
+	var names []string
+	for name, doc := range c.State().Documents() {
+		object, ok := strings.CutPrefix(name, k.Document+"/")
+		if ok && !model.IsDeleted(doc.Body) {
+			names = append(names, object)
+		}
+	}
+	slices.Sort(names)
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/command/key/withdraw.go
@@ -0,0 +1,119 @@
+package key
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/command/internal/operator"
+	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	// nodeTimeout is above the time for which a node waits for acceptance.
+	nodeTimeout = 10 * time.Second
+	maxAnswer   = 64 << 10
+)
+
+func withdrawCommand(stdin io.Reader, stdout io.Writer) *ff.Command {
+	flags := operator.NewLogFlags("withdraw")
+	node := flags.Set.StringLong("node", "", "operators' address of a node, http://IP:port, also while the log is down")
+	return &ff.Command{
+		Name:      "withdraw",
+		Usage:     "oleanderworks key withdraw KEY|HASH|- [--log URL] [--node URL]",
+		ShortHelp: "make a key stop working, for good",
+		LongHelp: "The argument is the key, its hash as \"key list\" shows it, or - to read either from the\n" +
+			"standard input, which keeps a key out of the shell's history. With --node the withdrawal\n" +
+			"travels from node to node and works while the log service is down.",
+		Flags: flags.Set,
+		Exec: func(ctx context.Context, args []string) error {
+			text, err := operator.One(args, "a key, its hash or -")
+			if err != nil {
+				return err
+			}
+			if *node == "" && !flags.Given() {
+				return errors.New("flags --log and --node are missing, expected one of them or both")
+			}
+			if text == "-" {
+				raw, err := io.ReadAll(io.LimitReader(stdin, maxAnswer))
+				if err != nil {
+					return errors.Wrap(err, "read the key")
+				}
+				text = strings.TrimSpace(string(raw))
+			}
+			return withdraw(ctx, flags, *node, text, stdout)
+		},
+	}
+}
+
+// withdraw uses the node first, since it works without the log.
+func withdraw(ctx context.Context, flags *operator.LogFlags, node, text string, stdout io.Writer) error {
+	hash := hashOf(text)
+	if node != "" {
+		if err := withdrawAtNode(ctx, node, hash, stdout); err != nil {
+			return err
+		}
+	}
+	if !flags.Given() {
+		return nil
+	}
+	c, ctx, cancel, err := flags.Client(ctx, nil)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	if model.IsDeleted(c.State().Document(model.DocumentName(model.KindKey, hash.String())).Body) {
+		return errors.Errorf("key %s is not in the configuration", hash.Short())
+	}
+	p, err := c.Withdraw(ctx, hash)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(stdout, "accepted: key %s is withdrawn, offset %d\n", hash.Short(), p.Offset)
+	return nil
+}
+
+// hashOf returns the hash that the text is, or the hash of the key that it is.
+func hashOf(text string) model.KeyHash {
+	if hash, err := model.ParseKeyHash(text); err == nil {
+		return hash
+	}
+	return model.HashKey(text)
+}
+
+func withdrawAtNode(ctx context.Context, node string, hash model.KeyHash, stdout io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+	defer cancel()
+	body, err := json.Marshal(map[string]string{"hash": hash.String()})
+	if err != nil {
+		return errors.Wrap(err, "encode withdrawal")
+	}
+	url := strings.TrimRight(node, "/") + "/keys/withdraw"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return fault.At("withdraw key", node, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fault.At("withdraw key", node, err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fault.At("withdraw key", node, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fault.New("withdraw key", node, "status %d: %s", resp.StatusCode, strings.TrimSpace(string(answer)))
+	}
+	fmt.Fprintf(stdout, "node: %s\n", strings.TrimSpace(string(answer)))
+	return nil
+}
--- a/command/root.go
+++ b/command/root.go
@@ -5,15 +5,21 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 	"github.com/pkg/errors"
 
 	"github.com/oleanderworks/oleanderworks/command/charts"
+	"github.com/oleanderworks/oleanderworks/command/config"
 	"github.com/oleanderworks/oleanderworks/command/dev"
 	"github.com/oleanderworks/oleanderworks/command/events"
+	"github.com/oleanderworks/oleanderworks/command/key"
 	"github.com/oleanderworks/oleanderworks/command/node"
+	"github.com/oleanderworks/oleanderworks/command/status"
+	"github.com/oleanderworks/oleanderworks/command/target"
+	"github.com/oleanderworks/oleanderworks/command/zone"
 )
 
 // Exit codes of the binary.
@@ -33,11 +39,16 @@
 		Subcommands: []*ff.Command{
 			node.New(stdout, stderr),
 			dev.New(stdout, stderr),
+			config.New(stdout),
+			key.New(os.Stdin, stdout),
+			zone.New(stdout),
+			target.New(stdout),
+			status.New(stdout),
 			charts.New(stdout),
 			events.New(stdout),
 		},
 	}
-	err := root.ParseAndRun(ctx, args)
+	err := root.ParseAndRun(ctx, flagsFirst(root, args))
 	switch {
 	case err == nil:
 		return exitOK
