--- a/core/strictyaml/strictyaml.go
+++ b/core/strictyaml/strictyaml.go
@@ -13,6 +13,9 @@
 	"github.com/pkg/errors"
 )
 
+// maxBytes bounds a file. The example questionnaires have 3 KB.
+const maxBytes = 4 << 20
+
 // Fault is one fault of a file.
 type Fault struct {
 	File    string
@@ -60,6 +63,9 @@
 // faults.
 func Read(name string, text []byte, into any) (*File, error) {
 	f := &File{name: name, lines: make(map[string]int)}
+	if len(text) > maxBytes {
+		return nil, Faults{{File: name, Message: fmt.Sprintf("has %d bytes, expected at most %d", len(text), maxBytes)}}
+	}
 	parsed, err := parser.ParseBytes(text, 0)
 	if err != nil {
 		return nil, f.convert(err)
@@ -72,18 +78,29 @@
 		return nil, Faults{{File: name, Line: 1, Message: "expected fields, each as \"name: value\""}}
 	}
 	ast.Walk(f, body)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
 	if err := yaml.NodeToValue(body, into, yaml.Strict()); err != nil {
 		return nil, f.convert(err)
 	}
 	return f, nil
 }
 
-// Visit implements ast.Visitor: it notes the line of each field.
+// Visit implements ast.Visitor: it notes the line of each field. Tags, anchors
+// and aliases are refused: no field needs them, aliases can make a small file
+// large, and the YAML library fails on a tag before an empty list.
 func (f *File) Visit(n ast.Node) ast.Visitor {
 	path, t := n.GetPath(), n.GetToken()
 	if t == nil || t.Position == nil {
 		return f
 	}
+	switch n.(type) {
+	case *ast.TagNode, *ast.AnchorNode, *ast.AliasNode, *ast.MergeKeyNode, *ast.DirectiveNode:
+		f.faults = append(f.faults, Fault{File: f.name, Line: t.Position.Line,
+			Message: "has a YAML tag, anchor or alias, expected plain values"})
+		return nil
+	}
 	if _, ok := f.lines[path]; !ok {
 		f.lines[path] = t.Position.Line
 	}
--- a/policy/configlog/core.go
+++ b/policy/configlog/core.go
@@ -53,7 +53,7 @@
 	c := &Core{
 		self:    self,
 		rng:     rng,
-		machine: newMachine(),
+		machine: machine(),
 		byName:  make(map[string]*track),
 		config:  NewState(self.Instance, checker),
 		members: make(map[string]*Members),
--- /dev/null
+++ b/policy/configlog/random_test.go
@@ -0,0 +1,121 @@
+package configlog
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/logservice/memlog"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Guards against nodes that end with different configurations after outages,
+// splits, restarts, races and expiry in any order. A version that goes down
+// on the way fails through the invariant checker.
+func TestRandomFaultsEndInOneConfiguration(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { randomFaults(t, seed) })
+	}
+}
+
+func randomFaults(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 99))
+	f := newFleet(t, 5*time.Minute)
+	for i := range 6 {
+		f.add(model.Zone(fmt.Sprint("zone-", i%3)))
+	}
+	f.publish(model.Publication{Amendments: zones("zone-0", "zone-1", "zone-2")})
+	for range 60 {
+		randomFault(f, rng)
+		f.run(time.Duration(rng.IntN(20))*time.Second, 500*time.Millisecond)
+	}
+	f.log.SetFaults(memlog.Faults{})
+	for _, n := range f.nodes {
+		n.cutOff, n.alone = false, false
+	}
+	f.run(2*time.Minute, 500*time.Millisecond)
+	want := f.nodes[0].core.State().Documents()
+	for _, n := range f.nodes {
+		assert.Assert(t, n.latest != nil, "%s has no configuration", n.self.Instance)
+		assert.Equal(t, len(n.core.pending), 0)
+		got := n.core.State().Documents()
+		assert.Equal(t, len(got), len(want))
+		for name, doc := range want {
+			assert.Equal(t, got[name].Version, doc.Version, "%s on %s", name, n.self.Instance)
+			assert.Equal(t, string(got[name].Body), string(doc.Body), "%s on %s", name, n.self.Instance)
+		}
+	}
+}
+
+// randomFault changes one thing. One node always reaches the log, so that it
+// sees every record before it expires.
+func randomFault(f *fleet, rng *rand.Rand) {
+	n := f.nodes[1+rng.IntN(len(f.nodes)-1)]
+	switch rng.IntN(8) {
+	case 0:
+		n.cutOff = !n.cutOff
+	case 1:
+		n.alone = !n.alone
+	case 2:
+		f.restart(n)
+	case 3:
+		f.log.SetFaults(memlog.Faults{Down: rng.IntN(3) == 0})
+	case 4:
+		n.core.OnWithdraw(f.now, model.HashKey(fmt.Sprint(rng.IntN(20))), func(Acceptance) {})
+	default:
+		var p model.Publication
+		for range 1 + rng.IntN(3) {
+			name := fmt.Sprint("c-", rng.IntN(6))
+			base := n.core.State().Document("customer/" + name).Version
+			p.Amendments = append(p.Amendments, customer(name, base, float64(rng.IntN(1000))))
+		}
+		f.append(n, model.ConfigStream, "", withID(p, rng))
+	}
+}
+
+func withID(p model.Publication, rng *rand.Rand) model.Publication {
+	p.ID = fmt.Sprint("publication-", rng.Uint64())
+	return p
+}
+
+// FuzzRecords guards against a record that crashes a node, lowers a version,
+// or leaves a document that a peer cannot take.
+func FuzzRecords(f *testing.F) {
+	seeds := []any{
+		model.Publication{ID: "a", Amendments: []model.Amendment{customer("herders", 0, 1)}},
+		model.Publication{ID: "b", Refresh: []model.Document{{Name: "customer/herders", Version: 3, Body: json.RawMessage(`{}`)}}},
+		model.Publication{ID: "c", Withdraw: []string{model.HashKey("k").String(), "short"}},
+		model.MemberRecord{ID: "d", Member: model.Member{Service: "tally"}},
+		model.GroupRecord{ID: "e", Region: "viti", Epoch: 2},
+	}
+	for _, s := range seeds {
+		raw, err := json.Marshal(s)
+		assert.NilError(f, err)
+		f.Add(raw, raw)
+	}
+	f.Add([]byte(`{"amendments":[{"document":"zone","base":18446744073709551615,"body":{}}]}`), []byte(`[]`))
+	f.Add([]byte(`{"refresh":[{"name":"service/a","version":1}]}`), []byte(`{"id":"x","amendments":[{"document":"service/a","base":1}]}`))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		fl := newFleet(t, time.Hour)
+		n := fl.add("suva")
+		fl.run(time.Second, step)
+		for i, body := range [][]byte{first, second, first} {
+			for _, stream := range fl.streams {
+				r := logservice.Record{Offset: n.core.next(stream), Body: body}
+				page := logservice.Page{Records: []logservice.Record{r}, Retention: time.Hour}
+				n.core.OnRead(fl.now, Read{Stream: stream, Started: fl.now, Page: page})
+			}
+			assert.Equal(t, n.core.State().Next(), logservice.Offset(i+1))
+		}
+		n.core.Snapshot()
+		set := n.core.State().Export(fl.now)
+		fresh := NewState("other", nil)
+		assert.Assert(t, fresh.Adopt(fl.now, set))
+		assert.Equal(t, fresh.Len(), n.core.State().Len())
+	})
+}
--- a/policy/configlog/state.go
+++ b/policy/configlog/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -176,6 +177,9 @@
 // fits reports whether an amendment's base is the current version. After a
 // gap the current version may be higher than the known one.
 func (s *State) fits(a model.Amendment) (fits, sure bool) {
+	if a.Base == math.MaxUint64 {
+		return false, true // there is no next version
+	}
 	d := s.documents[a.Document]
 	if d == nil {
 		return s.gap || a.Base == 0, !s.gap
--- a/policy/configlog/track.go
+++ b/policy/configlog/track.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/charts"
@@ -63,7 +64,8 @@
 	recentBytes int
 }
 
-func newMachine() *chart.Machine[*track] {
+// machine is compiled once; it holds no state.
+var machine = sync.OnceValue(func() *chart.Machine[*track] {
 	return chart.MustCompile(charts.MustRead("log_follower"), chart.Binding[*track]{
 		States: []string{"starting", "following", "cut_off"},
 		Events: []string{"page_more", "page_end", "read_failed", "gap", "silence", "ask_due"},
@@ -74,7 +76,7 @@
 			"ask_peers":    func(t *track) { t.core.askWanted = true },
 		},
 	})
-}
+})
 
 func (t *track) step(now time.Time, e chart.EventID) {
 	t.now = now
