Interpret the withdrawal of a key from a chart; replace silent log connections

Cause: a withdrawal's life cycle was in conditions; a group could be looked at for refresh later than its expiry; an HTTP/2 connection to the log that went silent would have been used again.

Conclusion: tests pass with the race detector; a silent connection costs one read.

--- a/logservice/httplog/httplog.go
+++ b/logservice/httplog/httplog.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -44,7 +45,17 @@
 	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
 		return nil, errors.Errorf("log service address %q: want http://host:port", base)
 	}
-	return &Client{base: u, http: &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}}, nil
+	return &Client{base: u, http: &http.Client{Transport: newTransport()}}, nil
+}
+
+// newTransport uses HTTP/1.1 only: a request that misses its deadline closes
+// its connection, so that the next one dials. An HTTP/2 connection that went
+// silent would be used again and again.
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.ForceAttemptHTTP2 = false
+	t.TLSNextProto = make(map[string]func(string, *tls.Conn) http.RoundTripper)
+	return t
 }
 
 type appendAnswer struct {
--- a/policy/configlog/core.go
+++ b/policy/configlog/core.go
@@ -207,7 +207,7 @@
 	case c.groups[t.stream] != nil:
 		err = c.applyGroup(t.stream, r, born)
 	default:
-		err = c.applyConfig(r, born)
+		err = c.applyConfig(now, r, born)
 	}
 	if err != nil {
 		c.emit(&Notice{Kind: NoticeMalformed, Stream: t.stream, Offset: r.Offset, Err: err})
@@ -237,7 +237,7 @@
 	return err
 }
 
-func (c *Core) applyConfig(r logservice.Record, born time.Time) error {
+func (c *Core) applyConfig(now time.Time, r logservice.Record, born time.Time) error {
 	outcome, err := c.config.Apply(r, born)
 	switch outcome.Verdict {
 	case Accepted:
@@ -245,18 +245,18 @@
 	case Conflict:
 		c.emit(&Notice{Kind: NoticeRejected, Offset: r.Offset, ID: outcome.Publication.ID})
 	}
-	c.rebuild()
+	c.rebuild(now)
 	return err
 }
 
 // rebuild decodes the documents that changed.
-func (c *Core) rebuild() {
+func (c *Core) rebuild(now time.Time) {
 	for _, name := range c.config.Changed() {
 		doc := c.config.Document(name)
 		if err := c.builder.Set(doc); err != nil {
 			c.emit(&Notice{Kind: NoticeMalformed, Stream: model.ConfigStream, Err: err})
 		}
-		c.settleWithdrawal(doc)
+		c.settleWithdrawal(now, doc)
 		c.dirty = true
 	}
 }
--- a/policy/configlog/relay.go
+++ b/policy/configlog/relay.go
@@ -256,7 +256,7 @@
 	}
 	c.byName[model.ConfigStream].forget(set.Position)
 	c.emit(&Notice{Kind: NoticeAdopted, Offset: set.Position, Peer: peer, Count: len(set.Documents)})
-	c.rebuild()
+	c.rebuild(now)
 	c.lookAgain()
 	c.ready = true
 }
--- a/policy/configlog/upkeep.go
+++ b/policy/configlog/upkeep.go
@@ -6,9 +6,10 @@
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
-// maxRefreshLooks is how often within a retention a node without a due
-// document looks for one.
-const maxRefreshLooks = 20
+// minRefreshLooks is how often within a retention a node looks for documents
+// and groups that are due, even when none that it knew was due. A look at
+// 40,000 documents takes some 3 ms.
+const minRefreshLooks = 20
 
 // lookAgain plans a new look for due documents, after old ones arrived.
 func (c *Core) lookAgain() { c.refreshAt = time.Time{} }
@@ -36,14 +37,11 @@
 	}
 }
 
-// refreshDocuments looks at all documents. What is appended while the node
-// follows is due later than every document it looked at, so that the next
-// look waits for the first of those; see lookAgain.
 func (c *Core) refreshDocuments(now time.Time, retention time.Duration) {
 	documents, next := c.config.RefreshDue(now, retention)
-	c.refreshAt = now.Add(max(retention/maxRefreshLooks, time.Second))
+	c.refreshAt = now.Add(max(retention/minRefreshLooks, time.Second))
 	if !next.IsZero() {
-		c.refreshAt = next
+		c.refreshAt = earlier(c.refreshAt, next)
 	}
 	if len(documents) == 0 {
 		return
--- a/policy/configlog/withdraw.go
+++ b/policy/configlog/withdraw.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
+	"github.com/oleanderworks/oleanderworks/charts"
+	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
@@ -30,8 +33,22 @@
 	NotAccepted     Acceptance = "pending"
 )
 
+// Events of the key_withdrawal chart, in the chart's order.
+const (
+	eventAsked chart.EventID = iota
+	eventAcknowledged
+	eventRepeatDue
+	eventAppendDue
+	eventPatienceOver
+	eventSeenInLog
+)
+
 // withdrawal is a withdrawn key that was not yet seen in the log.
 type withdrawal struct {
+	core     *Core
+	hash     model.KeyHash
+	state    chart.StateID
+	now      time.Time
 	zones    map[model.Zone]bool // availability zones whose nodes have it
 	peers    map[model.Instance]bool
 	appendAt time.Time
@@ -41,6 +58,24 @@
 	waiters  []func(Acceptance)
 }
 
+var withdrawalMachine = sync.OnceValue(func() *chart.Machine[*withdrawal] {
+	return chart.MustCompile(charts.MustRead("key_withdrawal"), chart.Binding[*withdrawal]{
+		States: []string{"spreading", "confirmed", "logged"},
+		Events: []string{"asked", "acknowledged", "repeat_due", "append_due", "patience_over", "seen_in_log"},
+		Guards: map[string]func(*withdrawal) bool{
+			"majority": (*withdrawal).majority,
+			"appended": func(w *withdrawal) bool { return w.appended },
+		},
+		Actions: map[string]func(*withdrawal){
+			"spread":         (*withdrawal).spread,
+			"append":         (*withdrawal).append,
+			"answer_peers":   func(w *withdrawal) { w.answer(AcceptedByPeers) },
+			"answer_pending": func(w *withdrawal) { w.answer(NotAccepted) },
+			"answer_log":     func(w *withdrawal) { w.answer(AcceptedByLog) },
+		},
+	})
+})
+
 // OnWithdraw withdraws a key on behalf of an operator. Done is called once,
 // without blocking. It reports false when too many withdrawals wait.
 func (c *Core) OnWithdraw(now time.Time, hash model.KeyHash, done func(Acceptance)) bool {
@@ -54,10 +89,7 @@
 	}
 	w.waiters = append(w.waiters, done)
 	w.giveUpAt = now.Add(withdrawPatience)
-	if !w.appended {
-		c.appendWithdrawal(hash, w)
-	}
-	c.judgeWithdrawal(w)
+	w.step(now, eventAsked)
 	return true
 }
 
@@ -70,7 +102,7 @@
 		if w := c.pending[hash]; w != nil {
 			w.peers[from.Instance] = true
 			w.zones[from.Zone] = true
-			c.judgeWithdrawal(w)
+			w.step(now, eventAcknowledged)
 		}
 	}
 	if !m.Ack {
@@ -79,7 +111,7 @@
 }
 
 // learnWithdrawal applies a withdrawal at once and passes it on. It returns
-// nil when too many wait.
+// nil when the log has it or too many wait.
 func (c *Core) learnWithdrawal(now time.Time, hash model.KeyHash) *withdrawal {
 	if w := c.pending[hash]; w != nil {
 		return w
@@ -88,6 +120,9 @@
 		return nil
 	}
 	w := &withdrawal{
+		core:  c,
+		hash:  hash,
+		state: withdrawalMachine().Initial(),
 		zones: map[model.Zone]bool{c.self.Zone: true},
 		peers: make(map[model.Instance]bool),
 	}
@@ -95,77 +130,34 @@
 	c.builder.Withdraw(hash)
 	c.dirty = true
 	c.emit(&Notice{Kind: NoticeWithdrawn, ID: hash.Short()})
-	c.spreadWithdrawal(now, hash, w)
+	w.step(now, eventRepeatDue)
 	return w
 }
 
-// spreadWithdrawal sends a withdrawal to the peers that are not known to have
-// it.
-func (c *Core) spreadWithdrawal(now time.Time, hash model.KeyHash, w *withdrawal) {
-	w.repeatAt = now.Add(withdrawRepeat)
-	for _, peer := range c.peers {
-		if !w.peers[peer] {
-			c.emit(&Send{To: peer, Withdrawals: &Withdrawals{Hashes: []model.KeyHash{hash}}})
-		}
-	}
-}
-
-func (c *Core) appendWithdrawal(hash model.KeyHash, w *withdrawal) {
-	w.appended = true
-	c.emit(&Append{
-		Stream:      model.ConfigStream,
-		From:        c.config.Next(),
-		Publication: &model.Publication{Author: string(c.self.Instance), Withdraw: []string{hash.String()}},
-	})
-}
-
-// judgeWithdrawal answers the waiters once nodes in a majority of
-// availability zones have the withdrawal.
-func (c *Core) judgeWithdrawal(w *withdrawal) {
-	known := c.builder.Zones()
-	have := 0
-	for _, zone := range known {
-		if w.zones[zone] {
-			have++
-		}
-	}
-	if 2*have > len(known) {
-		w.answer(AcceptedByPeers)
-	}
-}
-
 // settleWithdrawal notes that a document came from the log or from a peer's
 // set.
-func (c *Core) settleWithdrawal(doc model.Document) {
+func (c *Core) settleWithdrawal(now time.Time, doc model.Document) {
 	if len(c.pending) == 0 || !isWithdrawn(doc) {
 		return
 	}
 	_, object, _ := model.SplitDocumentName(doc.Name)
 	hash, err := model.ParseKeyHash(object)
-	if err != nil || c.pending[hash] == nil {
-		return
+	if w := c.pending[hash]; err == nil && w != nil {
+		w.step(now, eventSeenInLog)
 	}
-	c.pending[hash].answer(AcceptedByLog)
-	delete(c.pending, hash)
 }
 
 func (c *Core) tickWithdrawals(now time.Time) {
 	following := c.byName[model.ConfigStream].state == stateFollowing
-	for hash, w := range c.pending {
+	for _, w := range c.pending {
 		if len(w.waiters) > 0 && !now.Before(w.giveUpAt) {
-			w.answer(NotAccepted)
+			w.step(now, eventPatienceOver)
 		}
 		if !now.Before(w.repeatAt) {
-			c.spreadWithdrawal(now, hash, w)
+			w.step(now, eventRepeatDue)
 		}
-		switch {
-		case !following:
-			w.appendAt = time.Time{}
-		case w.appendAt.IsZero():
-			delay := refreshDelay(c.self.Instance, keyDocument(hash))
-			w.appendAt = now.Add(time.Duration(delay * float64(withdrawWindow)))
-		case !w.appended && !now.Before(w.appendAt):
-			c.appendWithdrawal(hash, w)
+		if w.appendIsDue(now, following) {
+			w.step(now, eventAppendDue)
 		}
 	}
 }
@@ -179,6 +171,61 @@
 	return out
 }
 
+func (w *withdrawal) step(now time.Time, e chart.EventID) {
+	w.now = now
+	w.state = withdrawalMachine().Step(w, w.state, e)
+	if withdrawalMachine().Final(w.state) {
+		delete(w.core.pending, w.hash)
+	}
+}
+
+// appendIsDue starts the node's delay when the log answers again. A node that
+// sees the withdrawal in the log before its delay ends appends nothing.
+func (w *withdrawal) appendIsDue(now time.Time, following bool) bool {
+	if !following {
+		w.appendAt = time.Time{}
+		return false
+	}
+	if w.appendAt.IsZero() {
+		delay := refreshDelay(w.core.self.Instance, keyDocument(w.hash))
+		w.appendAt = now.Add(time.Duration(delay * float64(withdrawWindow)))
+	}
+	return !now.Before(w.appendAt)
+}
+
+// majority reports whether nodes in a majority of availability zones have the
+// withdrawal.
+func (w *withdrawal) majority() bool {
+	known := w.core.builder.Zones()
+	have := 0
+	for _, zone := range known {
+		if w.zones[zone] {
+			have++
+		}
+	}
+	return 2*have > len(known)
+}
+
+// spread sends the withdrawal to the peers that are not known to have it.
+func (w *withdrawal) spread() {
+	w.repeatAt = w.now.Add(withdrawRepeat)
+	for _, peer := range w.core.peers {
+		if !w.peers[peer] {
+			w.core.emit(&Send{To: peer, Withdrawals: &Withdrawals{Hashes: []model.KeyHash{w.hash}}})
+		}
+	}
+}
+
+func (w *withdrawal) append() {
+	c := w.core
+	w.appended = true
+	c.emit(&Append{
+		Stream:      model.ConfigStream,
+		From:        c.config.Next(),
+		Publication: &model.Publication{Author: string(c.self.Instance), Withdraw: []string{w.hash.String()}},
+	})
+}
+
 func (w *withdrawal) answer(a Acceptance) {
 	for _, done := range w.waiters {
 		done(a)
