Interpret the whole request chart at the entry node

Cause: the entry node drew no tokens, claimed nothing, and knew neither call chains nor retry budgets. The chart request.yaml now has the states awaiting_token, awaiting_claim and canceling. The core keeps token balances, parked requests, retry budgets with escrow, the table of running calls and the outlier chart; the routing duty posts tokens and claims to the quorum ring. A stand-in that grants everything takes the place of the quorum duty. A refusal after an attempt that may have run is answered with that attempt's failure, since 'not run' would be wrong. Conclusion: the path is complete with a stand-in for the quorum duty.

--- a/agent/entry/entry.go
+++ b/agent/entry/entry.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"time"
 
 	duty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/ring"
@@ -12,6 +14,10 @@
 	"github.com/oleanderworks/oleanderworks/transport/peerlink"
 )
 
+// busyPause is the time after which a caller may try again when the routing
+// ring is full.
+const busyPause = 500 * time.Millisecond
+
 // Sessions finds the open session to a peer. The result is nil when there is
 // none.
 type Sessions interface {
@@ -26,46 +32,65 @@
 	Local    peerlink.CallHandler
 }
 
-// Serve answers a request. It never returns nil.
+// Serve answers a request. It never returns nil. It ends early when ctx
+// ends, which means that the caller has gone.
 func (e *Entry) Serve(ctx context.Context, req *model.Request) *model.Answer {
-	begin := &duty.Begin{Request: req, Reply: ring.NewReply[routing.Decision]()}
+	caller := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	begin := &duty.Begin{
+		Request: req,
+		Arrived: time.Now(),
+		Reply:   ring.NewReply[routing.Decision](),
+		Cancel:  cancel,
+	}
 	if !e.Routing.Offer(begin) {
-		return model.Refusal(req.ID, model.ReasonNodeBusy, "the routing ring is full")
+		return busy(req.ID)
 	}
-	stop := context.AfterFunc(ctx, func() { e.Routing.Offer(&duty.Cancel{CallID: req.ID}) })
+	stop := context.AfterFunc(caller, func() {
+		_ = e.Routing.Put(context.Background(), &duty.Cancel{CallID: req.ID})
+	})
 	defer stop()
+	return e.follow(ctx, caller, begin.Reply)
+}
 
-	reply := begin.Reply
+// follow carries out decisions until one is the answer.
+func (e *Entry) follow(ctx, caller context.Context, reply ring.Reply[routing.Decision]) *model.Answer {
 	for {
+		// The routing duty always decides, at the latest at the deadline.
 		decision, err := reply.Wait(context.Background())
 		if err != nil {
-			return model.Failure(req.ID, model.ReasonNodeBusy, err.Error())
+			return model.Failure(decision.CallID, model.ReasonNodeBusy, err.Error())
 		}
 		if decision.Answer != nil {
 			return decision.Answer
 		}
-		answer := e.attempt(ctx, decision)
-		if !answer.Refused() {
-			e.report(answer)
-			return answer
+		outcome := &duty.Outcome{Answer: e.attempt(ctx, decision)}
+		outcome.CallerGone = caller.Err() != nil
+		if !outcome.Answer.Refused() {
+			// The caller does not wait for the routing duty's books.
+			_ = e.Routing.Put(context.Background(), outcome)
+			return outcome.Answer
 		}
 		reply = ring.NewReply[routing.Decision]()
-		outcome := &duty.Outcome{Answer: answer, Reply: reply}
+		outcome.Reply = reply
 		if err := e.Routing.Put(context.Background(), outcome); err != nil {
-			return answer
+			return outcome.Answer
 		}
 	}
 }
 
-// report tells the routing duty about a call that succeeded. The caller does
-// not wait for it.
-func (e *Entry) report(answer *model.Answer) {
-	_ = e.Routing.Put(context.Background(), &duty.Outcome{Answer: answer})
-}
-
 func (e *Entry) attempt(ctx context.Context, d routing.Decision) *model.Answer {
-	ctx, cancel := context.WithDeadline(ctx, d.Call.Deadline)
+	attempt, cancel := context.WithDeadline(ctx, d.Call.Deadline)
 	defer cancel()
+	answer := e.send(attempt, d)
+	if ctx.Err() != nil && answer.Reason == model.ReasonDeadline {
+		answer.Reason = model.ReasonCanceled
+	}
+	return answer
+}
+
+func (e *Entry) send(ctx context.Context, d routing.Decision) *model.Answer {
 	if d.Target.Instance == e.Self.Instance {
 		return e.Local(ctx, d.Call)
 	}
@@ -75,3 +100,9 @@
 	}
 	return session.Call(ctx, d.Call)
 }
+
+func busy(id model.CallID) *model.Answer {
+	a := model.Refusal(id, model.ReasonNodeBusy, "the routing ring is full")
+	a.RetryAfter = routing.RetryAfter(busyPause, 1, rand.Float64())
+	return a
+}
--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"time"
 
 	"github.com/oleanderworks/oleanderworks/agent/admission"
+	"github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/transport/target"
@@ -16,11 +18,13 @@
 type Server struct {
 	Admission *ring.Ring[admission.Message]
 	Target    *target.Client
+	Parents   *ring.Ring[routing.Message] // takes the calls that may make sub-calls
 }
 
 // Serve runs a call at the target or refuses it. It ends early when ctx ends,
 // which means that the caller has gone.
 func (s *Server) Serve(ctx context.Context, call *model.Call) *model.Answer {
+	began := time.Now()
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
 	arrive := &admission.Arrive{
@@ -43,11 +47,35 @@
 	if verdict.Answer != nil {
 		return verdict.Answer
 	}
-	answer := s.Target.Do(running, call, rand.Text())
+	answer := s.run(running, call, began)
 	s.finish(answer)
 	return answer
 }
 
+// run hands a call to the target. While it runs, its sub-calls are accepted
+// under an opaque random id.
+func (s *Server) run(ctx context.Context, call *model.Call, began time.Time) *model.Answer {
+	contextID := rand.Text()
+	if err := s.Parents.Put(ctx, &routing.RegisterParent{ContextID: contextID, Call: call}); err != nil {
+		return model.Refusal(call.ID, model.ReasonCanceled, err.Error())
+	}
+	handed := time.Now()
+	answer := s.Target.Do(ctx, call, contextID)
+	end := &routing.EndParent{
+		ContextID: contextID,
+		Canceled:  ctx.Err() != nil,
+		NodeTime:  handed.Sub(began),
+		Reply:     ring.NewReply[int](),
+	}
+	if err := s.Parents.Put(context.Background(), end); err != nil {
+		return answer
+	}
+	if used, err := end.Reply.Wait(context.Background()); err == nil {
+		answer.RetriesUsed = used
+	}
+	return answer
+}
+
 // finish frees the slot. It waits for room in the ring, since a lost message
 // would hold the slot for ever.
 func (s *Server) finish(answer *model.Answer) {
--- a/agent/node.go
+++ b/agent/node.go
@@ -21,10 +21,12 @@
 	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
+	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/admission"
@@ -53,6 +55,7 @@
 	vars     *expvar.Map
 
 	routing   *duty.Duty[routingduty.Message]
+	quorum    *duty.Duty[quorum.Message]
 	admission *duty.Duty[admissionduty.Message]
 	follower  *duty.Duty[follower.Message]
 	links     *duty.Duty[links.Message]
@@ -103,8 +106,11 @@
 		return err
 	}
 	n.admission = admissionduty.New(admission.New(n.self), n.log)
-	n.routing = routingduty.New(routing.New(n.self, newRand()), n.log)
-	server := &local.Server{Admission: n.admission.Ring(), Target: client}
+	n.quorum = routingduty.NewStandIn()
+	checker := invariant.New(n.log, nil)
+	var decisions *routingduty.Handler
+	n.routing, decisions = routingduty.New(routing.New(n.self, newRand(), checker), n.quorum.Ring(), n.log)
+	server := &local.Server{Admission: n.admission.Ring(), Target: client, Parents: n.routing.Ring()}
 	dispatcher := links.NewDispatcher(n.log)
 	n.endpoint = &peerlink.Endpoint{Self: n.self, Calls: server.Serve, Control: controlHandler(dispatcher)}
 	var sessions *links.Handler
@@ -119,6 +125,8 @@
 		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
 	})
 	n.vars.Set("routing", n.routing.Vars())
+	n.vars.Set("calls", decisions.Vars())
+	n.vars.Set("quorum", n.quorum.Vars())
 	n.vars.Set("admission", n.admission.Vars())
 	n.vars.Set("follower", n.follower.Vars())
 	n.vars.Set("links", n.links.Vars())
@@ -169,6 +177,7 @@
 func (n *Node) Start() {
 	n.admission.Start(&n.tomb)
 	n.routing.Start(&n.tomb)
+	n.quorum.Start(&n.tomb)
 	n.links.Start(&n.tomb)
 	n.follower.Start(&n.tomb)
 	ctx := n.tomb.Context(context.Background())
--- a/agent/routing/duty.go
+++ b/agent/routing/duty.go
@@ -2,8 +2,10 @@
 package routing
 
 import (
+	"expvar"
 	"time"
 
+	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/ring"
@@ -15,99 +17,177 @@
 // not run.
 const ringCapacity = 8192
 
-// Message is what the routing duty takes: *Begin, *Outcome, *Cancel or
-// *SnapshotChanged.
-type Message interface{ routingMessage() }
-
-// Begin starts a call. Reply gets the first decision.
-type Begin struct {
-	Request *model.Request
-	Reply   ring.Reply[routing.Decision]
-}
-
-// Outcome reports the result of an attempt. Reply gets the next decision; it
-// is the zero value when the sender does not wait.
-type Outcome struct {
-	Answer *model.Answer
-	Reply  ring.Reply[routing.Decision]
-}
-
-// Cancel ends a call whose caller has gone.
-type Cancel struct{ CallID model.CallID }
-
-// SnapshotChanged carries a new configuration.
-type SnapshotChanged struct{ Snapshot *model.Snapshot }
-
-func (*Begin) routingMessage()           {}
-func (*Outcome) routingMessage()         {}
-func (*Cancel) routingMessage()          {}
-func (*SnapshotChanged) routingMessage() {}
-
 // Handler is the logic of the routing duty.
 type Handler struct {
 	core    *routing.Core
 	log     *event.Log
-	replies map[model.CallID]ring.Reply[routing.Decision]
+	quorum  *ring.Ring[quorum.Message]
+	inbox   *ring.Ring[Message]
+	callers map[model.CallID]*caller
+	metrics *metrics
+}
+
+// caller is the goroutine that carries one call.
+type caller struct {
+	reply   ring.Reply[routing.Decision]
+	cancel  func()
+	arrived time.Time // zero after the first decision
 }
 
-// New returns the duty that runs core.
-func New(core *routing.Core, log *event.Log) *duty.Duty[Message] {
-	h := &Handler{core: core, log: log, replies: make(map[model.CallID]ring.Reply[routing.Decision])}
-	return duty.New[Message]("routing", ringCapacity, h)
+// New returns the duty that runs core. Requests for tokens and claims go to
+// the ring of the quorum duty.
+func New(core *routing.Core, votes *ring.Ring[quorum.Message], log *event.Log) (*duty.Duty[Message], *Handler) {
+	h := &Handler{
+		core:    core,
+		log:     log,
+		quorum:  votes,
+		callers: make(map[model.CallID]*caller),
+		metrics: newMetrics(),
+	}
+	d := duty.New[Message]("routing", ringCapacity, h)
+	h.inbox = d.Ring()
+	return d, h
 }
 
+// Vars returns the metrics of routing decisions.
+func (h *Handler) Vars() expvar.Var { return h.metrics.vars }
+
 // Handle implements duty.Handler.
 func (h *Handler) Handle(now time.Time, batch []Message) {
 	for _, m := range batch {
 		h.handle(now, m)
-		h.deliver()
+		h.act(now)
 	}
 }
 
+// Tick implements duty.Handler.
+func (h *Handler) Tick(now time.Time) time.Time {
+	next := h.core.Tick(now)
+	h.act(now)
+	h.metrics.tick(now, h.core)
+	return next
+}
+
+// Paused implements duty.PauseObserver.
+func (h *Handler) Paused(_ time.Time, gap time.Duration) {
+	h.log.Emit(event.NodePaused, "duty", "routing", "gap", gap)
+	h.core.OnPause()
+}
+
 func (h *Handler) handle(now time.Time, m Message) {
 	switch m := m.(type) {
 	case *Begin:
-		h.replies[m.Request.ID] = m.Reply
+		h.callers[m.Request.ID] = &caller{reply: m.Reply, cancel: m.Cancel, arrived: m.Arrived}
 		h.core.OnRequest(now, m.Request)
 	case *Outcome:
 		h.onOutcome(now, m)
 	case *Cancel:
 		h.core.OnCanceled(now, m.CallID)
+	case *RegisterParent:
+		h.core.OnParent(m.ContextID, m.Call)
+	case *EndParent:
+		m.Reply.Send(h.core.OnParentEnded(now, m.ContextID, m.Canceled))
+		h.metrics.targetNode.record(m.NodeTime)
+	case *TokensGranted:
+		h.onTokens(now, m)
+	case *ClaimDecided:
+		h.core.OnClaim(now, m.CallID, m.Result)
+	default:
+		h.handleFleet(now, m)
+	}
+}
+
+// handleFleet takes what the node learns about the fleet.
+func (h *Handler) handleFleet(now time.Time, m Message) {
+	switch m := m.(type) {
 	case *SnapshotChanged:
 		h.core.OnSnapshot(m.Snapshot)
+	case *LoadReport:
+		h.core.OnLoad(now, m.Instance, m.Load)
+	case *SuspectChanged:
+		h.log.Emit(event.TargetSuspected, "target", m.Instance, "suspect", m.Suspect)
+		h.core.OnSuspect(m.Instance, m.Suspect)
+	case *ContactChanged:
+		h.log.Emit(event.ContactKnown, "contact", m.Contact)
+		h.core.OnContact(m.Contact)
 	}
 }
 
 func (h *Handler) onOutcome(now time.Time, m *Outcome) {
-	if !h.core.Has(m.Answer.ID) {
-		// The call was cancelled while its attempt was on the way.
-		m.Reply.Send(routing.Decision{CallID: m.Answer.ID, Answer: m.Answer})
+	id := m.Answer.ID
+	c := h.callers[id]
+	if c == nil {
+		// The call has ended; its late outcome reaches only its own sender.
+		m.Reply.Send(routing.Decision{CallID: id, Answer: m.Answer})
 		return
 	}
-	h.replies[m.Answer.ID] = m.Reply
+	c.reply = m.Reply
+	if m.CallerGone {
+		h.core.OnCanceled(now, id)
+	}
 	h.core.OnOutcome(now, m.Answer)
-	if !m.Answer.Refused() {
-		delete(h.replies, m.Answer.ID)
+	if !h.core.Has(id) && !m.Answer.Refused() {
+		h.metrics.answered.Add(1)
+		delete(h.callers, id)
+	}
+}
+
+func (h *Handler) onTokens(now time.Time, m *TokensGranted) {
+	if m.Result.Reason != model.ReasonNone {
+		h.log.Emit(event.TokensRefused, "customer", m.Result.Customer, "reason", m.Result.Reason,
+			"retry_after", m.Result.RetryAfter)
 	}
+	h.core.OnTokens(now, m.Result)
 }
 
-func (h *Handler) deliver() {
+// act carries out what the core decided. Orders that the quorum ring refuses
+// lead to further decisions.
+func (h *Handler) act(now time.Time) {
+	for _, o := range h.core.Orders() {
+		h.order(now, o)
+	}
 	for _, d := range h.core.Decisions() {
-		h.logDecision(d)
-		reply := h.replies[d.CallID]
-		delete(h.replies, d.CallID)
-		reply.Send(d)
+		h.deliver(now, d)
 	}
 }
 
-func (h *Handler) logDecision(d routing.Decision) {
-	if d.Answer != nil {
-		h.log.Emit(event.CallAnswered, "call", d.CallID, "reason", d.Answer.Reason, "run", d.Answer.Run)
+func (h *Handler) deliver(now time.Time, d routing.Decision) {
+	h.metrics.decided(d)
+	h.logDecision(d)
+	c := h.callers[d.CallID]
+	if c == nil {
+		return
+	}
+	if d.Cancel {
+		c.cancel()
 		return
 	}
-	h.log.Emit(event.CallRouted, "call", d.CallID, "service", d.Call.Service, "customer", d.Call.Customer,
-		"target", d.Target.Instance, "zone", d.Target.Zone, "attempt", d.Call.Attempt)
+	if !c.arrived.IsZero() {
+		h.metrics.firstDecision(now.Sub(c.arrived), d)
+		c.arrived = time.Time{}
+	}
+	if d.Answer != nil {
+		delete(h.callers, d.CallID)
+	}
+	c.reply.Send(d)
 }
 
-// Tick implements duty.Handler.
-func (h *Handler) Tick(time.Time) time.Time { return time.Time{} }
+func (h *Handler) logDecision(d routing.Decision) {
+	switch {
+	case d.Cancel:
+		h.log.Emit(event.CallCanceled, "call", d.CallID)
+	case d.Answer != nil:
+		h.log.Emit(event.CallAnswered, "call", d.CallID, "reason", d.Answer.Reason, "run", d.Answer.Run,
+			"detail", d.Answer.Detail)
+	default:
+		h.log.Emit(attemptEvents[d.Cause], "call", d.CallID, "service", d.Call.Service,
+			"customer", d.Call.Customer, "class", d.Call.Class, "target", d.Target.Instance,
+			"zone", d.Target.Zone, "attempt", d.Call.Attempt, "after", d.After, "depth", d.Call.Depth)
+	}
+}
+
+var attemptEvents = map[routing.Cause]*event.Def{
+	routing.FirstAttempt: event.CallRouted,
+	routing.Moved:        event.CallMoved,
+	routing.Retried:      event.CallRetried,
+}
--- /dev/null
+++ b/agent/routing/metrics.go
@@ -0,0 +1,148 @@
+package routing
+
+import (
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/oleanderworks/oleanderworks/policy/routing"
+)
+
+const (
+	// Histograms hold 1 us to 60 s with two significant digits.
+	maxMicros = 60_000_000
+	digits    = 2
+	// The quantiles cover the last minute, in windows of 10 s.
+	windows        = 6
+	windowLength   = 10 * time.Second
+	publishPause   = time.Second
+	quantileMedian = 50
+	quantileTail   = 99
+)
+
+// metrics of the routing duty. Histograms belong to its thread; what expvar
+// reads is published as immutable values.
+type metrics struct {
+	vars *expvar.Map
+
+	routing    *quantiles // from arrival to the first decision, without waiting for tokens
+	tokenWait  *quantiles
+	targetNode *quantiles // in this node as target's node, without the target
+
+	refusals *expvar.Map // by reason
+	answered *expvar.Int
+	moves    *expvar.Int
+	retries  *expvar.Int
+	dropped  *expvar.Int // messages that the quorum ring refused
+	calls    *expvar.Int // in progress
+	parents  *expvar.Int // calls running at the target
+
+	published, rotated time.Time
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		vars:       new(expvar.Map).Init(),
+		routing:    newQuantiles(),
+		tokenWait:  newQuantiles(),
+		targetNode: newQuantiles(),
+		refusals:   new(expvar.Map).Init(),
+		answered:   new(expvar.Int),
+		moves:      new(expvar.Int),
+		retries:    new(expvar.Int),
+		dropped:    new(expvar.Int),
+		calls:      new(expvar.Int),
+		parents:    new(expvar.Int),
+	}
+	m.vars.Set("routing_us", m.routing)
+	m.vars.Set("token_wait_us", m.tokenWait)
+	m.vars.Set("target_node_us", m.targetNode)
+	m.vars.Set("refusals", m.refusals)
+	m.vars.Set("answered", m.answered)
+	m.vars.Set("moves", m.moves)
+	m.vars.Set("retries", m.retries)
+	m.vars.Set("quorum_dropped", m.dropped)
+	m.vars.Set("calls", m.calls)
+	m.vars.Set("parents", m.parents)
+	return m
+}
+
+func (m *metrics) decided(d routing.Decision) {
+	switch {
+	case d.Answer != nil:
+		m.refusals.Add(string(d.Answer.Reason), 1)
+	case d.Cause == routing.Moved:
+		m.moves.Add(1)
+	case d.Cause == routing.Retried:
+		m.retries.Add(1)
+	}
+}
+
+func (m *metrics) firstDecision(total time.Duration, d routing.Decision) {
+	m.routing.record(total - d.Waited)
+	if d.Waited > 0 {
+		m.tokenWait.record(d.Waited)
+	}
+}
+
+func (m *metrics) tick(now time.Time, core *routing.Core) {
+	if now.Sub(m.published) < publishPause {
+		return
+	}
+	m.published = now
+	m.calls.Set(int64(core.Len()))
+	m.parents.Set(int64(core.Parents()))
+	rotate := now.Sub(m.rotated) >= windowLength
+	if rotate {
+		m.rotated = now
+	}
+	for _, q := range []*quantiles{m.routing, m.tokenWait, m.targetNode} {
+		q.publish(rotate)
+	}
+}
+
+// quantiles measures durations. It is an expvar that renders the newest
+// published values.
+type quantiles struct {
+	histogram *hdrhistogram.WindowedHistogram
+	newest    atomic.Pointer[quantileValues]
+}
+
+// quantileValues are in microseconds.
+type quantileValues struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
+
+func newQuantiles() *quantiles {
+	q := &quantiles{histogram: hdrhistogram.NewWindowed(windows, 1, maxMicros, digits)}
+	q.newest.Store(new(quantileValues))
+	return q
+}
+
+func (q *quantiles) record(d time.Duration) {
+	// The value is clamped into the range, so that no error is possible.
+	_ = q.histogram.Current.RecordValue(min(max(d.Microseconds(), 1), maxMicros))
+}
+
+func (q *quantiles) publish(rotate bool) {
+	h := q.histogram.Merge()
+	q.newest.Store(&quantileValues{
+		Count: h.TotalCount(),
+		P50:   h.ValueAtQuantile(quantileMedian),
+		P99:   h.ValueAtQuantile(quantileTail),
+		Max:   h.Max(),
+	})
+	if rotate {
+		q.histogram.Rotate()
+	}
+}
+
+// String implements expvar.Var.
+func (q *quantiles) String() string {
+	return expvar.Func(func() any { return q.newest.Load() }).String()
+}
--- a/model/call.go
+++ b/model/call.go
@@ -65,7 +65,8 @@
 	RetryBudget int // extra executions that this call may still cause
 	Depth       int // 0 for an outside call
 	Deadline    time.Time
-	Fingerprint uint64
+	Fingerprint uint64     // of customer, method, path and body
+	LostOn      []Instance // targets that were lost while this request ran
 	Token       *Token
 	Claim       *Claim
 	Entry       NodeID
--- /dev/null
+++ b/policy/routing/call.go
@@ -0,0 +1,189 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/charts"
+	"github.com/oleanderworks/oleanderworks/core/chart"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Events of the request chart, in the chart's order.
+const (
+	eventAdmitted chart.EventID = iota
+	eventRejected
+	eventTargetChosen
+	eventNoTarget
+	eventTokenGranted
+	eventTokenDenied
+	eventClaimGranted
+	eventClaimDenied
+	eventClaimReplayed
+	eventAnswered
+	eventNotRun
+	eventFailed
+	eventCanceled
+	eventExpired
+)
+
+// statePlacing is the place of the state placing in the chart's order. The
+// core leaves the state by an event of its own.
+const statePlacing chart.StateID = 1
+
+// call is one call at its entry node.
+type call struct {
+	core  *Core
+	state chart.StateID
+	id    model.CallID
+	now   time.Time // time of the event that is being handled
+	began time.Time
+	call  *model.Call
+
+	parent *parent // nil for an outside call
+	target *target // chosen for the next attempt, or in use
+	cause  Cause   // of the next attempt
+	budget int     // retry budget not handed to the target
+	given  int     // retry budget this call started with
+
+	answer      *model.Answer    // newest refusal, failure or answer
+	unknown     *model.Answer    // failure of an earlier attempt that may have run
+	tried       []*target        // targets of all attempts
+	lostOn      []model.Instance // targets lost while this call ran there
+	moves       int
+	parkedAt    time.Time
+	waited      time.Duration // for tokens
+	outstanding bool          // an attempt is in progress
+	answered    bool
+}
+
+func newMachine() *chart.Machine[*call] {
+	return chart.MustCompile(charts.MustRead("request"), chart.Binding[*call]{
+		States: []string{"received", "placing", "awaiting_token", "awaiting_claim", "sending", "canceling", "done"},
+		Events: []string{
+			"admitted", "rejected", "target_chosen", "no_target", "token_granted", "token_denied",
+			"claim_granted", "claim_denied", "claim_replayed", "answered", "not_run", "failed",
+			"canceled", "expired",
+		},
+		Guards: map[string]func(*call) bool{
+			"token_at_hand": (*call).tokenAtHand,
+			"needs_claim":   func(r *call) bool { return !r.call.Idempotent },
+			"may_move":      (*call).mayMove,
+			"may_retry":     (*call).mayRetry,
+		},
+		Actions: map[string]func(*call){
+			"take_token":     (*call).takeToken,
+			"return_token":   (*call).returnToken,
+			"park":           (*call).park,
+			"unpark":         (*call).unpark,
+			"request_claim":  (*call).requestClaim,
+			"complete_claim": (*call).completeClaim,
+			"release_claim":  (*call).releaseClaim,
+			"send_attempt":   (*call).sendAttempt,
+			"count_move":     (*call).countMove,
+			"spend_retry":    (*call).spendRetry,
+			"cancel_attempt": (*call).cancelAttempt,
+			"answer_caller":  (*call).answerCaller,
+			"record_success": (*call).recordSuccess,
+		},
+	})
+}
+
+// step applies an event and then leaves the state placing, if it was entered.
+func (c *Core) step(r *call, e chart.EventID) {
+	r.state = c.machine.Step(r, r.state, e)
+	for r.state == statePlacing {
+		r.state = c.machine.Step(r, r.state, c.place(r))
+	}
+	if c.machine.Final(r.state) {
+		c.remove(r)
+	}
+}
+
+func (c *Core) remove(r *call) {
+	c.check.Assert(r.answered, "answered_once", "call %x ended without an answer", r.id)
+	delete(c.calls, r.id)
+	delete(c.claiming, r.id)
+	if r.parent != nil {
+		r.parent.leave(r)
+	}
+}
+
+// place chooses the target of the next attempt.
+func (c *Core) place(r *call) chart.EventID {
+	if refusal := c.recheck(r); refusal != nil {
+		r.answer = refusal
+		return eventRejected
+	}
+	t := c.targets.choose(r.now, r.call.Service, r.tried)
+	if t == nil {
+		r.answer = model.Refusal(r.id, model.ReasonNoTarget, "no target of the service is in service")
+		return eventNoTarget
+	}
+	r.target = t
+	return eventTargetChosen
+}
+
+// sendAttempt hands the whole remaining retry budget to the target's node,
+// which gives back what was not used with the answer.
+func (r *call) sendAttempt() {
+	c := r.core
+	c.check.Assert(r.call.Idempotent || r.unknown == nil, "at_most_once",
+		"call %x is not idempotent and may have run", r.id)
+	c.check.Assert(!r.outstanding, "one_attempt", "call %x has an attempt in progress", r.id)
+	c.check.Assert(r.budget >= 0, "retry_budget", "call %x has budget %d", r.id, r.budget)
+	attempt := *r.call
+	attempt.RetryBudget = r.budget
+	attempt.LostOn = r.lostOn
+	r.outstanding = true
+	r.tried = append(r.tried, r.target)
+	r.target.sent++
+	d := Decision{CallID: r.id, Call: &attempt, Target: r.target.member, Cause: r.cause, Waited: r.waited}
+	if r.answer != nil {
+		d.After = r.answer.Reason
+	}
+	r.call.Attempt++
+	c.out = append(c.out, d)
+}
+
+// settle closes the books of an attempt: load, retry budget, lost targets.
+func (r *call) settle(a *model.Answer) {
+	c := r.core
+	r.outstanding = false
+	c.targets.observe(r.now, r.target, a)
+	used := min(max(a.RetriesUsed, 0), r.budget)
+	if lostAnswer(a) {
+		used = r.budget
+	}
+	r.budget -= used
+	if a.Run == model.RunUnknown {
+		r.unknown = a
+		if a.TargetLost {
+			r.lostOn = append(r.lostOn, r.target.member.Instance)
+		}
+	}
+}
+
+func (r *call) cancelAttempt() {
+	r.core.out = append(r.core.out, Decision{CallID: r.id, Cancel: true})
+}
+
+// answerCaller answers with the newest refusal or failure. "Not run" is true
+// only if no earlier attempt may have run; otherwise that attempt's failure
+// is the answer.
+func (r *call) answerCaller() {
+	a := r.answer
+	if r.unknown != nil && a.Run == model.NotRun {
+		a = r.unknown
+	}
+	r.core.addRetryAfter(r, a)
+	a.RetriesUsed = r.given - r.budget
+	r.markAnswered()
+	r.core.out = append(r.core.out, Decision{CallID: r.id, Answer: a})
+}
+
+func (r *call) recordSuccess() { r.markAnswered() }
+
+func (r *call) markAnswered() {
+	r.core.check.Assert(!r.answered, "answered_once", "call %x is answered twice", r.id)
+	r.answered = true
+}
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -1,77 +1,201 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"slices"
+	"time"
 
+	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
-// targetLoad is the entry node's view of one target.
-type targetLoad struct {
-	sent   int // attempts of this node in progress
-	report model.Load
+const (
+	// zoneMargin is how much fuller the target in the node's own availability
+	// zone may be before the other one is taken. Without a margin a single call
+	// in flight would send the next one to another zone.
+	zoneMargin = 0.1
+	// sampleTries bounds the random draws for one candidate. After that all
+	// targets are looked at.
+	sampleTries = 6
+)
+
+// table holds the targets of all services that the node knows.
+type table struct {
+	zone    model.Zone
+	rng     *rand.Rand
+	machine *chart.Machine[*target]
+	targets map[model.Instance]*target
+	pools   map[model.Service]*pool
+	suspect map[model.Instance]bool
 }
 
-// ratio estimates how full a target is. A target without a report counts as
-// having room for one call, so that new targets are tried with care.
-func (l *targetLoad) ratio() float64 {
-	limit := max(l.report.Limit, 1)
-	return float64(l.sent+l.report.Queued) / float64(limit)
+// pool holds the targets of a service that are in service.
+type pool struct {
+	near []*target // in the node's availability zone
+	far  []*target
+}
+
+func newTable(zone model.Zone, rng *rand.Rand) *table {
+	return &table{
+		zone:    zone,
+		rng:     rng,
+		machine: newOutlierMachine(),
+		targets: make(map[model.Instance]*target),
+		pools:   make(map[model.Service]*pool),
+		suspect: make(map[model.Instance]bool),
+	}
 }
 
-func (c *Core) load(i model.Instance) *targetLoad {
-	l := c.loads[i]
-	if l == nil {
-		l = new(targetLoad)
-		c.loads[i] = l
+// onSnapshot rebuilds the pools. What is known of a target is kept as long as
+// its incarnation is the same.
+func (t *table) onSnapshot(s *model.Snapshot) {
+	old := t.targets
+	t.targets = make(map[model.Instance]*target, len(old))
+	t.pools = make(map[model.Service]*pool, len(s.Members))
+	for service, members := range s.Members {
+		p := new(pool)
+		t.pools[service] = p
+		for _, m := range members {
+			tg := t.adopt(old[m.Instance], m, s.Services[service])
+			if !s.Zones[m.Zone].Out && !s.Targets[m.Instance].Out {
+				p.add(tg, m.Zone == t.zone)
+			}
+		}
 	}
-	return l
 }
 
-func (c *Core) onSend(i model.Instance) { c.load(i).sent++ }
+func (t *table) adopt(known *target, m model.Member, service *model.ServiceConfig) *target {
+	tg := known
+	if tg == nil || tg.member.NodeID != m.NodeID {
+		tg = &target{table: t, state: t.machine.Initial()}
+	}
+	tg.member = m
+	tg.suspect = t.suspect[m.Instance]
+	if service != nil {
+		tg.slots, tg.floor = service.Slots, service.ColdFloor
+	}
+	t.targets[m.Instance] = tg
+	return tg
+}
 
-func (c *Core) observe(i model.Instance, a *model.Answer) {
-	l := c.load(i)
-	l.sent = max(l.sent-1, 0)
-	if a.Load.Limit > 0 {
-		l.report = a.Load
+func (p *pool) add(tg *target, near bool) {
+	if near {
+		p.near = append(p.near, tg)
+		return
 	}
+	p.far = append(p.far, tg)
 }
 
-// choose picks a target by power of two choices.
-func (c *Core) choose(call *model.Call, tried []model.Instance) (model.Member, *model.Answer) {
-	candidates := c.candidates(call.Service, tried)
-	switch len(candidates) {
-	case 0:
-		return model.Member{}, model.Refusal(call.ID, model.ReasonNoTarget, "no target of the service is in service")
-	case 1:
-		return candidates[0], nil
-	}
-	i := c.rng.IntN(len(candidates))
-	j := c.rng.IntN(len(candidates) - 1)
-	if j >= i {
-		j++
-	}
-	return c.lighter(candidates[i], candidates[j]), nil
+func (t *table) onSuspect(i model.Instance, suspect bool) {
+	delete(t.suspect, i)
+	if suspect {
+		t.suspect[i] = true
+	}
+	if tg := t.targets[i]; tg != nil {
+		tg.suspect = suspect
+	}
+}
+
+func (t *table) onLoad(now time.Time, i model.Instance, load model.Load) {
+	if tg := t.targets[i]; tg != nil {
+		tg.report, tg.reported = load, now
+	}
+}
+
+// observe takes the outcome of an attempt at tg.
+func (t *table) observe(now time.Time, tg *target, a *model.Answer) { tg.observe(now, a) }
+
+// choose picks a target by power of two choices in the node's availability
+// zone and in the others, and prefers its own zone unless that is fuller. It
+// returns nil when no target can take the call.
+func (t *table) choose(now time.Time, service model.Service, tried []*target) *target {
+	p := t.pools[service]
+	if p == nil {
+		return nil
+	}
+	near := t.lighterOfTwo(now, p.near, tried)
+	far := t.lighterOfTwo(now, p.far, tried)
+	switch {
+	case near == nil && far == nil:
+		return t.scan(now, p, tried)
+	case near == nil:
+		return far
+	case far == nil || near.ratio(now) <= far.ratio(now)+zoneMargin:
+		return near
+	}
+	return far
 }
 
-func (c *Core) lighter(a, b model.Member) model.Member {
-	if c.load(b.Instance).ratio() < c.load(a.Instance).ratio() {
+func (t *table) lighterOfTwo(now time.Time, list []*target, tried []*target) *target {
+	a := t.sample(now, list, tried)
+	if a == nil || len(list) == 1 {
+		return a
+	}
+	b := t.sample(now, list, tried)
+	if b != nil && b.ratio(now) < a.ratio(now) {
 		return b
 	}
 	return a
 }
 
-func (c *Core) candidates(s model.Service, tried []model.Instance) []model.Member {
-	var out []model.Member
-	for _, m := range c.snapshot.Members[s] {
-		if c.snapshot.Zones[m.Zone].Out || c.snapshot.Targets[m.Instance].Out {
+// sample draws a target at random, in proportion to its limit, so that one
+// that is ramping up gets its part only.
+func (t *table) sample(now time.Time, list []*target, tried []*target) *target {
+	if len(list) == 0 {
+		return nil
+	}
+	for range sampleTries {
+		tg := list[t.rng.IntN(len(list))]
+		if !usable(now, tg, tried) || tg.avoided(now) {
 			continue
 		}
-		if slices.Contains(tried, m.Instance) {
-			continue
+		if t.rng.Float64()*float64(tg.slots) < float64(tg.limit(now)) {
+			return tg
 		}
-		out = append(out, m)
 	}
-	return out
+	return nil
+}
+
+// scan looks at all targets. Avoided ones are taken only when there is no
+// other, so that a fault that hits all targets does not stop the service.
+func (t *table) scan(now time.Time, p *pool, tried []*target) *target {
+	var best, avoided *target
+	for _, list := range [][]*target{p.near, p.far} {
+		start := t.rng.IntN(len(list) + 1)
+		for i := range list {
+			tg := list[(start+i)%len(list)]
+			switch {
+			case !usable(now, tg, tried):
+			case tg.avoided(now):
+				avoided = lighter(now, avoided, tg)
+			default:
+				best = lighter(now, best, tg)
+			}
+		}
+	}
+	if best == nil {
+		return avoided
+	}
+	return best
+}
+
+func lighter(now time.Time, a, b *target) *target {
+	if a == nil || b.ratio(now) < a.ratio(now) {
+		return b
+	}
+	return a
+}
+
+func usable(now time.Time, tg *target, tried []*target) bool {
+	return !tg.excluded(now) && !slices.Contains(tried, tg)
+}
+
+// hasOther reports whether a target is left that was not tried.
+func (t *table) hasOther(now time.Time, service model.Service, tried []*target) bool {
+	p := t.pools[service]
+	if p == nil {
+		return false
+	}
+	other := func(tg *target) bool { return usable(now, tg, tried) }
+	return slices.ContainsFunc(p.near, other) || slices.ContainsFunc(p.far, other)
 }
--- /dev/null
+++ b/policy/routing/claim.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"github.com/oleanderworks/oleanderworks/core/chart"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/record"
+)
+
+// requestClaim asks for the right to hand a non-idempotent request to the
+// chosen target. The attempt number grows when an earlier attempt was
+// certainly not run, so that the claim replaces the earlier one.
+func (r *call) requestClaim() {
+	c := r.core
+	c.claiming[r.id] = r
+	c.orders = append(c.orders, ClaimOrder{
+		CallID:    r.id,
+		Customer:  r.call.Customer,
+		RequestID: r.call.RequestID,
+		Target:    r.target.member.NodeID,
+		Attempt:   r.call.Attempt,
+	})
+}
+
+// claimEvent translates the result of a claim into an event of the chart.
+func (r *call) claimEvent(result record.Result) chart.EventID {
+	switch result.Outcome {
+	case record.Granted:
+		r.call.Claim = result.Claim
+		return eventClaimGranted
+	case record.Replay:
+		r.answer = replayed(r.id, result.Answer)
+		return eventClaimReplayed
+	default:
+		r.answer = claimRefusal(r.id, result.Outcome)
+		return eventClaimDenied
+	}
+}
+
+// replayed returns a kept answer under the id of the call that asks for it.
+func replayed(id model.CallID, kept *model.Answer) *model.Answer {
+	a := *kept
+	a.ID = id
+	a.Replayed = true
+	a.RetriesUsed = 0
+	return &a
+}
+
+func claimRefusal(id model.CallID, o record.Outcome) *model.Answer {
+	switch o {
+	case record.InProgress:
+		return model.Failure(id, model.ReasonInProgress, "a request with this id is in progress or its answer was lost")
+	case record.TooOld:
+		return model.Failure(id, model.ReasonIDTooOld, "the record of this id may have been dropped")
+	default:
+		return model.Refusal(id, model.ReasonClaimDenied, "no majority of the quorum group answered")
+	}
+}
+
+func (r *call) completeClaim() {
+	if r.call.Claim != nil {
+		r.core.orders = append(r.core.orders, CompleteOrder{Claim: r.call.Claim, Answer: r.answer})
+	}
+}
+
+// releaseClaim gives up the claim of a request that no target was handed.
+func (r *call) releaseClaim() {
+	if r.call.Claim == nil || r.unknown != nil {
+		return
+	}
+	r.core.orders = append(r.core.orders, ReleaseOrder{Claim: r.call.Claim})
+	r.call.Claim = nil
+}
--- a/policy/routing/core.go
+++ b/policy/routing/core.go
@@ -7,100 +7,254 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/core/chart"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/record"
 )
 
 // DefaultTimeout applies to routes and callers that set none.
 const DefaultTimeout = 10 * time.Second
 
 // Decision is what the entry node does next for a call. Exactly one of
-// Answer and Call is set.
+// Answer, Call and Cancel is set.
 type Decision struct {
 	CallID model.CallID
 	Answer *model.Answer // the caller's answer
 	Call   *model.Call   // an attempt to send to Target
 	Target model.Member
+	Cancel bool          // end the attempt in progress; its outcome is still reported
+	Cause  Cause         // why the attempt is sent
+	After  model.Reason  // reason of the earlier attempt's refusal or failure
+	Waited time.Duration // time spent waiting for a token, for an attempt
 }
 
+// Cause tells why an attempt is sent.
+type Cause uint8
+
+// Causes of an attempt.
+const (
+	// FirstAttempt is the first attempt of a call.
+	FirstAttempt Cause = iota
+	// Moved means that the earlier attempt was not run.
+	Moved
+	// Retried means that the earlier attempt may have run.
+	Retried
+)
+
+// Order is a request to the quorum duty: TokenOrder, ClaimOrder,
+// CompleteOrder or ReleaseOrder.
+type Order interface{ order() }
+
+// TokenOrder asks for tokens of a customer. OnTokens takes the result.
+type TokenOrder struct {
+	Customer model.Customer
+	Want     int // tokens
+}
+
+// ClaimOrder asks for the right to hand a request to a target. OnClaim takes
+// the result.
+type ClaimOrder struct {
+	CallID    model.CallID
+	Customer  model.Customer
+	RequestID model.RequestID
+	Target    model.NodeID
+	Attempt   int
+}
+
+// CompleteOrder stores the first answer of a request for re-sends.
+type CompleteOrder struct {
+	Claim  *model.Claim
+	Answer *model.Answer
+}
+
+// ReleaseOrder gives up a claim that was certainly not handed to a target.
+type ReleaseOrder struct{ Claim *model.Claim }
+
+func (TokenOrder) order()    {}
+func (ClaimOrder) order()    {}
+func (CompleteOrder) order() {}
+func (ReleaseOrder) order()  {}
+
 // Core holds the calls of one entry node. All methods run on one thread.
 type Core struct {
 	self     model.Member
 	snapshot *model.Snapshot
+	contact  bool
 	rng      *rand.Rand
-	machine  *chart.Machine[*record]
-	calls    map[model.CallID]*record
-	loads    map[model.Instance]*targetLoad
+	check    *invariant.Checker
+	machine  *chart.Machine[*call]
+	calls    map[model.CallID]*call
+	claiming map[model.CallID]*call
+	targets  *table
+	accounts map[model.Customer]*account
+	parents  map[string]*parent
+	seen     seenRequests
 	out      []Decision
+	orders   []Order
 }
 
-// New returns a core that knows no configuration yet.
-func New(self model.Member, rng *rand.Rand) *Core {
-	c := &Core{
-		self:  self,
-		rng:   rng,
-		calls: make(map[model.CallID]*record),
-		loads: make(map[model.Instance]*targetLoad),
+// New returns a core that knows no configuration yet. check may be nil.
+func New(self model.Member, rng *rand.Rand, check *invariant.Checker) *Core {
+	return &Core{
+		self:     self,
+		contact:  true,
+		rng:      rng,
+		check:    check,
+		machine:  newMachine(),
+		calls:    make(map[model.CallID]*call),
+		claiming: make(map[model.CallID]*call),
+		targets:  newTable(self.Zone, rng),
+		accounts: make(map[model.Customer]*account),
+		parents:  make(map[string]*parent),
 	}
-	c.machine = newMachine()
-	return c
 }
 
-// Decisions returns the decisions made since the last call.
+// Decisions returns the decisions made since the last call. The slice is
+// valid until the next call of a method.
 func (c *Core) Decisions() []Decision {
 	out := c.out
-	c.out = nil
+	c.out = c.out[:0]
+	return out
+}
+
+// Orders returns the requests to the quorum duty made since the last call.
+func (c *Core) Orders() []Order {
+	out := c.orders
+	c.orders = nil
 	return out
 }
 
 // OnSnapshot takes a new configuration into use.
-func (c *Core) OnSnapshot(s *model.Snapshot) { c.snapshot = s }
+func (c *Core) OnSnapshot(s *model.Snapshot) {
+	c.snapshot = s
+	c.targets.onSnapshot(s)
+	for name, a := range c.accounts {
+		if s.Customers[name] == nil && name != "" && a.parked.len() == 0 {
+			delete(c.accounts, name)
+		}
+	}
+}
+
+// OnContact tells whether the node is in contact with the fleet. Without
+// contact keyed requests are refused, since a key may have been withdrawn.
+func (c *Core) OnContact(has bool) { c.contact = has }
+
+// OnSuspect excludes a target, or admits it again.
+func (c *Core) OnSuspect(i model.Instance, suspect bool) { c.targets.onSuspect(i, suspect) }
+
+// OnLoad takes a target's report about itself.
+func (c *Core) OnLoad(now time.Time, i model.Instance, load model.Load) {
+	c.targets.onLoad(now, i, load)
+}
+
+// OnPause drops what may have lapsed while the process was paused.
+func (c *Core) OnPause() {
+	for _, a := range c.accounts {
+		a.balance.clear()
+	}
+}
 
 // OnRequest starts a call.
 func (c *Core) OnRequest(now time.Time, req *model.Request) {
-	r := &record{core: c, now: now, state: c.machine.Initial(), request: req}
+	r := &call{core: c, now: now, began: now, state: c.machine.Initial(), id: req.ID}
 	c.calls[req.ID] = r
-	call, refusal := c.classify(now, req)
+	attempt, refusal := c.classify(now, r, req)
 	if refusal != nil {
 		r.answer = refusal
-		r.step(eventRejected)
+		c.step(r, eventRejected)
 		return
 	}
-	r.call = call
-	r.target, refusal = c.choose(call, r.tried)
-	if refusal != nil {
-		r.answer = refusal
-		r.step(eventRejected)
-		return
-	}
-	r.step(eventAdmitted)
+	r.call = attempt
+	c.step(r, eventAdmitted)
 }
 
-// OnOutcome takes the result of an attempt.
+// OnOutcome takes the result of an attempt. An outcome of a call that is not
+// in progress reaches nobody.
 func (c *Core) OnOutcome(now time.Time, a *model.Answer) {
 	r := c.calls[a.ID]
-	if r == nil {
+	if r == nil || !r.outstanding {
 		return
 	}
 	r.now = now
 	r.answer = a
-	c.observe(r.target.Instance, a)
+	r.settle(a)
 	switch {
 	case !a.Refused():
-		r.step(eventAnswered)
+		c.step(r, eventAnswered)
 	case a.Run == model.NotRun:
-		r.step(eventNotRun)
+		c.step(r, eventNotRun)
 	default:
-		r.step(eventFailed)
+		c.step(r, eventFailed)
 	}
+	c.serveParked(now, r)
+}
+
+// serveParked passes a returned token on to the next call that waits.
+func (c *Core) serveParked(now time.Time, r *call) {
+	if a := c.accounts[r.call.Customer]; a != nil && r.needsToken() {
+		c.grantParked(now, a)
+	}
+}
+
+// OnClaim takes the result of a claim. A grant that arrives after the call
+// has ended is given back, since nothing was handed over under it.
+func (c *Core) OnClaim(now time.Time, id model.CallID, result record.Result) {
+	r := c.claiming[id]
+	delete(c.claiming, id)
+	if r == nil {
+		if result.Outcome == record.Granted {
+			c.orders = append(c.orders, ReleaseOrder{Claim: result.Claim})
+		}
+		return
+	}
+	r.now = now
+	c.step(r, r.claimEvent(result))
+	c.serveParked(now, r)
 }
 
 // OnCanceled ends a call whose caller has gone.
 func (c *Core) OnCanceled(now time.Time, id model.CallID) {
-	if r := c.calls[id]; r != nil {
-		r.now = now
-		r.answer = model.Failure(id, model.ReasonCanceled, "the caller has gone")
-		r.step(eventCanceled)
+	r := c.calls[id]
+	if r == nil {
+		return
 	}
+	r.now = now
+	if !r.outstanding {
+		r.answer = model.Refusal(id, model.ReasonCanceled, "the caller has gone")
+	}
+	c.step(r, eventCanceled)
+	c.serveParked(now, r)
+}
+
+// Tick runs timers and returns the time of the next one; zero for none.
+func (c *Core) Tick(now time.Time) time.Time {
+	var next time.Time
+	for _, a := range c.accounts {
+		next = earlier(next, c.tickAccount(now, a))
+	}
+	for _, r := range c.claiming {
+		if now.Before(r.call.Deadline) {
+			next = earlier(next, r.call.Deadline)
+			continue
+		}
+		c.expire(now, r)
+	}
+	return next
+}
+
+func (c *Core) expire(now time.Time, r *call) {
+	r.now = now
+	r.answer = model.Refusal(r.id, model.ReasonDeadline, "the deadline passed at the entry node")
+	c.step(r, eventExpired)
+	c.serveParked(now, r)
+}
+
+// earlier returns the earlier of two times, where zero means never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
 }
 
 // Has reports whether the call is in progress.
@@ -108,3 +262,6 @@
 
 // Len returns the number of calls in progress.
 func (c *Core) Len() int { return len(c.calls) }
+
+// Parents returns the number of running calls that may make sub-calls.
+func (c *Core) Parents() int { return len(c.parents) }
--- a/transport/wire/call.go
+++ b/transport/wire/call.go
@@ -34,6 +34,7 @@
 		Depth:       int32(c.Depth),
 		RemainingNs: int64(c.Deadline.Sub(now)),
 		Fingerprint: c.Fingerprint,
+		LostOn:      fromInstances(c.LostOn),
 		Token:       fromToken(c.Token, now),
 		Claim:       fromClaim(c.Claim),
 		Entry:       FromNodeID(c.Entry),
@@ -79,6 +80,7 @@
 		Depth:       int(h.GetDepth()),
 		Deadline:    now.Add(time.Duration(h.GetRemainingNs())),
 		Fingerprint: h.GetFingerprint(),
+		LostOn:      toInstances(h.GetLostOn()),
 		Token:       toToken(h.GetToken(), now),
 		Entry:       ToNodeID(h.GetEntry()),
 	}
@@ -167,6 +169,22 @@
 	return out
 }
 
+func fromInstances(list []model.Instance) []string {
+	var out []string
+	for _, i := range list {
+		out = append(out, string(i))
+	}
+	return out
+}
+
+func toInstances(list []string) []model.Instance {
+	var out []model.Instance
+	for _, i := range list {
+		out = append(out, model.Instance(i))
+	}
+	return out
+}
+
 func fromToken(t *model.Token, now time.Time) *Token {
 	if t == nil {
 		return nil
