Test the entry node's decisions in virtual time

Cause: tokens, claims, retry budgets, call chains and the choice of targets had no tests of their own. 200 seeds of a chain of 8 levels, with and without dropped headers, and random trees with parallel sub-calls, lost answers and refusals stay within the budget of 2 re-sends and 3 executions of each request.

--- a/policy/routing/call.go
+++ b/policy/routing/call.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"sync"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/charts"
@@ -52,10 +53,14 @@
 	moves       int
 	parkedAt    time.Time
 	waited      time.Duration // for tokens
+	counted     bool          // in the customer's demand
 	outstanding bool          // an attempt is in progress
 	answered    bool
 }
 
+// requestMachine compiles the chart once. It holds no state of a call.
+var requestMachine = sync.OnceValue(newMachine)
+
 func newMachine() *chart.Machine[*call] {
 	return chart.MustCompile(charts.MustRead("request"), chart.Binding[*call]{
 		States: []string{"received", "placing", "awaiting_token", "awaiting_claim", "sending", "canceling", "done"},
--- /dev/null
+++ b/policy/routing/chain_test.go
@@ -0,0 +1,253 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// tree is a request and the sub-calls that its target makes for it.
+type tree struct {
+	children []*tree
+	parallel bool // the target starts all sub-calls before it waits for one
+	drops    bool // the target does not pass on Oleander-Context
+	open     bool // the route needs no key
+	depth    int
+}
+
+func (s *tree) size() int {
+	n := 1
+	for _, child := range s.children {
+		n += child.size()
+	}
+	return n
+}
+
+// fleet runs call trees: the target at each depth has a node, which is the
+// entry node of that target's sub-calls.
+type fleet struct {
+	t        testing.TB
+	rng      *rand.Rand
+	nodes    []*node // by depth of the calling request; the first is the outside entry node
+	failures float64 // share of executions that fail after their sub-calls
+	lost     float64 // share of answers that are lost on the way
+	refused  float64 // share of attempts that are not run
+	runs     int     // executions
+	resent   int     // attempts by which nodes sent a call that may have run again
+	contexts int
+}
+
+func newFleet(t testing.TB, seed uint64, depth int) *fleet {
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 7))}
+	for range depth + 1 {
+		n := newNode(t)
+		n.account("herders").retries.tokens = maxRetryTokens // the budget is the only bound
+		f.nodes = append(f.nodes, n)
+	}
+	return f
+}
+
+// request carries one call of the tree through its entry node.
+func (f *fleet) request(s *tree, context string) {
+	f.finish(s, f.begin(s, context))
+}
+
+func (f *fleet) begin(s *tree, context string) Decision {
+	n := f.nodes[s.depth]
+	path := "/a"
+	if s.open {
+		path = "/open"
+	}
+	n.begin(path, func(r *model.Request) {
+		r.FromTarget = s.depth > 0
+		r.Parent = context
+	})
+	n.grantAll()
+	return n.decisions[0]
+}
+
+func (f *fleet) finish(s *tree, d Decision) {
+	n := f.nodes[s.depth]
+	for d.Answer == nil {
+		if d.Cause == Retried {
+			f.resent++
+		}
+		answer := f.execute(s, d.Call)
+		n.outcome(answer)
+		n.grantAll()
+		if !answer.Refused() {
+			return
+		}
+		d = n.decisions[0]
+	}
+}
+
+// execute runs an attempt at its target.
+func (f *fleet) execute(s *tree, attempt *model.Call) *model.Answer {
+	if f.rng.Float64() < f.refused {
+		return model.Refusal(attempt.ID, model.ReasonShed, "")
+	}
+	f.runs++
+	f.contexts++
+	context := fmt.Sprint(f.contexts)
+	var n *node
+	if len(s.children) > 0 {
+		n = f.nodes[s.depth+1]
+		n.OnParent(context, attempt)
+		f.subCalls(s, context)
+	}
+	answer := success(attempt.ID)
+	if f.rng.Float64() < f.failures {
+		answer = model.Failure(attempt.ID, model.ReasonTargetFailed, "")
+	}
+	if n != nil {
+		answer.RetriesUsed = n.OnParentEnded(n.now, context, false)
+		assert.Equal(f.t, n.Parents(), 0)
+	}
+	if f.rng.Float64() < f.lost {
+		return model.Failure(attempt.ID, model.ReasonAnswerCut, "")
+	}
+	return answer
+}
+
+func (f *fleet) subCalls(s *tree, context string) {
+	if s.drops {
+		context = ""
+	}
+	if !s.parallel {
+		for _, child := range s.children {
+			f.request(child, context)
+		}
+		return
+	}
+	decisions := make([]Decision, len(s.children))
+	for i, child := range s.children {
+		decisions[i] = f.begin(child, context)
+	}
+	for i, child := range s.children {
+		f.finish(child, decisions[i])
+	}
+}
+
+func chainOf(depth int, drops bool) *tree {
+	var s *tree
+	for d := depth - 1; d >= 0; d-- {
+		next := &tree{depth: d, drops: drops}
+		if s != nil {
+			next.children = []*tree{s}
+		}
+		s = next
+	}
+	return s
+}
+
+// Guards against retries that multiply along a chain: 8 levels in which every
+// execution fails must not run 3^8 times.
+func TestChainOfEightLevelsStaysWithinBudget(t *testing.T) {
+	const depth, budget = 8, 2
+	for _, drops := range []bool{false, true} {
+		for seed := range uint64(200) {
+			f := newFleet(t, seed, depth)
+			f.failures, f.lost, f.refused = []float64{1, 0.5, 0.2}[seed%3], 0.1, 0.1
+			f.request(chainOf(depth, drops), "")
+			assert.Assert(t, f.resent <= budget, "seed %d: %d re-sends", seed, f.resent)
+			assert.Assert(t, f.runs <= depth+budget*depth, "seed %d: %d executions", seed, f.runs)
+		}
+	}
+}
+
+// Guards against a tree of sub-calls, in sequence or in parallel, with lost
+// answers and dropped headers, that exceeds the budget of its one request.
+func TestRandomTreesStayWithinBudget(t *testing.T) {
+	const budget = 2
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawTree(rt, 0)
+		f := newFleet(t, rapid.Uint64().Draw(rt, "seed"), 5)
+		f.failures = rapid.Float64Range(0, 1).Draw(rt, "failures")
+		f.lost = rapid.Float64Range(0, 1).Draw(rt, "lost")
+		f.refused = rapid.Float64Range(0, 0.5).Draw(rt, "refused")
+		f.request(s, "")
+		if f.resent > budget || f.runs > s.size()*(1+budget) {
+			rt.Fatalf("%d re-sends, %d executions of a tree of %d", f.resent, f.runs, s.size())
+		}
+		for _, n := range f.nodes {
+			if n.Len() != 0 {
+				rt.Fatalf("%d calls left over", n.Len())
+			}
+		}
+	})
+}
+
+func drawTree(rt *rapid.T, depth int) *tree {
+	s := &tree{
+		depth:    depth,
+		parallel: rapid.Bool().Draw(rt, "parallel"),
+		drops:    rapid.IntRange(0, 4).Draw(rt, "drops") == 0,
+		open:     depth > 0 && rapid.Bool().Draw(rt, "open"),
+	}
+	if depth < 4 {
+		for range rapid.IntRange(0, 3).Draw(rt, "children") {
+			s.children = append(s.children, drawTree(rt, depth+1))
+		}
+	}
+	return s
+}
+
+// Guards against a sub-call that gets another customer, class or deadline
+// than its parent, is charged again, or copies its parent's id.
+func TestSubCallInheritsFromItsParent(t *testing.T) {
+	n := newNode(t)
+	outside := n.start("/a").Call
+	outside.RequestID = uuid.Must(uuid.NewV7())
+	held := n.account("herders").balance.held(n.now)
+	n.OnParent("running", outside)
+	sub := func(path string) model.CallID {
+		return n.begin(path, func(r *model.Request) {
+			r.Key, r.FromTarget, r.Parent, r.RequestID = "ignored", true, "running", outside.RequestID
+		})
+	}
+	d := n.wantAttempt(sub("/a"))
+	assert.Equal(t, d.Call.Customer, outside.Customer)
+	assert.Equal(t, d.Call.KeyHash, outside.KeyHash)
+	assert.Equal(t, d.Call.Class, outside.Class)
+	assert.Equal(t, d.Call.Depth, 1)
+	assert.Assert(t, d.Call.Deadline.Equal(outside.Deadline))
+	assert.Assert(t, d.Call.Token == nil)
+	assert.Equal(t, n.account("herders").balance.held(n.now), held)
+
+	sub("/mark")
+	id := n.orders[0].(ClaimOrder).RequestID
+	assert.Assert(t, id != outside.RequestID && id.Version() == 7)
+	assert.Assert(t, model.Time(id).Equal(model.Time(outside.RequestID)))
+}
+
+// Guards against sub-calls that run for nobody, and against sub-calls that go
+// on when the caller of their parent has gone.
+func TestSubCallEndsWithItsParent(t *testing.T) {
+	n := newNode(t)
+	outside := n.start("/a").Call
+	n.OnParent("running", outside)
+	fromTarget := func(parent string) func(*model.Request) {
+		return func(r *model.Request) { r.FromTarget, r.Parent = true, parent }
+	}
+	child := n.begin("/a", fromTarget("running"))
+	n.wantAttempt(child)
+	n.OnParentEnded(n.now, "running", true)
+	n.collect()
+	assert.Assert(t, n.decisions[0].Cancel && n.decisions[0].CallID == child)
+
+	late := n.begin("/a", fromTarget("running"))
+	n.wantRefusal(late, model.ReasonParentEnded, model.NotRun)
+	orphan := n.begin("/a", fromTarget(""))
+	n.wantRefusal(orphan, model.ReasonNoCustomer, model.NotRun)
+	open := n.begin("/open", fromTarget(""))
+	assert.Equal(t, n.wantAttempt(open).Call.RetryBudget, 0)
+	outsider := n.begin("/a", func(r *model.Request) { r.Parent, r.HasKey = "running", false })
+	n.wantRefusal(outsider, model.ReasonKeyMissing, model.NotRun)
+}
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -39,7 +39,7 @@
 	return &table{
 		zone:    zone,
 		rng:     rng,
-		machine: newOutlierMachine(),
+		machine: outlierMachine(),
 		targets: make(map[model.Instance]*target),
 		pools:   make(map[model.Service]*pool),
 		suspect: make(map[model.Instance]bool),
--- /dev/null
+++ b/policy/routing/choose_test.go
@@ -0,0 +1,127 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// chooseMany returns how often each target is chosen. release ends each
+// attempt before the next.
+func (n *node) chooseMany(times int, release bool) map[model.Instance]int {
+	counts := make(map[model.Instance]int)
+	for range times {
+		tg := n.targets.choose(n.now, "tally", nil)
+		counts[tg.member.Instance]++
+		if !release {
+			tg.sent++
+		}
+	}
+	return counts
+}
+
+// Guards against calls that leave the availability zone without need, and
+// against a zone that is filled while others are idle.
+func TestOwnZoneIsPreferredWhileNotFuller(t *testing.T) {
+	n := newNode(t)
+	counts := n.chooseMany(1000, true)
+	assert.Equal(t, counts["tally-0"], 1000)
+	counts = n.chooseMany(400, false)
+	assert.Assert(t, counts["tally-0"] <= 120, "%v", counts)
+	for _, other := range []model.Instance{"tally-1", "tally-2", "tally-3"} {
+		assert.Assert(t, counts[other] >= 80, "%v", counts)
+	}
+}
+
+// Guards against a target in cold start that gets a full part of the calls.
+func TestRampingTargetIsChosenInProportion(t *testing.T) {
+	n := newNode(t)
+	n.OnSuspect("tally-0", true)
+	n.OnLoad(n.now, "tally-1", model.Load{Limit: 10})
+	n.OnLoad(n.now, "tally-2", model.Load{Limit: 100})
+	n.OnLoad(n.now, "tally-3", model.Load{Limit: 100})
+	counts := n.chooseMany(2100, true)
+	assert.Assert(t, counts["tally-1"] > 50 && counts["tally-1"] < 200, "%v", counts)
+}
+
+// Guards against calls to targets that are suspect, draining or out, and
+// against reports that are believed for too long.
+func TestExcludedTargetsGetNoCalls(t *testing.T) {
+	n := newNode(t)
+	s := testSnapshot("tally")
+	s.Zones["lautoka"] = model.SwitchConfig{Out: true}
+	s.Targets["tally-3"] = model.SwitchConfig{Out: true}
+	n.OnSnapshot(s)
+	n.OnSuspect("tally-0", true)
+	n.OnSnapshot(s) // a new snapshot must not lose the suspicion
+	n.OnLoad(n.now, "tally-1", model.Load{Limit: 100, Draining: true})
+	assert.Assert(t, n.targets.choose(n.now, "tally", nil) == nil)
+	id := n.begin("/open", nil)
+	n.wantRefusal(id, model.ReasonNoTarget, model.NotRun)
+
+	n.now = n.now.Add(reportLife)
+	assert.Equal(t, n.targets.choose(n.now, "tally", nil).member.Instance, model.Instance("tally-1"))
+	n.OnSuspect("tally-0", false)
+	assert.Equal(t, n.targets.choose(n.now, "tally", nil).member.Instance, model.Instance("tally-0"))
+}
+
+// Guards against calls that go on to a target that loses them, against
+// avoidance without end, and against a service that stops because all its
+// targets are avoided.
+func TestOutliersAreAvoidedForAShortTime(t *testing.T) {
+	n := newNode(t)
+	near := n.targets.targets["tally-0"]
+	var last time.Duration
+	for round := range 4 {
+		for range maxLosses {
+			near.observe(n.now, lost(1))
+		}
+		assert.Equal(t, n.chooseMany(100, true)["tally-0"], 0)
+		pause := near.avoidUntil.Sub(n.now)
+		assert.Assert(t, pause > last && pause <= 3*maxAvoid/2, "round %d: %s", round, pause)
+		last = pause
+		n.now = near.avoidUntil
+		assert.Equal(t, n.chooseMany(100, true)["tally-0"], 100)
+	}
+	near.observe(n.now, success(1))
+	assert.Equal(t, near.avoidFor, time.Duration(0))
+
+	for _, tg := range n.targets.targets {
+		tg.observe(n.now, model.Refusal(1, model.ReasonPeerUnreachable, ""))
+	}
+	assert.Assert(t, n.targets.choose(n.now, "tally", nil) != nil)
+}
+
+// BenchmarkDecision measures one routing decision: classify, take a token,
+// choose a target, take the outcome.
+func BenchmarkDecision(b *testing.B) {
+	for _, targets := range []int{4, 50, 500} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			n := newNode(b)
+			s := testSnapshot("tally")
+			s.Members["tally"] = nil
+			for i := range targets {
+				id := model.Instance(fmt.Sprintf("tally-%d", i))
+				zone := []model.Zone{"suva", "nadi", "lautoka"}[i%3]
+				s.Members["tally"] = append(s.Members["tally"],
+					model.Member{NodeID: model.NodeID{Instance: id}, Service: "tally", Zone: zone})
+			}
+			n.OnSnapshot(s)
+			n.begin("/a", nil)
+			n.grant(1 << 40)
+			req := &model.Request{Service: "tally", Method: "GET", Path: "/a", Key: testKey, HasKey: true}
+			b.ReportAllocs()
+			for b.Loop() {
+				req.ID++
+				n.OnRequest(n.now, req)
+				n.OnOutcome(n.now, success(req.ID))
+				n.Decisions()
+				n.Orders()
+			}
+		})
+	}
+}
--- a/policy/routing/core.go
+++ b/policy/routing/core.go
@@ -100,7 +100,7 @@
 		contact:  true,
 		rng:      rng,
 		check:    check,
-		machine:  newMachine(),
+		machine:  requestMachine(),
 		calls:    make(map[model.CallID]*call),
 		claiming: make(map[model.CallID]*call),
 		targets:  newTable(self.Zone, rng),
--- /dev/null
+++ b/policy/routing/retry_test.go
@@ -0,0 +1,206 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/record"
+)
+
+func (n *node) start(path string) Decision {
+	n.t.Helper()
+	id := n.begin(path, nil)
+	n.grantAll()
+	return n.wantAttempt(id)
+}
+
+func lost(id model.CallID) *model.Answer {
+	a := model.Failure(id, model.ReasonTargetFailed, "connection reset")
+	a.TargetLost = true
+	return a
+}
+
+// Guards against more re-sends than the budget, and against a third target
+// that is lost with the same request.
+func TestIdempotentRequestIsRetriedWithinBudget(t *testing.T) {
+	n := newNode(t)
+	id := n.start("/a").CallID
+	for range 2 {
+		n.outcome(model.Failure(id, model.ReasonTargetFailed, ""))
+		n.grantAll()
+		assert.Equal(t, n.wantAttempt(id).Cause, Retried)
+	}
+	n.outcome(model.Failure(id, model.ReasonTargetFailed, ""))
+	a := n.wantRefusal(id, model.ReasonTargetFailed, model.RunUnknown)
+	assert.Equal(t, a.RetriesUsed, 2)
+
+	id = n.start("/b").CallID
+	n.outcome(lost(id))
+	n.grantAll()
+	assert.Equal(t, len(n.wantAttempt(id).Call.LostOn), 1)
+	n.outcome(lost(id))
+	n.wantRefusal(id, model.ReasonTargetFailed, model.RunUnknown)
+}
+
+// Guards against a non-idempotent request that runs twice.
+func TestNonIdempotentRequestIsNotRetried(t *testing.T) {
+	n := newNode(t)
+	id := n.begin("/mark", nil)
+	n.grant(1)
+	assert.Equal(t, n.orders[0].(ClaimOrder).Attempt, 0)
+	n.claim(id, record.Granted, nil)
+	n.wantAttempt(id)
+	n.outcome(model.Failure(id, model.ReasonTargetFailed, ""))
+	n.wantRefusal(id, model.ReasonTargetFailed, model.RunUnknown)
+	assert.Equal(t, len(n.orders), 0, "the claim stays: the request may have run")
+}
+
+// Guards against a claim that is not replaced or given up when the request
+// was not run, and against more than three moves.
+func TestMovesAreBoundedAndReplaceTheClaim(t *testing.T) {
+	n := newNode(t)
+	id := n.begin("/mark", nil)
+	n.grant(1)
+	for attempt := range 4 {
+		assert.Equal(t, n.orders[0].(ClaimOrder).Attempt, attempt)
+		n.claim(id, record.Granted, nil)
+		d := n.wantAttempt(id)
+		assert.Equal(t, d.Call.RetryBudget, 2, "a move costs no budget")
+		n.outcome(model.Refusal(id, model.ReasonShed, ""))
+	}
+	a := n.wantRefusal(id, model.ReasonShed, model.NotRun)
+	assert.Assert(t, a.RetryAfter > 0)
+	_, released := n.orders[0].(ReleaseOrder)
+	assert.Assert(t, released)
+}
+
+// Guards against the answer "not run" after an attempt that may have run.
+func TestNotRunIsSaidOnlyWhenNoAttemptRan(t *testing.T) {
+	n := newNode(t)
+	id := n.start("/a").CallID
+	n.outcome(model.Failure(id, model.ReasonAnswerCut, "lost"))
+	n.wantRefusal(id, model.ReasonAnswerCut, model.RunUnknown)
+
+	id = n.start("/b").CallID
+	n.outcome(model.Failure(id, model.ReasonTargetFailed, ""))
+	n.grantAll()
+	n.wantAttempt(id)
+	n.outcome(model.Refusal(id, model.ReasonQuarantined, ""))
+	n.wantRefusal(id, model.ReasonTargetFailed, model.RunUnknown)
+}
+
+// Guards against outcomes of a claim that are answered wrongly.
+func TestClaimOutcomes(t *testing.T) {
+	kept := &model.Answer{ID: 99, Run: model.Completed, Status: 201, Body: []byte("filed")}
+	cases := []struct {
+		outcome record.Outcome
+		reason  model.Reason
+		run     model.Run
+	}{
+		{record.InProgress, model.ReasonInProgress, model.RunUnknown},
+		{record.TooOld, model.ReasonIDTooOld, model.RunUnknown},
+		{record.Unavailable, model.ReasonClaimDenied, model.NotRun},
+		{record.Replay, model.ReasonNone, model.Completed},
+	}
+	for _, tc := range cases {
+		n := newNode(t)
+		id := n.begin("/mark", nil)
+		n.grant(1)
+		n.claim(id, tc.outcome, kept)
+		a := n.wantRefusal(id, tc.reason, tc.run)
+		assert.Equal(t, a.ID, id)
+		assert.Equal(t, a.Replayed, tc.outcome == record.Replay)
+		assert.Equal(t, n.account("herders").balance.held(n.now), 1, "nothing ran, so the token is returned")
+	}
+}
+
+// Guards against a granted claim that is forgotten when its call has ended:
+// the caller's re-send would be answered in_progress.
+func TestLateClaimIsReleased(t *testing.T) {
+	n := newNode(t)
+	id := n.begin("/mark", nil)
+	n.grant(1)
+	n.OnCanceled(n.now, id)
+	n.collect()
+	n.wantRefusal(id, model.ReasonCanceled, model.NotRun)
+	n.claim(id, record.Granted, nil)
+	_, released := n.orders[0].(ReleaseOrder)
+	assert.Assert(t, released)
+}
+
+// Guards against a retry storm of clients that nothing bounds, and against a
+// customer that can never again get an answer to a re-send.
+func TestClientRetriesDrawOnTheBucket(t *testing.T) {
+	n := newNode(t)
+	accepted := 0
+	again := uuid.Must(uuid.NewV7())
+	for range 200 {
+		n.begin("/a", func(r *model.Request) { r.RequestID = again })
+		if n.account("herders").parked.len() > accepted {
+			accepted++
+		}
+	}
+	// The first is a first attempt, then the ten tokens that a customer
+	// starts with.
+	assert.Equal(t, accepted, 1+startRetryTokens)
+	n.now = n.now.Add(clientRetryPause)
+	n.begin("/a", func(r *model.Request) { r.ClientAttempt = 3 })
+	assert.Equal(t, n.account("herders").parked.len(), accepted+1)
+}
+
+// Guards against one customer's retries that use up another's, and against
+// node retries beyond a tenth of the first attempts.
+func TestNodeRetriesAreATenthOfFirstAttempts(t *testing.T) {
+	n := newNode(t)
+	retries := 0
+	for range 1000 {
+		id := n.start("/a").CallID
+		n.outcome(model.Failure(id, model.ReasonTargetFailed, ""))
+		n.grantAll()
+		if n.decisions[0].Call != nil {
+			retries++
+			n.outcome(success(id))
+		}
+		n.now = n.now.Add(time.Millisecond)
+	}
+	assert.Assert(t, retries <= 1000/10+startRetryTokens, "%d retries", retries)
+	assert.Assert(t, retries >= 1000/10, "%d retries", retries)
+}
+
+// Guards against a late, crossed or repeated outcome that changes a call it
+// does not belong to, and against a cancelled call whose outcome is lost.
+func TestOutcomesReachTheirOwnCallOrNobody(t *testing.T) {
+	n := newNode(t)
+	a := n.start("/a").CallID
+	b := n.start("/b").CallID
+	n.outcome(success(b))
+	n.outcome(success(b))
+	assert.Assert(t, !n.Has(b) && n.Has(a))
+	n.outcome(success(77))
+	assert.Assert(t, n.Has(a))
+	n.outcome(model.Failure(a, model.ReasonTargetFailed, ""))
+	n.outcome(success(b))
+	assert.Equal(t, len(n.decisions), 0)
+
+	c := n.begin("/mark", nil)
+	n.grantAll2(c)
+	n.OnCanceled(n.now, c)
+	n.collect()
+	assert.Assert(t, n.decisions[0].Cancel)
+	n.outcome(success(c))
+	_, completed := n.orders[0].(CompleteOrder)
+	assert.Assert(t, completed, "the answer is kept for the caller's re-send")
+	assert.Assert(t, !n.Has(c))
+}
+
+// grantAll2 grants a token, if one was asked for, and the claim.
+func (n *node) grantAll2(id model.CallID) {
+	if o, ok := n.orders[0].(TokenOrder); ok {
+		n.grant(o.Want)
+	}
+	n.claim(id, record.Granted, nil)
+}
--- a/policy/routing/target.go
+++ b/policy/routing/target.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"sync"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/charts"
@@ -49,6 +50,9 @@
 	avoidUntil time.Time
 }
 
+// outlierMachine compiles the chart once. It holds no state of a target.
+var outlierMachine = sync.OnceValue(newOutlierMachine)
+
 func newOutlierMachine() *chart.Machine[*target] {
 	return chart.MustCompile(charts.MustRead("outlier"), chart.Binding[*target]{
 		States: []string{"usable", "avoided", "trial"},
--- a/policy/routing/token.go
+++ b/policy/routing/token.go
@@ -153,10 +153,18 @@
 	}
 	a := r.core.account(r.call.Customer)
 	r.call.Token = a.balance.take(r.now)
-	a.demand.add(r.now)
+	r.countDemand(a)
 	r.core.ask(r.now, r.call.Customer, a)
 }
 
+// countDemand counts each call once, however often it is parked or sent.
+func (r *call) countDemand(a *account) {
+	if !r.counted {
+		r.counted = true
+		a.demand.add(r.now)
+	}
+}
+
 // returnToken gives back the token of a call that was not run.
 func (r *call) returnToken() {
 	if r.call.Token == nil {
@@ -168,7 +176,7 @@
 
 func (r *call) park() {
 	a := r.core.account(r.call.Customer)
-	a.demand.add(r.now)
+	r.countDemand(a)
 	r.parkedAt = r.now
 	a.parked.push(r)
 	r.core.ask(r.now, r.call.Customer, a)
--- /dev/null
+++ b/policy/routing/token_test.go
@@ -0,0 +1,148 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+)
+
+// Guards against requests that run without a token, and against an unfair
+// order among the parked requests of a customer.
+func TestParkedRequestsGetTokensInOrder(t *testing.T) {
+	n := newNode(t)
+	retry := n.begin("/a", func(r *model.Request) { r.ClientAttempt = 1 })
+	assert.DeepEqual(t, n.orders, []Order{TokenOrder{Customer: "herders", Want: 1}})
+	first := n.begin("/b", nil)
+	second := n.begin("/c", nil)
+	assert.Equal(t, len(n.decisions)+len(n.orders), 0)
+
+	n.grant(1)
+	n.wantAttempt(first)
+	n.grant(1)
+	n.wantAttempt(second)
+	n.grant(1)
+	d := n.wantAttempt(retry)
+	assert.Assert(t, d.Call.Token != nil && d.Call.ClientRetry)
+}
+
+// Guards against a batch that ignores recent demand: each request would wait
+// for the grantor.
+func TestTokensAreAskedForRecentDemand(t *testing.T) {
+	n := newNode(t)
+	for range 10 {
+		n.begin("/a", nil)
+	}
+	n.grant(1)
+	assert.DeepEqual(t, n.orders, []Order{TokenOrder{Customer: "herders", Want: 10}})
+	n.grant(20)
+	assert.Equal(t, len(n.decisions), 9)
+	n.tick(50 * time.Millisecond)
+	id := n.begin("/a", nil)
+	n.wantAttempt(id)
+}
+
+// Guards against the use of tokens after their life.
+func TestTokensExpire(t *testing.T) {
+	n := newNode(t)
+	n.begin("/a", nil)
+	n.grant(5)
+	assert.Equal(t, len(n.decisions), 1)
+	n.now = n.now.Add(time.Second)
+	n.begin("/b", nil)
+	assert.Equal(t, len(n.decisions), 0)
+	assert.Equal(t, len(n.orders), 1)
+}
+
+// Guards against a customer that pays for requests that were not run, and
+// against a returned token that nobody gets while requests wait for one.
+func TestTokenOfRequestNotRunIsReturned(t *testing.T) {
+	n := newNode(t)
+	id := n.begin("/a", nil)
+	n.grant(1)
+	n.wantAttempt(id)
+	waiting := n.begin("/b", nil)
+	n.outcome(model.Refusal(id, model.ReasonQuarantined, ""))
+	assert.Equal(t, len(n.decisions), 2)
+	assert.Equal(t, n.decisions[0].Answer.Reason, model.ReasonQuarantined)
+	assert.Equal(t, n.decisions[1].CallID, waiting)
+	assert.Assert(t, n.decisions[1].Call != nil)
+}
+
+// Guards against requests that wait longer than their deadline, or that wait
+// for a rate that cannot serve them.
+func TestParkedRequestsAreRefused(t *testing.T) {
+	n := newNode(t)
+	id := n.begin("/a", func(r *model.Request) { r.Timeout = 30 * time.Millisecond })
+	n.tick(30 * time.Millisecond)
+	n.wantRefusal(id, model.ReasonDeadline, model.NotRun)
+
+	id = n.begin("/b", nil)
+	n.OnTokens(n.now, tokenlease.Result{Customer: "herders", Reason: model.ReasonRateLimited, RetryAfter: time.Second})
+	n.collect()
+	assert.Equal(t, len(n.decisions), 0)
+	n.tick(limitedPatience)
+	a := n.wantRefusal(id, model.ReasonRateLimited, model.NotRun)
+	assert.Assert(t, a.RetryAfter >= time.Second)
+
+	n.now = n.now.Add(time.Second)
+	id = n.begin("/c", nil)
+	n.OnTokens(n.now, tokenlease.Result{Customer: "herders", Reason: model.ReasonRateUnavailable})
+	n.tick(time.Second)
+	assert.Equal(t, len(n.orders), 1, "tokens are asked for again")
+	n.tick(unavailablePatience)
+	n.wantRefusal(id, model.ReasonRateUnavailable, model.NotRun)
+}
+
+// Guards against a burst far above the rate that waits instead of being told
+// to slow down at once.
+func TestParkedBeyondTheRateAreRefusedAtOnce(t *testing.T) {
+	n := newNode(t)
+	for range 50 {
+		n.begin("/a", nil)
+	}
+	n.OnTokens(n.now, tokenlease.Result{Customer: "herders", Reason: model.ReasonRateLimited, RetryAfter: time.Second})
+	n.collect()
+	assert.Equal(t, len(n.decisions), 40, "a rate of 100/s has room for 10 within 100 ms")
+	assert.Equal(t, n.decisions[0].CallID, model.CallID(50), "the newest is refused first")
+}
+
+// Guards against balances that outlive a pause of the process.
+func TestPauseDropsBalances(t *testing.T) {
+	n := newNode(t)
+	n.begin("/a", nil)
+	n.grant(5)
+	n.OnPause()
+	n.begin("/b", nil)
+	assert.Equal(t, len(n.decisions), 0)
+}
+
+// Guards against a withdrawn key that still works for a request that waits.
+func TestWithdrawnKeyIsRefusedWhileParked(t *testing.T) {
+	n := newNode(t)
+	id := n.begin("/a", nil)
+	s := testSnapshot("tally")
+	s.Keys[model.HashKey(testKey)].Withdrawn = true
+	n.OnSnapshot(s)
+	n.grant(1)
+	n.wantRefusal(id, model.ReasonKeyUnknown, model.NotRun)
+	assert.Equal(t, n.account("herders").balance.held(n.now), 1)
+}
+
+// Guards against keyed service without contact, in which a withdrawn key
+// would still work, and against open routes that need contact or a key.
+func TestContactAndOpenRoutes(t *testing.T) {
+	n := newNode(t)
+	n.OnContact(false)
+	id := n.begin("/a", nil)
+	n.wantRefusal(id, model.ReasonNoContact, model.NotRun)
+	for _, key := range []string{"", "unknown", testKey} {
+		id = n.begin("/open/a", func(r *model.Request) { r.Key, r.HasKey = key, key != "" })
+		d := n.wantAttempt(id)
+		assert.Equal(t, d.Call.Customer, model.Customer(""))
+		assert.Assert(t, d.Call.Fingerprint != 0)
+	}
+}
