--- a/policy/routing/harness_test.go
+++ b/policy/routing/harness_test.go
@@ -94,7 +94,7 @@
 	n.collect()
 }
 
-// grantLater answers orders for tokens until none is left.
+// grantAll answers orders for tokens until none is left.
 func (n *node) grantAll() {
 	for len(n.orders) > 0 {
 		kept := n.decisions
@@ -131,7 +131,9 @@
 	n.t.Helper()
 	assert.Equal(n.t, len(n.decisions), 1, "decisions: %+v", n.decisions)
 	a := n.decisions[0].Answer
-	assert.Assert(n.t, a != nil && n.decisions[0].CallID == id)
+	if a == nil || n.decisions[0].CallID != id {
+		n.t.Fatalf("decision: %+v", n.decisions[0])
+	}
 	assert.Equal(n.t, a.Reason, reason)
 	assert.Equal(n.t, a.Run, run)
 	return a
