--- a/policy/routing/harness_test.go
+++ b/policy/routing/harness_test.go
@@ -133,6 +133,7 @@
 	a := n.decisions[0].Answer
 	if a == nil || n.decisions[0].CallID != id {
 		n.t.Fatalf("decision: %+v", n.decisions[0])
+		return nil
 	}
 	assert.Equal(n.t, a.Reason, reason)
 	assert.Equal(n.t, a.Run, run)
