--- a/policy/routing/target.go
+++ b/policy/routing/target.go
@@ -128,7 +128,7 @@
 		t.step(now, outlierSucceeded)
 	case a.Reason == model.ReasonPeerUnreachable:
 		t.step(now, outlierUnreachable)
-	case a.TargetLost && a.Reason != model.ReasonQuarantined, a.Reason == model.ReasonAnswerCut:
+	case a.TargetLost && a.Reason == model.ReasonTargetFailed, a.Reason == model.ReasonAnswerCut:
 		t.step(now, outlierLost)
 	}
 }
