--- a/agent/routing/metrics.go
+++ b/agent/routing/metrics.go
@@ -71,6 +71,8 @@
 
 func (m *metrics) decided(d routing.Decision) {
 	switch {
+	case d.Answer != nil && !d.Answer.Refused():
+		m.answered.Add(1)
 	case d.Answer != nil:
 		m.refusals.Add(string(d.Answer.Reason), 1)
 	case d.Cause == routing.Moved:
--- a/policy/routing/classify.go
+++ b/policy/routing/classify.go
@@ -22,7 +22,10 @@
 		return nil, model.Refusal(req.ID, model.ReasonNoRoute, "unknown service")
 	}
 	path, _, _ := strings.Cut(req.Path, "?")
-	route := service.Route(req.Method, path)
+	if answer := answerOptions(req, service, path); answer != nil {
+		return nil, answer
+	}
+	route := findRoute(service, req.Method, path)
 	if route == nil {
 		return nil, model.Refusal(req.ID, model.ReasonNoRoute, "no route for method and path")
 	}
--- /dev/null
+++ b/policy/routing/method.go
@@ -0,0 +1,76 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Methods that the entry node treats in its own way.
+const (
+	methodGet     = "GET"
+	methodHead    = "HEAD"
+	methodOptions = "OPTIONS"
+)
+
+// statusNoContent answers OPTIONS, which has no body.
+const statusNoContent = 204
+
+// anyMethod lists what a route without a method serves.
+var anyMethod = []string{methodGet, methodHead, "POST", "PUT", "PATCH", "DELETE"}
+
+// findRoute returns the route for a method and a path. HEAD uses the route of
+// GET, unless there is one of its own.
+func findRoute(service *model.ServiceConfig, method, path string) *model.Route {
+	route := service.Route(method, path)
+	if method != methodHead {
+		return route
+	}
+	get := service.Route(methodGet, path)
+	if route == nil || (get != nil && len(get.Prefix) > len(route.Prefix)) {
+		return get
+	}
+	return route
+}
+
+// answerOptions answers OPTIONS at the node with the methods of the path. It
+// returns nil for other methods, for unknown paths, and when the service has
+// a route for OPTIONS itself.
+func answerOptions(req *model.Request, service *model.ServiceConfig, path string) *model.Answer {
+	if req.Method != methodOptions {
+		return nil
+	}
+	if route := service.Route(req.Method, path); route != nil && route.Method == methodOptions {
+		return nil
+	}
+	methods := methodsOf(service, path)
+	if len(methods) == 0 {
+		return nil
+	}
+	header := map[string][]string{"Allow": {strings.Join(methods, ", ")}}
+	return &model.Answer{ID: req.ID, Run: model.NotRun, Status: statusNoContent, Header: header}
+}
+
+func methodsOf(service *model.ServiceConfig, path string) []string {
+	methods := []string{methodOptions}
+	for i := range service.Routes {
+		r := &service.Routes[i]
+		if !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		switch r.Method {
+		case "":
+			methods = append(methods, anyMethod...)
+		case methodGet:
+			methods = append(methods, methodGet, methodHead)
+		default:
+			methods = append(methods, r.Method)
+		}
+	}
+	if len(methods) == 1 {
+		return nil
+	}
+	slices.Sort(methods)
+	return slices.Compact(methods)
+}
--- a/policy/routing/token_test.go
+++ b/policy/routing/token_test.go
@@ -146,3 +146,24 @@
 		assert.Assert(t, d.Call.Fingerprint != 0)
 	}
 }
+
+// Guards against HEAD without a route where GET has one, and against OPTIONS
+// that needs a key or reaches a target.
+func TestHeadAndOptions(t *testing.T) {
+	n := newNode(t)
+	s := testSnapshot("tally")
+	s.Services["tally"].Routes = []model.Route{
+		{Prefix: "/", Method: "POST", Class: "filing"},
+		{Prefix: "/open", Method: "GET", Class: "browse", Idempotent: true, Open: true},
+		{Prefix: "/own", Method: "OPTIONS", Class: "browse", Idempotent: true, Open: true},
+	}
+	n.OnSnapshot(s)
+	method := func(m string) func(*model.Request) {
+		return func(r *model.Request) { r.Method, r.HasKey = m, false }
+	}
+	assert.Equal(t, n.wantAttempt(n.begin("/open/a", method("HEAD"))).Call.Method, "HEAD")
+	a := n.wantRefusal(n.begin("/open/a", method("OPTIONS")), model.ReasonNone, model.NotRun)
+	assert.Equal(t, a.Header.Get("Allow"), "GET, HEAD, OPTIONS, POST")
+	n.wantAttempt(n.begin("/own", method("OPTIONS")))
+	n.wantRefusal(n.begin("/a", method("HEAD")), model.ReasonNoRoute, model.NotRun)
+}
--- /dev/null
+++ b/transport/caller/handler_test.go
@@ -0,0 +1,209 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/routing"
+)
+
+// reasons returns the values of the constants in model/reason.go.
+func reasons(t *testing.T) []string {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), "../../model/reason.go", nil, 0)
+	assert.NilError(t, err)
+	var out []string
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || !strings.HasPrefix(spec.Names[0].Name, "Reason") {
+			return true
+		}
+		value, err := strconv.Unquote(spec.Values[0].(*ast.BasicLit).Value)
+		assert.NilError(t, err)
+		if value != "" {
+			out = append(out, value)
+		}
+		return true
+	})
+	return out
+}
+
+// Guards against a reason that callers see but cannot look up, and against a
+// page that differs from what the node sends.
+func TestPageAndStatusTableHaveEveryReason(t *testing.T) {
+	page, err := os.ReadFile("../../docs/callers.md")
+	assert.NilError(t, err)
+	all := reasons(t)
+	assert.Assert(t, len(all) > 20)
+	assert.Equal(t, len(statuses), len(all))
+	for _, name := range all {
+		reason := model.Reason(name)
+		status, ok := statuses[reason]
+		assert.Assert(t, ok, "no status for %s", name)
+		later := "no"
+		if routing.MayRetryLater(reason) {
+			later = "yes"
+		}
+		row := fmt.Sprintf("| `%s` | %d | %s |", name, status, later)
+		assert.Assert(t, bytes.Contains(page, []byte(row)), "docs/callers.md has no row %q", row)
+	}
+	assert.Equal(t, bytes.Count(page, []byte("\n| `")), len(all)+headerRows, "rows of the tables of headers and reasons")
+}
+
+// headerRows is the number of rows of the page's tables of headers.
+const headerRows = 13
+
+// Guards against headers of the interface that the page does not describe.
+func TestPageHasEveryHeader(t *testing.T) {
+	page, err := os.ReadFile("../../docs/callers.md")
+	assert.NilError(t, err)
+	for _, name := range []string{
+		HeaderReason, HeaderRun, HeaderReplayed, HeaderTargetLost, HeaderTimeout, HeaderAttempt,
+		HeaderContext, HeaderRequestID, HeaderKey, headerAuthorization, headerRetryAfter,
+	} {
+		assert.Assert(t, bytes.Contains(page, []byte("| `"+name)), "docs/callers.md has no row for %s", name)
+	}
+}
+
+// serve sends a request through the handler and returns what the backend saw.
+func serve(method, path string, header map[string]string, answer *model.Answer) (*http.Response, *model.Request) {
+	var seen *model.Request
+	backend := func(_ context.Context, req *model.Request) *model.Answer {
+		seen = req
+		return answer
+	}
+	r := httptest.NewRequest(method, path, nil)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	NewHandler(backend, false).ServeHTTP(w, r)
+	return w.Result(), seen
+}
+
+// Guards against bad input that is refused without saying what is expected.
+func TestBadInputNamesTheHeader(t *testing.T) {
+	cases := []struct{ header, value, want string }{
+		{HeaderRequestID, "4711", "header Idempotency-Key: want a UUID of version 7"},
+		{HeaderRequestID, uuid.NewString(), "header Idempotency-Key: want a UUID of version 7"},
+		{HeaderTimeout, "1s", "header Oleander-Timeout: want a whole number from 0 to 86400000"},
+		{HeaderTimeout, "99999999999999", "header Oleander-Timeout: want a whole number from 0 to 86400000"},
+		{HeaderAttempt, "-1", "header Oleander-Attempt: want a whole number from 0 to 1000000"},
+		{headerAuthorization, "Bearer other", "headers X-Api-Key and Authorization: want one key"},
+	}
+	for _, tc := range cases {
+		resp, seen := serve("GET", "/tally/a", map[string]string{HeaderKey: "key", tc.header: tc.value}, nil)
+		assert.Assert(t, seen == nil)
+		assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+		assert.Equal(t, resp.Header.Get(HeaderRun), "not-run")
+		var body refusalBody
+		assert.NilError(t, json.NewDecoder(resp.Body).Decode(&body))
+		assert.Equal(t, body.Detail, tc.want)
+	}
+}
+
+// Guards against a key that is passed on, and against a key in any of its
+// usual forms that is not found.
+func TestKeyIsReadAndStripped(t *testing.T) {
+	for _, h := range []map[string]string{
+		{HeaderKey: "secret"}, {headerAuthorization: "Bearer secret"}, {headerAuthorization: "bearer secret"},
+		{HeaderKey: "secret", headerAuthorization: "Bearer secret", HeaderContext: "x", "Accept": "y"},
+	} {
+		_, seen := serve("GET", "/tally/a?b=c", h, &model.Answer{Run: model.Completed, Status: 200})
+		assert.Assert(t, seen.HasKey && seen.Key == "secret")
+		assert.Equal(t, seen.Path, "/a?b=c")
+		assert.Assert(t, !strings.Contains(fmt.Sprint(seen.Header), "secret"))
+		assert.Equal(t, seen.Header.Get(HeaderContext), "")
+	}
+	_, seen := serve("GET", "/tally/a", map[string]string{headerAuthorization: "Basic c2VjcmV0"}, &model.Answer{Status: 200})
+	assert.Assert(t, !seen.HasKey && seen.Header.Get(headerAuthorization) == "")
+}
+
+// Guards against refusals without the fields that a caller needs.
+func TestRefusalHasAllFields(t *testing.T) {
+	a := model.Refusal(1, model.ReasonShed, "the queue is full")
+	a.RetryAfter = 1500 * time.Millisecond
+	a.TargetLost = true
+	resp, _ := serve("GET", "/tally", nil, a)
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Equal(t, resp.Header.Get("Retry-After"), "2")
+	assert.Equal(t, resp.Header.Get(HeaderReason), "shed")
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), `{"reason":"shed","run":"not-run","detail":"the queue is full","retry_after_ms":1500,"target_lost":true}`+"\n")
+
+	for _, path := range []string{"/", ""} {
+		resp, _ = serve("GET", "http://node"+path, nil, nil)
+		assert.Equal(t, resp.StatusCode, 404)
+		assert.Equal(t, resp.Header.Get(HeaderReason), "no_route")
+	}
+	resp, _ = serve("TRACE", "/tally/a", nil, nil)
+	assert.Equal(t, resp.Header.Get(HeaderReason), "no_route")
+}
+
+// Guards against a HEAD answer with a wrong length, a length on 204, and a
+// target that speaks for the node.
+func TestAnswerHeaders(t *testing.T) {
+	a := &model.Answer{Run: model.Completed, Status: 200, Replayed: true, Header: http.Header{
+		"Content-Length": {"42"}, HeaderRun: {"not-run"}, HeaderReason: {"shed"}, HeaderContext: {"secret"},
+	}}
+	resp, _ := serve("HEAD", "/tally/a", nil, a)
+	assert.Equal(t, resp.Header.Get("Content-Length"), "42")
+	assert.Equal(t, resp.Header.Get(HeaderRun), "completed")
+	assert.Equal(t, resp.Header.Get(HeaderReplayed), "true")
+	assert.Equal(t, resp.Header.Get(HeaderReason)+resp.Header.Get(HeaderContext), "")
+	resp, _ = serve("GET", "/tally/a", nil, a)
+	assert.Equal(t, resp.Header.Get("Content-Length"), "0")
+	resp, _ = serve("OPTIONS", "/tally/a", nil, &model.Answer{Status: 204, Header: http.Header{"Allow": {"GET"}}})
+	assert.Equal(t, resp.Header.Get("Content-Length"), "")
+	assert.Equal(t, resp.Header.Get("Allow"), "GET")
+}
+
+// FuzzReadHeaders guards against input that crashes the node, is accepted out
+// of range, or passes a key on.
+func FuzzReadHeaders(f *testing.F) {
+	f.Add("key", "Bearer key", "", "", "", "")
+	f.Add("", "bearer  x", uuid.Must(uuid.NewV7()).String(), "100", "2", "context")
+	f.Add("a", "Bearer b", "{01890a5d-ac96-774b-bcce-b302099a8057}", "-1", "9223372036854775808", "\x00")
+	f.Add("", "Bearer", "urn:uuid:01890a5d-ac96-774b-bcce-b302099a8057", "+5", "0x10", "")
+	f.Fuzz(func(t *testing.T, key, auth, id, timeout, attempt, parent string) {
+		h := make(http.Header)
+		for name, value := range map[string]string{
+			HeaderKey: key, headerAuthorization: auth, HeaderRequestID: id,
+			HeaderTimeout: timeout, HeaderAttempt: attempt, HeaderContext: parent,
+		} {
+			if value != "" {
+				h.Set(name, value)
+			}
+		}
+		req := new(model.Request)
+		if err := readHeaders(req, h); err != nil {
+			assert.Assert(t, strings.HasPrefix(err.Error(), "header"), "%v", err)
+			return
+		}
+		assert.Assert(t, req.Timeout >= 0 && req.Timeout <= 24*time.Hour)
+		assert.Assert(t, req.ClientAttempt >= 0 && req.ClientAttempt <= maxAttempt)
+		assert.Assert(t, req.RequestID == uuid.Nil || req.RequestID.Version() == 7)
+		assert.Equal(t, req.HasKey, req.Key != "")
+		for _, name := range strippedHeaders {
+			assert.Equal(t, len(req.Header.Values(name)), 0)
+		}
+	})
+}
--- /dev/null
+++ b/transport/caller/headers.go
@@ -0,0 +1,123 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderReason     = "Oleander-Reason"
+	HeaderRun        = "Oleander-Run"
+	HeaderReplayed   = "Oleander-Replayed"
+	HeaderTargetLost = "Oleander-Target-Lost"
+	HeaderTimeout    = "Oleander-Timeout" // milliseconds
+	HeaderAttempt    = "Oleander-Attempt"
+	HeaderContext    = "Oleander-Context"
+	HeaderRequestID  = "Idempotency-Key"
+	HeaderKey        = "X-Api-Key"
+
+	headerAuthorization = "Authorization"
+	headerProxyAuth     = "Proxy-Authorization"
+	headerRetryAfter    = "Retry-After"
+)
+
+const (
+	bearerPrefix = "Bearer "
+	// maxTimeoutMS is a day. A greater limit than a route's has no effect.
+	maxTimeoutMS = 86_400_000
+	maxAttempt   = 1_000_000
+	// idLength is the length of a UUID in its canonical form.
+	idLength = 36
+)
+
+// strippedHeaders are meant for the node and are not passed on. Keys are
+// among them, so that no target sees one.
+var strippedHeaders = []string{
+	headerAuthorization, headerProxyAuth, HeaderKey, HeaderContext, HeaderTimeout, HeaderAttempt,
+}
+
+// readHeaders reads what a caller tells the node. The error names the header
+// and what is expected; it never holds a value, which may be a key.
+func readHeaders(req *model.Request, h http.Header) error {
+	req.Header = h.Clone()
+	for _, name := range strippedHeaders {
+		req.Header.Del(name)
+	}
+	for _, name := range []string{headerAuthorization, HeaderKey, HeaderContext, HeaderTimeout, HeaderAttempt, HeaderRequestID} {
+		if len(h.Values(name)) > 1 {
+			return errors.Errorf("header %s: want it once", name)
+		}
+	}
+	req.Parent = h.Get(HeaderContext)
+	if err := readKey(req, h); err != nil {
+		return err
+	}
+	if err := readRequestID(req, h); err != nil {
+		return err
+	}
+	timeout, err := readNumber(h, HeaderTimeout, maxTimeoutMS)
+	if err != nil {
+		return err
+	}
+	req.Timeout = time.Duration(timeout) * time.Millisecond
+	req.ClientAttempt, err = readNumber(h, HeaderAttempt, maxAttempt)
+	return err
+}
+
+// readKey reads the key from X-Api-Key or Authorization. Two different keys
+// are refused, since either might be meant.
+func readKey(req *model.Request, h http.Header) error {
+	own := h.Get(HeaderKey)
+	bearer := bearerToken(h.Get(headerAuthorization))
+	if own != "" && bearer != "" && own != bearer {
+		return errors.Errorf("headers %s and %s: want one key", HeaderKey, headerAuthorization)
+	}
+	req.Key = own
+	if own == "" {
+		req.Key = bearer
+	}
+	req.HasKey = req.Key != ""
+	return nil
+}
+
+// bearerToken returns the key of an Authorization header; empty for another
+// scheme. The scheme's case does not matter (RFC 9110, 11.1).
+func bearerToken(text string) string {
+	if len(text) < len(bearerPrefix) || !strings.EqualFold(text[:len(bearerPrefix)], bearerPrefix) {
+		return ""
+	}
+	return strings.TrimSpace(text[len(bearerPrefix):])
+}
+
+func readRequestID(req *model.Request, h http.Header) error {
+	text := h.Get(HeaderRequestID)
+	if text == "" {
+		return nil
+	}
+	id, err := uuid.Parse(text)
+	if err != nil || len(text) != idLength || id.Version() != 7 || id.Variant() != uuid.RFC4122 {
+		return errors.Errorf("header %s: want a UUID of version 7", HeaderRequestID)
+	}
+	req.RequestID = id
+	return nil
+}
+
+func readNumber(h http.Header, name string, limit int) (int, error) {
+	text := h.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 || n > limit {
+		return 0, errors.Errorf("header %s: want a whole number from 0 to %d", name, limit)
+	}
+	return n, nil
+}
--- a/transport/caller/status.go
+++ b/transport/caller/status.go
@@ -6,29 +6,39 @@
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
+// statusClientClosed is the usual status for a caller that has gone. Nobody
+// reads it but the access log.
+const statusClientClosed = 499
+
+// statuses holds the HTTP status of every reason. docs/callers.md has the
+// same table.
 var statuses = map[model.Reason]int{
-	model.ReasonBadRequest:    http.StatusBadRequest,
-	model.ReasonTooLarge:      http.StatusRequestEntityTooLarge,
-	model.ReasonNoRoute:       http.StatusNotFound,
-	model.ReasonKeyMissing:    http.StatusUnauthorized,
-	model.ReasonKeyUnknown:    http.StatusUnauthorized,
-	model.ReasonNoCustomer:    http.StatusUnauthorized,
-	model.ReasonParentEnded:   http.StatusConflict,
-	model.ReasonInProgress:    http.StatusConflict,
-	model.ReasonIDTooOld:      http.StatusConflict,
-	model.ReasonRateLimited:   http.StatusTooManyRequests,
-	model.ReasonQuarantined:   http.StatusUnprocessableEntity,
-	model.ReasonDeadline:      http.StatusGatewayTimeout,
-	model.ReasonTargetFailed:  http.StatusBadGateway,
-	model.ReasonAnswerCut:     http.StatusBadGateway,
-	model.ReasonNoContact:     http.StatusServiceUnavailable,
-	model.ReasonClaimDenied:   http.StatusServiceUnavailable,
-	model.ReasonStaleToken:    http.StatusServiceUnavailable,
-	model.ReasonNoTarget:      http.StatusServiceUnavailable,
-	model.ReasonShed:          http.StatusServiceUnavailable,
-	model.ReasonZoneOut:       http.StatusServiceUnavailable,
-	model.ReasonTargetOut:     http.StatusServiceUnavailable,
-	model.ReasonTargetLeaving: http.StatusServiceUnavailable,
+	model.ReasonBadRequest:      http.StatusBadRequest,
+	model.ReasonTooLarge:        http.StatusRequestEntityTooLarge,
+	model.ReasonNoRoute:         http.StatusNotFound,
+	model.ReasonKeyMissing:      http.StatusUnauthorized,
+	model.ReasonKeyUnknown:      http.StatusUnauthorized,
+	model.ReasonNoCustomer:      http.StatusUnauthorized,
+	model.ReasonParentEnded:     http.StatusConflict,
+	model.ReasonInProgress:      http.StatusConflict,
+	model.ReasonIDTooOld:        http.StatusConflict,
+	model.ReasonRateLimited:     http.StatusTooManyRequests,
+	model.ReasonQuarantined:     http.StatusUnprocessableEntity,
+	model.ReasonCanceled:        statusClientClosed,
+	model.ReasonTargetFailed:    http.StatusBadGateway,
+	model.ReasonAnswerCut:       http.StatusBadGateway,
+	model.ReasonDeadline:        http.StatusGatewayTimeout,
+	model.ReasonNoContact:       http.StatusServiceUnavailable,
+	model.ReasonNodeBusy:        http.StatusServiceUnavailable,
+	model.ReasonRateUnavailable: http.StatusServiceUnavailable,
+	model.ReasonStaleToken:      http.StatusServiceUnavailable,
+	model.ReasonClaimDenied:     http.StatusServiceUnavailable,
+	model.ReasonNoTarget:        http.StatusServiceUnavailable,
+	model.ReasonShed:            http.StatusServiceUnavailable,
+	model.ReasonZoneOut:         http.StatusServiceUnavailable,
+	model.ReasonTargetOut:       http.StatusServiceUnavailable,
+	model.ReasonTargetLeaving:   http.StatusServiceUnavailable,
+	model.ReasonPeerUnreachable: http.StatusServiceUnavailable,
 }
 
 // statusOf returns the HTTP status of a refusal or failure.
