Test call chains and whole answers over two nodes, and measure the added time

Cause: sub-calls through the loopback listener, callers that leave, and the time that two nodes add were not tested. Conclusion: answers reach their own callers; attempts end with their callers.

--- /dev/null
+++ b/agent/bench_test.go
@@ -0,0 +1,127 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/oleanderworks/oleanderworks/agent/quorum"
+	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
+	"github.com/oleanderworks/oleanderworks/logservice/memlog"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+)
+
+// BenchmarkAddedTime measures, in one run, calls straight to the target and
+// calls through two nodes, in turn. The difference is what the two nodes add.
+// The target is 0.97 ms at the 99th percentile.
+func BenchmarkAddedTime(b *testing.B) {
+	for _, bytes := range []int{100, 10_000} {
+		b.Run(fmt.Sprintf("bytes=%d", bytes), func(b *testing.B) { benchmarkAddedTime(b, bytes) })
+	}
+}
+
+func benchmarkAddedTime(b *testing.B, bytes int) {
+	answer := make([]byte, bytes)
+	target := serveTarget(b, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) })
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publishFleet(b, log)
+	entry := startNode(b, log, "registry-1", "registry", target)
+	startNode(b, log, "tally-1", "tally", target)
+	waitForRoute(b, entry, "/tally/count")
+
+	direct, through := hdrhistogram.New(1, 60_000_000, 3), hdrhistogram.New(1, 60_000_000, 3)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	for b.Loop() {
+		measure(b, direct, client, target+"/count")
+		measure(b, through, client, "http://"+entry.CallAddress()+"/tally/count")
+	}
+	report := func(unit string, q float64) {
+		added := through.ValueAtQuantile(q) - direct.ValueAtQuantile(q)
+		b.ReportMetric(float64(direct.ValueAtQuantile(q)), "direct-"+unit)
+		b.ReportMetric(float64(added), "added-"+unit)
+	}
+	report("p50-us", 50)
+	report("p99-us", 99)
+}
+
+func measure(b *testing.B, h *hdrhistogram.Histogram, client *http.Client, url string) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("X-Api-Key", testKey)
+	began := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		b.Fatalf("status %d", resp.StatusCode)
+	}
+	_ = h.RecordValue(time.Since(began).Microseconds())
+}
+
+// BenchmarkMemoryPerCall measures the memory that one call in progress takes
+// in the two nodes, the caller's and the target's side of the test included.
+func BenchmarkMemoryPerCall(b *testing.B) {
+	const calls = 200
+	release := make(chan struct{})
+	target := serveTarget(b, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	})
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publishFleet(b, log)
+	entry := startNode(b, log, "registry-1", "registry", target)
+	startNode(b, log, "tally-1", "tally", target)
+	waitForRoute(b, entry, "/tally/count")
+	for b.Loop() {
+		before := heap()
+		done := make(chan struct{}, calls)
+		for range calls {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				call(b, entry, http.MethodGet, "/tally/wait", nil)
+			}()
+		}
+		time.Sleep(300 * time.Millisecond)
+		b.ReportMetric(float64(heap()-before)/calls, "bytes/call")
+		for range calls {
+			release <- struct{}{}
+			<-done
+		}
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// BenchmarkDutyHandoff measures a message to a duty on its locked thread and
+// the reply: two of the handoffs that a call makes at each of its two nodes.
+func BenchmarkDutyHandoff(b *testing.B) {
+	var t tomb.Tomb
+	votes := routingduty.NewStandIn()
+	votes.Start(&t)
+	replies := make(chan tokenlease.Result, 1)
+	ask := &quorum.AcquireTokens{Customer: "herders", Want: 1, Deliver: func(r tokenlease.Result) { replies <- r }}
+	for b.Loop() {
+		votes.Ring().Offer(ask)
+		<-replies
+	}
+	t.Kill(nil)
+	_ = t.Wait()
+}
--- /dev/null
+++ b/agent/chain_test.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/oleanderworks/oleanderworks/logservice/memlog"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+func publishFleet(t testing.TB, log *memlog.Log) {
+	t.Helper()
+	publish(t, log, map[string]any{
+		model.FleetDocument: model.FleetConfig{Classes: []model.Class{"lookup", "filing"}, RetryBudget: 2},
+		"service/registry": model.ServiceConfig{Slots: 200, ColdFloor: 200, Routes: []model.Route{
+			{Prefix: "/", Class: "lookup", Idempotent: true}}},
+		"service/tally": model.ServiceConfig{Slots: 200, ColdFloor: 200, Routes: []model.Route{
+			{Prefix: "/", Class: "filing", Idempotent: true}, {Prefix: "/once", Class: "filing"}}},
+		"customer/herders":                       model.CustomerConfig{Name: "herders", Rate: 100_000, Burst: 100_000},
+		"key/" + model.HashKey(testKey).String(): model.KeyConfig{Customer: "herders"},
+	})
+}
+
+// serveTarget starts a target whose handler may be set later.
+func serveTarget(t testing.TB, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func waitForRoute(t testing.TB, n *Node, path string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, text := call(t, n, http.MethodGet, path, nil)
+		if resp.StatusCode != http.StatusOK {
+			return poll.Continue("status %d: %s", resp.StatusCode, text)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// Guards against a sub-call that loses its customer, is accepted after its
+// parent has ended, or needs the key.
+func TestTargetCallsThroughItsNode(t *testing.T) {
+	var sub atomic.Value // address of the node's loopback listener
+	var kept atomic.Value
+	subCall := func(ctx context.Context, contextID string) (int, string) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+sub.Load().(string)+"/tally/count", nil)
+		assert.NilError(t, err)
+		req.Header.Set("Oleander-Context", contextID)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(text) + resp.Header.Get("Oleander-Reason")
+	}
+	outer := serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		kept.Store(r.Header.Get("Oleander-Context"))
+		status, text := subCall(r.Context(), kept.Load().(string))
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, text)
+	})
+	inner := serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "42 head "+r.Header.Get("X-Api-Key"))
+	})
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publishFleet(t, log)
+	entry := startNode(t, log, "registry-1", "registry", outer)
+	sub.Store(entry.SubAddress())
+	startNode(t, log, "tally-1", "tally", inner)
+
+	waitForRoute(t, entry, "/registry/ask")
+	_, text := call(t, entry, http.MethodGet, "/registry/ask", nil)
+	assert.Equal(t, text, "42 head ")
+	status, text := subCall(t.Context(), kept.Load().(string))
+	assert.Equal(t, status, http.StatusConflict)
+	assert.Assert(t, strings.HasSuffix(text, "parent_ended"), text)
+}
+
+// Guards against answers that reach another caller, in a crowd of callers of
+// which some leave early, and against work that goes on for a caller that has
+// gone.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	var ended atomic.Int64
+	target := serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		wait := time.Duration(len(body)%20) * time.Millisecond
+		if strings.HasPrefix(string(body), "leaves") {
+			wait = 5 * time.Second
+		}
+		select {
+		case <-time.After(wait):
+		case <-r.Context().Done():
+			ended.Add(1)
+			return
+		}
+		_, _ = w.Write(body)
+	})
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publishFleet(t, log)
+	entry := startNode(t, log, "registry-1", "registry", target)
+	startNode(t, log, "tally-1", "tally", target)
+	waitForRoute(t, entry, "/tally/count")
+
+	rng := rand.New(rand.NewPCG(1, 2))
+	var wait sync.WaitGroup
+	for i := range 200 {
+		body := fmt.Sprintf("stays %d %s", i, strings.Repeat("x", rng.IntN(2000)))
+		leaves := i%4 == 0
+		if leaves {
+			body = "leaves" + body
+		}
+		wait.Go(func() {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if leaves {
+				time.AfterFunc(200*time.Millisecond, cancel)
+			}
+			checkEcho(t, ctx, entry, body, leaves)
+		})
+	}
+	wait.Wait()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := ended.Load(); n == 0 {
+			return poll.Continue("no attempt was ended although callers left")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Second))
+}
+
+func checkEcho(t *testing.T, ctx context.Context, entry *Node, body string, leaves bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.CallAddress()+"/tally/echo", strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	req.Header.Set("X-Api-Key", testKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		if !leaves {
+			t.Error(err)
+		}
+		return
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && string(text) != body {
+		t.Errorf("status %d: got %.40q, want %.40q", resp.StatusCode, text, body)
+	}
+}
--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -22,7 +22,7 @@
 
 const testKey = "key-of-herders"
 
-func publish(t *testing.T, log *memlog.Log, documents map[string]any) {
+func publish(t testing.TB, log *memlog.Log, documents map[string]any) {
 	t.Helper()
 	p := model.Publication{ID: uuid.NewString()}
 	for name, doc := range documents {
@@ -36,7 +36,7 @@
 	assert.NilError(t, err)
 }
 
-func startNode(t *testing.T, log *memlog.Log, instance, service, target string) *Node {
+func startNode(t testing.TB, log *memlog.Log, instance, service, target string) *Node {
 	t.Helper()
 	const loopback = "127.0.0.1:0"
 	n, err := New(&settings.Node{
@@ -50,7 +50,7 @@
 	return n
 }
 
-func call(t *testing.T, n *Node, method, path string, body []byte) (*http.Response, string) {
+func call(t testing.TB, n *Node, method, path string, body []byte) (*http.Response, string) {
 	t.Helper()
 	req, err := http.NewRequest(method, "http://"+n.CallAddress()+path, bytes.NewReader(body))
 	assert.NilError(t, err)
