Wait for the end of a call and of its parent at the same time

Cause: a call waited for two replies of duties in series at its target's node. Tests of whole nodes fail on any broken invariant.

--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -47,33 +47,35 @@
 	if verdict.Answer != nil {
 		return verdict.Answer
 	}
-	answer := s.run(running, call, began)
+	answer, used := s.run(running, call, began)
 	s.finish(answer)
+	if n, err := used.Wait(context.Background()); err == nil {
+		answer.RetriesUsed = n
+	}
 	return answer
 }
 
 // run hands a call to the target. While it runs, its sub-calls are accepted
-// under an opaque random id.
-func (s *Server) run(ctx context.Context, call *model.Call, began time.Time) *model.Answer {
+// under an opaque random id. used gets the retries that they took.
+func (s *Server) run(ctx context.Context, call *model.Call, began time.Time) (a *model.Answer, used ring.Reply[int]) {
 	contextID := rand.Text()
+	used = ring.NewReply[int]()
 	if err := s.Parents.Put(ctx, &routing.RegisterParent{ContextID: contextID, Call: call}); err != nil {
-		return model.Refusal(call.ID, model.ReasonCanceled, err.Error())
+		used.Send(0)
+		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), used
 	}
 	handed := time.Now()
-	answer := s.Target.Do(ctx, call, contextID)
+	a = s.Target.Do(ctx, call, contextID)
 	end := &routing.EndParent{
 		ContextID: contextID,
 		Canceled:  ctx.Err() != nil,
 		NodeTime:  handed.Sub(began),
-		Reply:     ring.NewReply[int](),
+		Reply:     used,
 	}
 	if err := s.Parents.Put(context.Background(), end); err != nil {
-		return answer
-	}
-	if used, err := end.Reply.Wait(context.Background()); err == nil {
-		answer.RetriesUsed = used
+		used.Send(0)
 	}
-	return answer
+	return a, used
 }
 
 // finish frees the slot. It waits for room in the ring, since a lost message
--- a/agent/node.go
+++ b/agent/node.go
@@ -53,6 +53,7 @@
 	log      *event.Log
 	service  logservice.Log
 	vars     *expvar.Map
+	checker  *invariant.Checker
 
 	routing   *duty.Duty[routingduty.Message]
 	quorum    *duty.Duty[quorum.Message]
@@ -107,9 +108,9 @@
 	}
 	n.admission = admissionduty.New(admission.New(n.self), n.log)
 	n.quorum = routingduty.NewStandIn()
-	checker := invariant.New(n.log, nil)
+	n.checker = invariant.New(n.log, nil)
 	var decisions *routingduty.Handler
-	n.routing, decisions = routingduty.New(routing.New(n.self, newRand(), checker), n.quorum.Ring(), n.log)
+	n.routing, decisions = routingduty.New(routing.New(n.self, newRand(), n.checker), n.quorum.Ring(), n.log)
 	server := &local.Server{Admission: n.admission.Ring(), Target: client, Parents: n.routing.Ring()}
 	dispatcher := links.NewDispatcher(n.log)
 	n.endpoint = &peerlink.Endpoint{Self: n.self, Calls: server.Serve, Control: controlHandler(dispatcher)}
@@ -126,6 +127,7 @@
 	})
 	n.vars.Set("routing", n.routing.Vars())
 	n.vars.Set("calls", decisions.Vars())
+	n.vars.Set("invariant_breaches", expvar.Func(func() any { return n.checker.Breaches() }))
 	n.vars.Set("quorum", n.quorum.Vars())
 	n.vars.Set("admission", n.admission.Vars())
 	n.vars.Set("follower", n.follower.Vars())
--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -46,7 +46,10 @@
 	}, log, hclog.NewNullLogger())
 	assert.NilError(t, err)
 	n.Start()
-	t.Cleanup(func() { assert.NilError(t, n.Stop()) })
+	t.Cleanup(func() {
+		assert.NilError(t, n.Stop())
+		assert.Equal(t, n.checker.Breaches(), int64(0))
+	})
 	return n
 }
 
--- a/policy/routing/choose_test.go
+++ b/policy/routing/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -125,3 +126,29 @@
 		})
 	}
 }
+
+// BenchmarkMemoryPerCall measures what the core keeps for one call in
+// progress, without its headers and body.
+func BenchmarkMemoryPerCall(b *testing.B) {
+	const calls = 10_000
+	for b.Loop() {
+		n := newNode(b)
+		n.begin("/a", nil)
+		n.grant(1 << 40)
+		before := heap()
+		for i := range calls {
+			n.OnRequest(n.now, &model.Request{ID: model.CallID(i + 10), Service: "tally", Method: "GET",
+				Path: "/a", Key: testKey, HasKey: true})
+			n.Decisions()
+		}
+		b.ReportMetric(float64(heap()-before)/calls, "bytes/call")
+		runtime.KeepAlive(n)
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
