--- /dev/null
+++ b/agent/quarantine/news.go
@@ -0,0 +1,73 @@
+package quarantine
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderworks/oleanderworks/agent/links"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quarantine"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+// News is what another node of the service has found out.
+type News struct {
+	Marks  []quarantine.Mark
+	Lifted []uint64
+}
+
+// Register makes d decode news from peers. offer passes it to the duty that
+// owns the table; it is called on reading goroutines and must not block. News
+// that finds no room is dropped: calls carry their own marks.
+func Register(d *links.Dispatcher, log *event.Log, offer func(News) bool) {
+	d.Register(wire.KindCrashMark, func(from model.Member, body []byte) {
+		m := new(wire.CrashMarks)
+		if decode(log, from, body, m) {
+			offer(News{Marks: toMarks(from.Instance, m, time.Now())})
+		}
+	})
+	d.Register(wire.KindCrashMarkLifted, func(from model.Member, body []byte) {
+		m := new(wire.CrashMarksLifted)
+		if decode(log, from, body, m) {
+			offer(News{Lifted: m.GetFingerprints()})
+		}
+	})
+}
+
+func decode(log *event.Log, from model.Member, body []byte, m proto.Message) bool {
+	err := proto.Unmarshal(body, m)
+	if err != nil {
+		log.Emit(event.CrashMarkMalformed, "peer", from.Instance, "error", err)
+	}
+	return err == nil
+}
+
+// fromMark encodes a mark with its age, so that clocks need not agree.
+func fromMark(m quarantine.Mark, now time.Time) *wire.CrashMark {
+	return &wire.CrashMark{
+		Fingerprint: m.Fingerprint,
+		Target:      string(m.Target),
+		Alone:       m.Alone,
+		AgeNs:       int64(now.Sub(m.At)),
+	}
+}
+
+// toMarks decodes marks. A node reports only the loss of its own target;
+// marks for another one are dropped.
+func toMarks(from model.Instance, list *wire.CrashMarks, now time.Time) []quarantine.Mark {
+	var out []quarantine.Mark
+	for _, m := range list.GetMarks() {
+		if model.Instance(m.GetTarget()) != from {
+			continue
+		}
+		out = append(out, quarantine.Mark{
+			Fingerprint: m.GetFingerprint(),
+			Target:      model.Instance(m.GetTarget()),
+			Alone:       m.GetAlone(),
+			At:          now.Add(-time.Duration(max(m.GetAgeNs(), 0))),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/agent/quarantine/table.go
@@ -0,0 +1,102 @@
+// Package quarantine passes marks of requests that crash targets between the
+// policy and the nodes of a service.
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quarantine"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+// Sender queues a payload for a peer and reports whether it did.
+type Sender interface {
+	Send(to model.Instance, kind uint32, m proto.Message) bool
+}
+
+// Table is the quarantine table of a target's node. The admission duty owns
+// it: all methods run on that duty's thread.
+type Table struct {
+	self  model.Member
+	core  *quarantine.Core
+	send  Sender
+	log   *event.Log
+	peers []model.Instance // other nodes of the service
+}
+
+// New returns an empty table.
+func New(self model.Member, send Sender, log *event.Log) *Table {
+	return &Table{self: self, core: quarantine.New(self.Instance), send: send, log: log}
+}
+
+// Len returns the number of marked requests.
+func (t *Table) Len() int { return t.core.Len() }
+
+// Check returns a refusal, or nil. A call that passes is reported by Ended.
+func (t *Table) Check(now time.Time, call *model.Call) *model.Answer {
+	refusal := t.core.Check(now, call)
+	if refusal != nil && refusal.Reason == model.ReasonQuarantined {
+		t.log.Emit(event.RequestQuarantined, "call", call.ID, "customer", call.Customer,
+			"fingerprint", hex(call.Fingerprint), "detail", refusal.Detail)
+	}
+	return refusal
+}
+
+// Ended takes the answer or refusal of a call that passed the check.
+func (t *Table) Ended(now time.Time, a *model.Answer) { t.core.Ended(now, a) }
+
+// OnNews takes news from another node of the service.
+func (t *Table) OnNews(now time.Time, n News) {
+	for _, m := range n.Marks {
+		t.core.OnMark(now, m)
+	}
+	for _, fingerprint := range n.Lifted {
+		t.core.OnLifted(now, fingerprint)
+	}
+}
+
+// OnSnapshot takes the nodes of the service.
+func (t *Table) OnSnapshot(s *model.Snapshot) {
+	t.peers = t.peers[:0]
+	for _, m := range s.Members[t.self.Service] {
+		if m.Instance != t.self.Instance {
+			t.peers = append(t.peers, m.Instance)
+		}
+	}
+}
+
+// Flush sends what is new to the other nodes of the service, in one message
+// of each kind, since a lost target marks all its calls at once.
+func (t *Table) Flush(now time.Time) {
+	marks, lifted := new(wire.CrashMarks), new(wire.CrashMarksLifted)
+	for _, n := range t.core.Notices() {
+		if n.Mark != nil {
+			t.log.Emit(event.CrashMarked, "fingerprint", hex(n.Mark.Fingerprint), "target", n.Mark.Target, "alone", n.Mark.Alone)
+			marks.Marks = append(marks.Marks, fromMark(*n.Mark, now))
+			continue
+		}
+		t.log.Emit(event.CrashMarkLifted, "fingerprint", hex(n.Lifted))
+		lifted.Fingerprints = append(lifted.Fingerprints, n.Lifted)
+	}
+	if len(marks.GetMarks()) > 0 {
+		t.spread(wire.KindCrashMark, marks)
+	}
+	if len(lifted.GetFingerprints()) > 0 {
+		t.spread(wire.KindCrashMarkLifted, lifted)
+	}
+}
+
+// spread sends to each peer. A peer without a link learns of a mark from the
+// calls that carry it.
+func (t *Table) spread(kind uint32, m proto.Message) {
+	for _, peer := range t.peers {
+		t.send.Send(peer, kind, m)
+	}
+}
+
+func hex(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
