Refuse requests that crash targets on all nodes of the service

Cause: the quarantine policy had no place in the running node. The admission duty checks each arriving call and reports each end; marks go to the other nodes of the service once for each batch. A test with four targets whose connection breaks on one request loses two of them and no third, also when the caller asks every node again.

--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -56,28 +56,38 @@
 	core    *admission.Core
 	log     *event.Log
 	waiting map[model.CallID]*Arrive
+
+	quarantine Quarantine
 }
 
 // New returns the duty that runs core.
-func New(core *admission.Core, log *event.Log) *duty.Duty[Message] {
-	h := &Handler{core: core, log: log, waiting: make(map[model.CallID]*Arrive)}
-	return duty.New[Message]("admission", ringCapacity, h)
+func New(core *admission.Core, log *event.Log) (*duty.Duty[Message], *Handler) {
+	h := &Handler{core: core, log: log, waiting: make(map[model.CallID]*Arrive), quarantine: noQuarantine{}}
+	return duty.New[Message]("admission", ringCapacity, h), h
 }
 
 // Handle implements duty.Handler.
 func (h *Handler) Handle(now time.Time, batch []Message) {
 	for _, m := range batch {
 		h.handle(now, m)
-		h.deliver()
+		h.deliver(now)
 	}
+	h.quarantine.Flush(now)
 }
 
 func (h *Handler) handle(now time.Time, m Message) {
 	switch m := m.(type) {
 	case *Arrive:
+		if refusal := h.quarantine.Check(now, m.Call); refusal != nil {
+			m.Reply.Send(Verdict{Answer: refusal})
+			return
+		}
 		h.waiting[m.Call.ID] = m
 		h.core.OnArrival(now, m.Call)
+	case *QuarantineNews:
+		h.quarantine.OnNews(now, m.News)
 	case *Finish:
+		h.quarantine.Ended(now, m.Answer)
 		h.core.OnFinished(now, m.Answer.ID)
 		delete(h.waiting, m.Answer.ID)
 		m.Reply.Send(h.core.Load())
@@ -85,23 +95,25 @@
 		h.core.OnCanceled(now, m.CallID)
 	case *SnapshotChanged:
 		h.core.OnSnapshot(m.Snapshot)
+		h.quarantine.OnSnapshot(m.Snapshot)
 	}
 }
 
-func (h *Handler) deliver() {
+func (h *Handler) deliver(now time.Time) {
 	for _, d := range h.core.Decisions() {
 		arrive := h.waiting[d.CallID]
 		if arrive == nil {
 			continue
 		}
-		h.deliverOne(d, arrive)
+		h.deliverOne(now, d, arrive)
 	}
 }
 
-func (h *Handler) deliverOne(d admission.Decision, arrive *Arrive) {
+func (h *Handler) deliverOne(now time.Time, d admission.Decision, arrive *Arrive) {
 	switch {
 	case d.Answer != nil:
 		d.Answer.Load = h.core.Load()
+		h.quarantine.Ended(now, d.Answer)
 		h.log.Emit(event.CallRefused, "call", d.CallID, "reason", d.Answer.Reason)
 		delete(h.waiting, d.CallID)
 		arrive.Reply.Send(Verdict{Answer: d.Answer})
@@ -116,6 +128,6 @@
 // Tick implements duty.Handler.
 func (h *Handler) Tick(now time.Time) time.Time {
 	next := h.core.Tick(now)
-	h.deliver()
+	h.deliver(now)
 	return next
 }
--- a/agent/chain_test.go
+++ b/agent/chain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -27,7 +29,8 @@
 		"service/registry": model.ServiceConfig{Slots: 200, ColdFloor: 200, Routes: []model.Route{
 			{Prefix: "/", Class: "lookup", Idempotent: true}}},
 		"service/tally": model.ServiceConfig{Slots: 200, ColdFloor: 200, Routes: []model.Route{
-			{Prefix: "/", Class: "filing", Idempotent: true}, {Prefix: "/once", Class: "filing"}}},
+			{Prefix: "/", Class: "filing", Idempotent: true}, {Prefix: "/once", Class: "filing"},
+			{Prefix: "/open", Class: "lookup", Idempotent: true, Open: true}}},
 		"customer/herders":                       model.CustomerConfig{Name: "herders", Rate: 100_000, Burst: 100_000},
 		"key/" + model.HashKey(testKey).String(): model.KeyConfig{Customer: "herders"},
 	})
@@ -163,3 +166,34 @@
 		t.Errorf("status %d: got %.40q, want %.40q", resp.StatusCode, text, body)
 	}
 }
+
+// Guards against a withdrawn key that still works on a connection that is
+// open, and against an open route that refuses the caller because of it.
+func TestWithdrawnKeyIsRefusedOnOpenConnection(t *testing.T) {
+	target := serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Header.Get("X-Api-Key"))
+	})
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publishFleet(t, log)
+	entry := startNode(t, log, "tally-1", "tally", target)
+	waitForRoute(t, entry, "/tally/count")
+	key := "key/" + model.HashKey(testKey).String()
+	body, err := json.Marshal(model.KeyConfig{Customer: "herders", Withdrawn: true})
+	assert.NilError(t, err)
+	p, err := json.Marshal(model.Publication{ID: uuid.NewString(),
+		Amendments: []model.Amendment{{Document: key, Base: 1, Body: body}}})
+	assert.NilError(t, err)
+	_, err = log.Append(context.Background(), model.ConfigStream, uuid.NewString(), p)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, _ := call(t, entry, http.MethodGet, "/tally/count", nil)
+		if resp.StatusCode != http.StatusUnauthorized {
+			return poll.Continue("status %d", resp.StatusCode)
+		}
+		assert.Equal(t, resp.Header.Get("Oleander-Reason"), "key_unknown")
+		return poll.Success()
+	}, poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
+	resp, text := call(t, entry, http.MethodGet, "/tally/open", nil)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, text, "")
+}
--- a/agent/node.go
+++ b/agent/node.go
@@ -21,6 +21,7 @@
 	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
+	"github.com/oleanderworks/oleanderworks/agent/quarantine"
 	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
@@ -106,7 +107,8 @@
 	if err != nil {
 		return err
 	}
-	n.admission = admissionduty.New(admission.New(n.self), n.log)
+	var admissions *admissionduty.Handler
+	n.admission, admissions = admissionduty.New(admission.New(n.self), n.log)
 	n.quorum = routingduty.NewStandIn()
 	n.checker = invariant.New(n.log, nil)
 	var decisions *routingduty.Handler
@@ -117,6 +119,7 @@
 	var sessions *links.Handler
 	n.links, sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand()), n.endpoint, n.log)
 	n.endpoint.Accepted = sessions.Accept
+	n.wireQuarantine(admissions, sessions, dispatcher)
 	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: sessions, Local: server.Serve}
 	n.follower = follower.New(n.log, []follower.Subscriber{
 		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
@@ -135,6 +138,17 @@
 	return nil
 }
 
+// wireQuarantine gives the admission duty its quarantine table, which talks to
+// the other nodes of the service.
+func (n *Node) wireQuarantine(h *admissionduty.Handler, s *links.Handler, d *links.Dispatcher) {
+	table := quarantine.New(n.self, s, n.log)
+	h.SetQuarantine(table)
+	n.vars.Set("quarantine", table.Vars())
+	quarantine.Register(d, n.log, func(news quarantine.News) bool {
+		return n.admission.Ring().Offer(&admissionduty.QuarantineNews{News: news})
+	})
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // controlHandler passes the frames of a control stream to their duties.
--- a/agent/quarantine/table.go
+++ b/agent/quarantine/table.go
@@ -3,6 +3,7 @@
 package quarantine
 
 import (
+	"expvar"
 	"fmt"
 	"time"
 
@@ -27,15 +28,30 @@
 	send  Sender
 	log   *event.Log
 	peers []model.Instance // other nodes of the service
+
+	vars        *expvar.Map
+	marked      *expvar.Int // requests with a mark
+	quarantined *expvar.Int // requests that are refused
 }
 
 // New returns an empty table.
 func New(self model.Member, send Sender, log *event.Log) *Table {
-	return &Table{self: self, core: quarantine.New(self.Instance), send: send, log: log}
+	t := &Table{
+		self:        self,
+		core:        quarantine.New(self.Instance),
+		send:        send,
+		log:         log,
+		vars:        new(expvar.Map).Init(),
+		marked:      new(expvar.Int),
+		quarantined: new(expvar.Int),
+	}
+	t.vars.Set("marked", t.marked)
+	t.vars.Set("quarantined", t.quarantined)
+	return t
 }
 
-// Len returns the number of marked requests.
-func (t *Table) Len() int { return t.core.Len() }
+// Vars returns the metrics of the table.
+func (t *Table) Vars() expvar.Var { return t.vars }
 
 // Check returns a refusal, or nil. A call that passes is reported by Ended.
 func (t *Table) Check(now time.Time, call *model.Call) *model.Answer {
@@ -83,6 +99,8 @@
 		t.log.Emit(event.CrashMarkLifted, "fingerprint", hex(n.Lifted))
 		lifted.Fingerprints = append(lifted.Fingerprints, n.Lifted)
 	}
+	t.marked.Set(int64(t.core.Len()))
+	t.quarantined.Set(int64(t.core.Quarantined()))
 	if len(marks.GetMarks()) > 0 {
 		t.spread(wire.KindCrashMark, marks)
 	}
--- /dev/null
+++ b/agent/quarantine_test.go
@@ -0,0 +1,73 @@
+package agent
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/oleanderworks/oleanderworks/logservice/memlog"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// crashing is a target that breaks the connection of a poison request.
+func crashing(hits *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/poison") {
+			return
+		}
+		hits.Add(1)
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		conn.Close()
+	}
+}
+
+// Guards against a request that its caller sends again and again and that
+// takes one target after the other: two of four targets are lost at most.
+func TestPoisonReachesTwoTargetsOnly(t *testing.T) {
+	var hits atomic.Int64
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publishFleet(t, log)
+	var nodes []*Node
+	for _, instance := range []string{"tally-1", "tally-2", "tally-3", "tally-4"} {
+		nodes = append(nodes, startNode(t, log, instance, "tally", serveTarget(t, crashing(&hits))))
+	}
+	for _, n := range nodes {
+		waitForRoute(t, n, "/tally/count")
+		waitForLinks(t, n, nodes)
+	}
+	resp, text := call(t, nodes[0], http.MethodGet, "/tally/poison", nil)
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway, text)
+	assert.Equal(t, hits.Load(), int64(2))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, n := range nodes {
+			if v := n.vars.Get("quarantine").String(); !strings.Contains(v, `"quarantined": 1`) {
+				return poll.Continue("%s: %s", n.self.Instance, v)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	for _, n := range nodes {
+		resp, text := call(t, n, http.MethodGet, "/tally/poison", nil)
+		assert.Equal(t, resp.StatusCode, http.StatusUnprocessableEntity, text)
+		assert.Equal(t, resp.Header.Get("Oleander-Target-Lost"), "true")
+	}
+	resp, _ = call(t, nodes[0], http.MethodGet, "/tally/count", nil)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, hits.Load(), int64(2))
+}
+
+func waitForLinks(t *testing.T, n *Node, all []*Node) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, peer := range all {
+			if peer != n && n.entry.Sessions.Session(model.Instance(peer.settings.Instance)) == nil {
+				return poll.Continue("no link to %s", peer.settings.Instance)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+}
--- a/policy/quarantine/core.go
+++ b/policy/quarantine/core.go
@@ -78,6 +78,17 @@
 // Len returns the number of marked requests.
 func (c *Core) Len() int { return len(c.marks) }
 
+// Quarantined returns the number of requests that are refused.
+func (c *Core) Quarantined() int {
+	n := 0
+	for _, s := range c.marks {
+		if s.state == stateQuarantined {
+			n++
+		}
+	}
+	return n
+}
+
 // Check judges a call before it is admitted. It returns a refusal or nil; a
 // call that passes must be reported by Ended, whether or not it runs.
 func (c *Core) Check(now time.Time, call *model.Call) *model.Answer {
