--- a/agent/chain_test.go
+++ b/agent/chain_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -197,3 +199,56 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.Equal(t, text, "")
 }
+
+// Guards against a key in a log line, a metric, an error or a request to the
+// target, and against metrics that are not published.
+func TestKeyIsNeverShown(t *testing.T) {
+	var lines syncBuffer
+	var seen syncBuffer
+	target := serveTarget(t, func(_ http.ResponseWriter, r *http.Request) { _ = r.Write(&seen) })
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publishFleet(t, log)
+	out := hclog.New(&hclog.LoggerOptions{Level: hclog.Trace, Output: &lines})
+	entry := startLoggingNode(t, log, "tally-1", "tally", target, out)
+	waitForRoute(t, entry, "/tally/count")
+	for _, key := range []string{testKey, "unknown-" + testKey} {
+		for _, path := range []string{"/tally/count", "/tally/open", "/nowhere"} {
+			req, err := http.NewRequest(http.MethodGet, "http://"+entry.CallAddress()+path, nil)
+			assert.NilError(t, err)
+			req.Header.Set("Authorization", "Bearer "+key)
+			resp, err := http.DefaultClient.Do(req)
+			assert.NilError(t, err)
+			text, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			resp.Body.Close()
+			assert.Assert(t, !strings.Contains(string(text), testKey))
+		}
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if vars := entry.vars.String(); !strings.Contains(vars, `"key_unknown": 1`) || strings.Contains(vars, `"routing_us": {"count":0`) {
+			return poll.Continue("%s", vars)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	for _, text := range []string{lines.String(), seen.String(), entry.vars.String()} {
+		assert.Assert(t, text != "" && !strings.Contains(text, testKey))
+	}
+}
+
+// syncBuffer is a buffer for several goroutines.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -37,13 +37,18 @@
 }
 
 func startNode(t testing.TB, log *memlog.Log, instance, service, target string) *Node {
+	t.Helper()
+	return startLoggingNode(t, log, instance, service, target, hclog.NewNullLogger())
+}
+
+func startLoggingNode(t testing.TB, log *memlog.Log, instance, service, target string, out hclog.Logger) *Node {
 	t.Helper()
 	const loopback = "127.0.0.1:0"
 	n, err := New(&settings.Node{
 		Instance: instance, Service: service, Zone: "suva", Region: "viti", Target: target,
 		CallAddress: loopback, SubAddress: loopback, PeerAddress: loopback, OpsAddress: loopback,
 		Entry: []string{"registry", "tally"}, Insecure: true,
-	}, log, hclog.NewNullLogger())
+	}, log, out)
 	assert.NilError(t, err)
 	n.Start()
 	t.Cleanup(func() {
