--- a/agent/routing/metrics.go
+++ b/agent/routing/metrics.go
@@ -27,8 +27,9 @@
 type metrics struct {
 	vars *expvar.Map
 
-	routing    *quantiles // from arrival to the first decision, without waiting for tokens
+	routing    *quantiles // from arrival to the first decision, without the waits below
 	tokenWait  *quantiles
+	claimWait  *quantiles
 	targetNode *quantiles // in this node as target's node, without the target
 
 	refusals *expvar.Map // by reason
@@ -47,6 +48,7 @@
 		vars:       new(expvar.Map).Init(),
 		routing:    newQuantiles(),
 		tokenWait:  newQuantiles(),
+		claimWait:  newQuantiles(),
 		targetNode: newQuantiles(),
 		refusals:   new(expvar.Map).Init(),
 		answered:   new(expvar.Int),
@@ -58,6 +60,7 @@
 	}
 	m.vars.Set("routing_us", m.routing)
 	m.vars.Set("token_wait_us", m.tokenWait)
+	m.vars.Set("claim_wait_us", m.claimWait)
 	m.vars.Set("target_node_us", m.targetNode)
 	m.vars.Set("refusals", m.refusals)
 	m.vars.Set("answered", m.answered)
@@ -83,9 +86,12 @@
 }
 
 func (m *metrics) firstDecision(total time.Duration, d routing.Decision) {
-	m.routing.record(total - d.Waited)
-	if d.Waited > 0 {
-		m.tokenWait.record(d.Waited)
+	m.routing.record(total - d.Tokens - d.Claims)
+	if d.Tokens > 0 {
+		m.tokenWait.record(d.Tokens)
+	}
+	if d.Claims > 0 {
+		m.claimWait.record(d.Claims)
 	}
 }
 
@@ -100,7 +106,7 @@
 	if rotate {
 		m.rotated = now
 	}
-	for _, q := range []*quantiles{m.routing, m.tokenWait, m.targetNode} {
+	for _, q := range []*quantiles{m.routing, m.tokenWait, m.claimWait, m.targetNode} {
 		q.publish(rotate)
 	}
 }
--- a/policy/routing/call.go
+++ b/policy/routing/call.go
@@ -53,6 +53,8 @@
 	moves       int
 	parkedAt    time.Time
 	waited      time.Duration // for tokens
+	claimedAt   time.Time     // when the newest claim was asked for
+	claimed     time.Duration // waiting for claims
 	counted     bool          // in the customer's demand
 	outstanding bool          // an attempt is in progress
 	answered    bool
@@ -144,7 +146,8 @@
 	r.outstanding = true
 	r.tried = append(r.tried, r.target)
 	r.target.sent++
-	d := Decision{CallID: r.id, Call: &attempt, Target: r.target.member, Cause: r.cause, Waited: r.waited}
+	d := Decision{CallID: r.id, Call: &attempt, Target: r.target.member, Cause: r.cause,
+		Tokens: r.waited, Claims: r.claimed}
 	if r.answer != nil {
 		d.After = r.answer.Reason
 	}
--- a/policy/routing/claim.go
+++ b/policy/routing/claim.go
@@ -12,6 +12,7 @@
 func (r *call) requestClaim() {
 	c := r.core
 	c.claiming[r.id] = r
+	r.claimedAt = r.now
 	c.orders = append(c.orders, ClaimOrder{
 		CallID:    r.id,
 		Customer:  r.call.Customer,
@@ -23,6 +24,7 @@
 
 // claimEvent translates the result of a claim into an event of the chart.
 func (r *call) claimEvent(result record.Result) chart.EventID {
+	r.claimed += r.now.Sub(r.claimedAt)
 	switch result.Outcome {
 	case record.Granted:
 		r.call.Claim = result.Claim
--- a/policy/routing/core.go
+++ b/policy/routing/core.go
@@ -25,7 +25,8 @@
 	Cancel bool          // end the attempt in progress; its outcome is still reported
 	Cause  Cause         // why the attempt is sent
 	After  model.Reason  // reason of the earlier attempt's refusal or failure
-	Waited time.Duration // time spent waiting for a token, for an attempt
+	Tokens time.Duration // time spent waiting for tokens, for an attempt
+	Claims time.Duration // time spent waiting for claims, for an attempt
 }
 
 // Cause tells why an attempt is sent.
