Shed by class and customer at the target's node, with a ramp after cold start

Cause: the node queued by order of arrival with a fixed limit, and handed a target in cold start its full load.

The duty gets Drain and Probed.

--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -2,6 +2,7 @@
 package admission
 
 import (
+	"context"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/core/duty"
@@ -15,8 +16,8 @@
 // not run.
 const ringCapacity = 8192
 
-// Message is what the admission duty takes: *Arrive, *Finish, *Cancel or
-// *SnapshotChanged.
+// Message is what the admission duty takes: *Arrive, *Finish, *Cancel,
+// *Probed, *Drain or *SnapshotChanged.
 type Message interface{ admissionMessage() }
 
 // Arrive asks for a call to be run. Reply gets the decision. CancelRunning
@@ -31,15 +32,23 @@
 // Verdict is the decision on a call. Answer is nil when the call is to run.
 type Verdict struct {
 	Answer *model.Answer
+	Until  time.Time // the call must not be handed over later
 }
 
-// Finish reports that the target has answered or lost a call. Reply gets the
-// load report that goes with the answer.
+// Finish reports that a call that was to run has ended. Reply gets the load
+// report that goes with the answer.
 type Finish struct {
-	Answer *model.Answer
-	Reply  ring.Reply[model.Load]
+	Outcome admission.Outcome
+	Reply   ring.Reply[model.Load]
 }
 
+// Probed reports the result of a connection attempt to the target.
+type Probed struct{ OK bool }
+
+// Drain begins the shutdown: new calls are refused as target_leaving, waiting
+// and running ones end. Empty gets a value when none is left.
+type Drain struct{ Empty ring.Reply[struct{}] }
+
 // Cancel reports that a caller has gone.
 type Cancel struct{ CallID model.CallID }
 
@@ -48,20 +57,35 @@
 
 func (*Arrive) admissionMessage()          {}
 func (*Finish) admissionMessage()          {}
+func (*Probed) admissionMessage()          {}
+func (*Drain) admissionMessage()           {}
 func (*Cancel) admissionMessage()          {}
 func (*SnapshotChanged) admissionMessage() {}
 
+// Prober tries to open a connection to the target.
+type Prober interface {
+	Probe(ctx context.Context) bool
+}
+
 // Handler is the logic of the admission duty.
 type Handler struct {
+	ctx     context.Context
 	core    *admission.Core
+	prober  Prober
 	log     *event.Log
+	inbox   *ring.Ring[Message]
 	waiting map[model.CallID]*Arrive
+	empty   []ring.Reply[struct{}]
+	drained bool
 }
 
-// New returns the duty that runs core.
-func New(core *admission.Core, log *event.Log) *duty.Duty[Message] {
-	h := &Handler{core: core, log: log, waiting: make(map[model.CallID]*Arrive)}
-	return duty.New[Message]("admission", ringCapacity, h)
+// New returns the duty that runs core. Connection attempts to the target end
+// when ctx ends.
+func New(ctx context.Context, core *admission.Core, prober Prober, log *event.Log) *duty.Duty[Message] {
+	h := &Handler{ctx: ctx, core: core, prober: prober, log: log, waiting: make(map[model.CallID]*Arrive)}
+	d := duty.New[Message]("admission", ringCapacity, h)
+	h.inbox = d.Ring()
+	return d
 }
 
 // Handle implements duty.Handler.
@@ -75,26 +99,51 @@
 func (h *Handler) handle(now time.Time, m Message) {
 	switch m := m.(type) {
 	case *Arrive:
-		h.waiting[m.Call.ID] = m
-		h.core.OnArrival(now, m.Call)
+		h.arrive(now, m)
 	case *Finish:
-		h.core.OnFinished(now, m.Answer.ID)
-		delete(h.waiting, m.Answer.ID)
+		h.core.OnFinished(now, m.Outcome)
+		delete(h.waiting, m.Outcome.CallID)
 		m.Reply.Send(h.core.Load())
 	case *Cancel:
 		h.core.OnCanceled(now, m.CallID)
+	case *Probed:
+		h.core.OnProbe(now, m.OK)
+	case *Drain:
+		h.drain(now, m)
 	case *SnapshotChanged:
-		h.core.OnSnapshot(m.Snapshot)
+		h.core.OnSnapshot(now, m.Snapshot)
 	}
 }
 
+// arrive passes a call to the policy. A second call with the id of one that
+// is here is refused without touching the first.
+func (h *Handler) arrive(now time.Time, m *Arrive) {
+	if h.waiting[m.Call.ID] != nil {
+		answer := model.Refusal(m.Call.ID, model.ReasonInProgress, "a call with this id is at the target's node")
+		m.Reply.Send(Verdict{Answer: answer})
+		return
+	}
+	h.waiting[m.Call.ID] = m
+	h.core.OnArrival(now, m.Call)
+}
+
+func (h *Handler) drain(now time.Time, m *Drain) {
+	if h.drained {
+		m.Empty.Send(struct{}{})
+		return
+	}
+	h.empty = append(h.empty, m.Empty)
+	h.core.OnDrain(now)
+}
+
 func (h *Handler) deliver() {
 	for _, d := range h.core.Decisions() {
-		arrive := h.waiting[d.CallID]
-		if arrive == nil {
-			continue
+		if arrive := h.waiting[d.CallID]; arrive != nil {
+			h.deliverOne(d, arrive)
 		}
-		h.deliverOne(d, arrive)
+	}
+	for _, s := range h.core.Signals() {
+		h.signal(s)
 	}
 }
 
@@ -109,10 +158,31 @@
 		arrive.CancelRunning()
 	case d.Run:
 		h.log.Emit(event.CallStarted, "call", d.CallID, "customer", arrive.Call.Customer, "class", arrive.Call.Class)
-		arrive.Reply.Send(Verdict{})
+		arrive.Reply.Send(Verdict{Until: d.Until})
 	}
 }
 
+func (h *Handler) signal(s admission.Signal) {
+	switch {
+	case s.Probe:
+		go h.probe()
+	case s.Emptied:
+		h.drained = true
+		for _, reply := range h.empty {
+			reply.Send(struct{}{})
+		}
+		h.empty = nil
+	default:
+		h.log.Emit(event.TargetChanged, "from", s.From, "to", s.To, "limit", s.Limit)
+	}
+}
+
+// probe performs one connection attempt outside the duty's thread.
+func (h *Handler) probe() {
+	ok := h.prober.Probe(h.ctx)
+	_ = h.inbox.Put(h.ctx, &Probed{OK: ok})
+}
+
 // Tick implements duty.Handler.
 func (h *Handler) Tick(now time.Time) time.Time {
 	next := h.core.Tick(now)
--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"crypto/rand"
+	"time"
 
 	"github.com/oleanderworks/oleanderworks/agent/admission"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
+	policy "github.com/oleanderworks/oleanderworks/policy/admission"
 	"github.com/oleanderworks/oleanderworks/transport/target"
 )
 
@@ -43,15 +45,25 @@
 	if verdict.Answer != nil {
 		return verdict.Answer
 	}
-	answer := s.Target.Do(running, call, rand.Text())
+	answer := s.handOver(running, call, verdict)
 	s.finish(answer)
 	return answer
 }
 
+// handOver runs an admitted call at the target, unless the process was paused
+// since the decision: the fences it passed may not hold any more.
+func (s *Server) handOver(ctx context.Context, call *model.Call, v admission.Verdict) *model.Answer {
+	if !time.Now().Before(v.Until) {
+		return model.Refusal(call.ID, model.ReasonNodeBusy, "the permission to run has expired before the hand-over")
+	}
+	return s.Target.Do(ctx, call, rand.Text())
+}
+
 // finish frees the slot. It waits for room in the ring, since a lost message
 // would hold the slot for ever.
 func (s *Server) finish(answer *model.Answer) {
-	done := &admission.Finish{Answer: answer, Reply: ring.NewReply[model.Load]()}
+	outcome := policy.OutcomeOf(answer, target.TakeStart(answer))
+	done := &admission.Finish{Outcome: outcome, Reply: ring.NewReply[model.Load]()}
 	if err := s.Admission.Put(context.Background(), done); err != nil {
 		return
 	}
--- a/agent/node.go
+++ b/agent/node.go
@@ -25,6 +25,7 @@
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/admission"
@@ -102,7 +103,8 @@
 	if err != nil {
 		return err
 	}
-	n.admission = admissionduty.New(admission.New(n.self), n.log)
+	core := admission.New(n.self, admission.Options{Rand: newRand(), Check: invariant.New(n.log, nil)})
+	n.admission = admissionduty.New(n.tomb.Context(context.Background()), core, client, n.log)
 	n.routing = routingduty.New(routing.New(n.self, newRand()), n.log)
 	server := &local.Server{Admission: n.admission.Ring(), Target: client}
 	dispatcher := links.NewDispatcher(n.log)
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -3,20 +3,25 @@
 package admission
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/core/chart"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
-// queueFactor is the room for waiting calls as a multiple of the slots.
-const queueFactor = 4
+// scanInterval bounds how long a waiting call outlives its deadline. A scan
+// costs time in proportion to the queue, so it is not run for each message.
+const scanInterval = 20 * time.Millisecond
 
 // Decision is what the target's node does next for a call. Exactly one of
-// its fields besides CallID is set.
+// Run, Cancel and Answer is set.
 type Decision struct {
 	CallID model.CallID
-	Run    bool          // hand the call to the target
+	Run    bool          // hand the call to the target, at the latest at Until
+	Until  time.Time     // end of the permission to hand the call over
 	Cancel bool          // cancel the call at the target
 	Answer *model.Answer // refusal
 }
@@ -24,103 +29,242 @@
 // Core holds the calls of one target. All methods run on one thread.
 type Core struct {
 	self       model.Member
-	snapshot   *model.Snapshot
+	rng        *rand.Rand
+	check      *invariant.Checker
+	quarantine Quarantine
+
+	snapshot *model.Snapshot
+	config   *model.ServiceConfig // of the own service; nil when unknown
+
 	machine    *chart.Machine[*execution]
 	executions map[model.CallID]*execution
-	queue      []*execution
+	free       []*execution // ended executions, reused to save allocations
+	queue      queue
 	running    int
-	out        []Decision
+
+	target   target
+	limit    limit
+	latency  latency
+	pressure pressure
+	nextScan time.Time
+
+	out     []Decision
+	signals []Signal
 }
 
 // New returns a core that knows no configuration yet.
-func New(self model.Member) *Core {
-	c := &Core{self: self, executions: make(map[model.CallID]*execution)}
+func New(self model.Member, o Options) *Core {
+	c := &Core{
+		self:       self,
+		rng:        o.Rand,
+		check:      o.Check,
+		quarantine: o.Quarantine,
+		executions: make(map[model.CallID]*execution),
+	}
 	c.machine = newMachine()
+	c.target = newTarget(c)
+	c.limit.core = c
+	c.queue.setClasses(nil)
 	return c
 }
 
-// Decisions returns the decisions made since the last call.
+// Decisions returns the decisions made since the last call. The slice is
+// valid until the next method call.
 func (c *Core) Decisions() []Decision {
 	out := c.out
-	c.out = nil
+	c.out = c.out[:0]
 	return out
 }
 
-// OnSnapshot takes a new configuration into use.
-func (c *Core) OnSnapshot(s *model.Snapshot) { c.snapshot = s }
+// Signals returns what happened to the target since the last call. The slice
+// is valid until the next method call.
+func (c *Core) Signals() []Signal {
+	signals := c.signals
+	c.signals = c.signals[:0]
+	return signals
+}
+
+// OnSnapshot takes a new configuration into use and judges the waiting calls
+// by it.
+func (c *Core) OnSnapshot(now time.Time, s *model.Snapshot) {
+	c.snapshot = s
+	c.config = s.Services[c.self.Service]
+	if c.queue.classesDiffer(s.Fleet.Classes) {
+		c.reorderQueue(s.Fleet.Classes)
+	}
+	if c.target.state == stateCold {
+		c.limit.toFloor()
+	}
+	c.target.onSwitch(now, c.isOut())
+	c.recheckWaiting(now)
+	c.startWaiting(now)
+}
 
 // OnArrival takes a call that an entry node sent.
 func (c *Core) OnArrival(now time.Time, call *model.Call) {
-	if refusal := c.fence(now, call); refusal != nil {
-		c.out = append(c.out, Decision{CallID: call.ID, Answer: refusal})
+	c.pressure.onArrival(now)
+	refusal := c.fenceArrival(now, call)
+	if refusal == nil && c.executions[call.ID] != nil {
+		refusal = model.Refusal(call.ID, model.ReasonInProgress, "the call is at the target's node already")
+	}
+	if refusal != nil {
+		c.refuse(now, refusal)
 		return
 	}
-	e := &execution{core: c, state: c.machine.Initial(), call: call}
+	if c.running < c.slots() && c.queue.length > 0 {
+		c.startWaiting(now)
+	}
+	e := c.newExecution(now, call)
 	c.executions[call.ID] = e
-	e.step(eventAdmit)
+	e.step(now, eventAdmit)
 }
 
-// OnFinished frees the slot of a call that the target has answered or lost.
-func (c *Core) OnFinished(now time.Time, id model.CallID) {
-	if e := c.executions[id]; e != nil {
-		e.step(eventFinished)
+// OnFinished frees the slot of a call that was handed over.
+func (c *Core) OnFinished(now time.Time, o Outcome) {
+	e := c.executions[o.CallID]
+	if e == nil || !e.handedOver {
+		c.check.Assert(false, "admission_finish_matches_run", "call %d finished without having run", o.CallID)
+		return
 	}
+	running := c.running
+	e.step(now, eventFinished)
+	c.observe(now, e, o, running)
+	c.target.onEmptied(now)
 	c.startWaiting(now)
+	c.recycle(e)
 }
 
 // OnCanceled drops a waiting call, or cancels a running one, whose caller has
 // gone.
-func (c *Core) OnCanceled(_ time.Time, id model.CallID) {
-	if e := c.executions[id]; e != nil {
-		e.step(eventCanceled)
+func (c *Core) OnCanceled(now time.Time, id model.CallID) {
+	e := c.executions[id]
+	if e == nil {
+		return
 	}
+	e.step(now, eventCanceled)
+	c.target.onEmptied(now)
 }
 
-// Tick drops calls whose deadline has passed and returns the time of the
-// next one.
+// Tick runs timers that are due and returns the time of the next one.
 func (c *Core) Tick(now time.Time) time.Time {
+	c.target.tick(now)
+	if !now.Before(c.nextScan) {
+		c.expireWaiting(now)
+		c.checkInvariants()
+		c.nextScan = now.Add(scanInterval)
+	}
 	c.startWaiting(now)
 	var next time.Time
-	for _, e := range append([]*execution(nil), c.queue...) {
-		if !now.Before(e.call.Deadline) {
-			e.step(eventExpired)
-			continue
-		}
-		if next.IsZero() || e.call.Deadline.Before(next) {
-			next = e.call.Deadline
-		}
+	if c.queue.length > 0 {
+		next = c.nextScan
+	}
+	return earliest(next, c.target.due)
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
 	}
-	return next
+	return a
 }
 
 // Load returns the load report for entry nodes.
 func (c *Core) Load() model.Load {
-	return model.Load{InFlight: c.running, Queued: len(c.queue), Limit: c.slots()}
+	return model.Load{
+		InFlight: c.running,
+		Queued:   c.queue.length,
+		Limit:    c.slots(),
+		Sojourn:  c.queue.sojourn(),
+		Draining: c.target.leaving(),
+	}
 }
 
-// startWaiting hands free slots to waiting calls.
+// startWaiting hands free slots to waiting calls. The fences are checked here
+// again, since time has passed in the queue.
 func (c *Core) startWaiting(now time.Time) {
-	for c.running < c.slots() && len(c.queue) > 0 {
-		e := c.queue[0]
+	for c.running < c.slots() && c.queue.length > 0 {
+		e := c.queue.next(now, c.reserve())
+		switch refusal := c.fence(now, e.call); {
+		case refusal != nil:
+			e.answer = refusal
+			e.step(now, eventFenced)
+		case !c.latency.feasible(now, e):
+			e.step(now, eventExpired)
+		default:
+			c.queue.charge(e)
+			e.step(now, eventSlotFree)
+		}
+	}
+	c.target.onEmptied(now)
+}
+
+// expireWaiting drops waiting calls whose deadline has passed.
+func (c *Core) expireWaiting(now time.Time) {
+	for _, e := range c.queue.all() {
 		if !now.Before(e.call.Deadline) {
-			e.step(eventExpired)
-			continue
+			e.step(now, eventExpired)
 		}
-		e.step(eventSlotFree)
 	}
+	c.target.onEmptied(now)
 }
 
+// recheckWaiting refuses waiting calls that the fences no longer let pass.
+func (c *Core) recheckWaiting(now time.Time) {
+	for _, e := range c.queue.all() {
+		if e.answer = c.fence(now, e.call); e.answer != nil {
+			e.step(now, eventFenced)
+		}
+	}
+}
+
+// refuseWaiting refuses every waiting call, so that entry nodes can send them
+// elsewhere at once.
+func (c *Core) refuseWaiting(now time.Time, reason model.Reason, detail string) {
+	for _, e := range c.queue.all() {
+		e.answer = model.Refusal(e.call.ID, reason, detail)
+		e.step(now, eventFenced)
+	}
+}
+
+// reorderQueue sorts the waiting calls into a new shedding order.
+func (c *Core) reorderQueue(classes []model.Class) {
+	waiting := c.queue.all()
+	for _, e := range waiting {
+		c.queue.remove(e)
+	}
+	c.queue.setClasses(slices.Clone(classes))
+	for _, e := range waiting {
+		e.rank = c.rank(e.call)
+		c.queue.add(e, c.weight(e.call.Customer))
+	}
+}
+
+func (c *Core) refuse(now time.Time, a *model.Answer) {
+	if a.Reason == model.ReasonShed {
+		a.RetryAfter = c.pressure.retryAfter(now, c.rng)
+	}
+	c.out = append(c.out, Decision{CallID: a.ID, Answer: a})
+}
+
+// slots returns how many calls may run now: the adaptive limit, and never
+// more than the target's slots.
 func (c *Core) slots() int {
-	service := c.service()
-	if service == nil {
+	if c.config == nil {
 		return 0
 	}
-	return service.Slots
+	return min(c.limit.whole(), c.config.Slots)
+}
+
+func (c *Core) rank(call *model.Call) int {
+	return min(c.snapshot.Rank(call.Class), len(c.queue.classes)-1)
 }
 
-func (c *Core) service() *model.ServiceConfig {
-	if c.snapshot == nil {
-		return nil
+// weight returns a customer's part relative to others. Calls without a
+// customer share one part of weight 1.
+func (c *Core) weight(customer model.Customer) float64 {
+	config := c.snapshot.Customers[customer]
+	if config == nil || config.Weight <= 0 {
+		return 1
 	}
-	return c.snapshot.Services[c.self.Service]
+	return config.Weight
 }
--- a/policy/admission/fence.go
+++ b/policy/admission/fence.go
@@ -6,28 +6,70 @@
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
-// fence judges again, at the target's node, what the entry node judged from
-// a configuration that may be older. It returns a refusal or nil.
-func (c *Core) fence(now time.Time, call *model.Call) *model.Answer {
-	if c.service() == nil {
+// handOverTime bounds the time between the decision to run a call and its
+// hand-over. A process that was paused in between would otherwise hand over
+// a call by a configuration that has changed since.
+const handOverTime = 2 * time.Second
+
+// fenceArrival judges a call that has just arrived.
+func (c *Core) fenceArrival(now time.Time, call *model.Call) *model.Answer {
+	if c.config == nil {
 		return model.Refusal(call.ID, model.ReasonNoContact, "the target's node has no configuration yet")
 	}
 	if call.Service != c.self.Service {
 		return model.Refusal(call.ID, model.ReasonNoTarget, "the target serves another service")
 	}
+	if reason, detail := c.target.closed(); reason != model.ReasonNone {
+		return model.Refusal(call.ID, reason, detail)
+	}
+	return c.fence(now, call)
+}
+
+// fence judges again, at the target's node, what the entry node judged from
+// a configuration that may be older. It runs on arrival, on each change of
+// the configuration, and just before the hand-over. It returns a refusal or
+// nil.
+func (c *Core) fence(now time.Time, call *model.Call) *model.Answer {
 	if c.snapshot.Zones[c.self.Zone].Out {
 		return model.Refusal(call.ID, model.ReasonZoneOut, "the availability zone is out of service")
 	}
 	if c.snapshot.Targets[c.self.Instance].Out {
 		return model.Refusal(call.ID, model.ReasonTargetOut, "the target is out of service")
 	}
-	if !call.Open {
-		if _, ok := c.snapshot.CustomerOf(call.KeyHash); !ok {
-			return model.Refusal(call.ID, model.ReasonKeyUnknown, "the key is unknown or withdrawn")
-		}
+	if !call.Open && !c.keyValid(call) {
+		return model.Refusal(call.ID, model.ReasonKeyUnknown, "the key is unknown or withdrawn")
+	}
+	if call.Token != nil && !now.Before(call.Token.Expiry) {
+		return model.Refusal(call.ID, model.ReasonStaleToken, "the rate token has expired")
 	}
 	if !now.Before(call.Deadline) {
 		return model.Refusal(call.ID, model.ReasonDeadline, "the deadline has passed")
 	}
+	if c.quarantine != nil {
+		return c.quarantine.Check(now, call)
+	}
 	return nil
 }
+
+// keyValid reports whether the key still belongs to the call's customer.
+func (c *Core) keyValid(call *model.Call) bool {
+	customer, ok := c.snapshot.CustomerOf(call.KeyHash)
+	return ok && customer.Name == call.Customer
+}
+
+func (c *Core) isOut() bool {
+	return c.snapshot.Zones[c.self.Zone].Out || c.snapshot.Targets[c.self.Instance].Out
+}
+
+// handOverUntil returns the time after which the call must not be handed to
+// the target any more.
+func (e *execution) handOverUntil() time.Time {
+	until := e.now.Add(handOverTime)
+	if t := e.call.Token; t != nil && t.Expiry.Before(until) {
+		until = t.Expiry
+	}
+	if e.call.Deadline.Before(until) {
+		until = e.call.Deadline
+	}
+	return until
+}
--- /dev/null
+++ b/policy/admission/harness_test.go
@@ -0,0 +1,172 @@
+package admission
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	testZone     = model.Zone("suva")
+	testInstance = model.Instance("tally-1")
+	testService  = model.Service("tally")
+)
+
+// fixture is a core in virtual time with the ends of its calls.
+type fixture struct {
+	t       failer
+	core    *Core
+	now     time.Time
+	config  model.ServiceConfig
+	docs    map[string]any
+	nextID  model.CallID
+	running map[model.CallID]bool
+	ended   map[model.CallID]*model.Answer
+	signals []Signal
+}
+
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+func newFixture(t failer, slots int) *fixture {
+	f := &fixture{
+		t:       t,
+		now:     time.Unix(1000, 0),
+		running: make(map[model.CallID]bool),
+		ended:   make(map[model.CallID]*model.Answer),
+		docs:    make(map[string]any),
+	}
+	check := invariant.New(event.Discard(), func(name, detail string) { t.Fatalf("invariant %s: %s", name, detail) })
+	self := model.Member{NodeID: model.NodeID{Instance: testInstance}, Service: testService, Zone: testZone}
+	f.core = New(self, Options{Rand: rand.New(rand.NewPCG(1, 2)), Check: check})
+	f.config = model.ServiceConfig{Slots: slots, Connections: 8 * slots}
+	f.docs[model.FleetDocument] = model.FleetConfig{Classes: []model.Class{"browse", "lookup", "filing"}}
+	for i := range 4 {
+		f.addCustomer(customerName(i), 1)
+	}
+	f.configure()
+	return f
+}
+
+func customerName(i int) model.Customer { return model.Customer(fmt.Sprintf("c%d", i)) }
+
+func keyOf(c model.Customer) model.KeyHash { return model.HashKey(string(c)) }
+
+func (f *fixture) addCustomer(name model.Customer, weight float64) {
+	f.docs["customer/"+string(name)] = model.CustomerConfig{Name: name, Weight: weight}
+	f.docs["key/"+keyOf(name).String()] = model.KeyConfig{Customer: name}
+}
+
+// configure publishes the fixture's documents to the core.
+func (f *fixture) configure() {
+	f.docs["service/"+string(testService)] = f.config
+	documents := make(map[string]model.Document)
+	for name, doc := range f.docs {
+		body, err := json.Marshal(doc)
+		if err != nil {
+			f.t.Fatalf("%s: %v", name, err)
+		}
+		documents[name] = model.Document{Name: name, Version: 1, Body: body}
+	}
+	snapshot, err := model.NewSnapshot(1, documents)
+	if err != nil {
+		f.t.Fatalf("%v", err)
+	}
+	f.core.OnSnapshot(f.now, snapshot)
+	f.collect()
+}
+
+// warm makes the core treat the target as warm.
+func (f *fixture) warm() {
+	f.core.target.state = stateWarm
+	f.core.limit.restore()
+	f.core.signals = nil
+}
+
+func (f *fixture) arrive(customer model.Customer, class model.Class, change ...func(*model.Call)) model.CallID {
+	f.nextID++
+	call := &model.Call{
+		ID: f.nextID, Service: testService, Customer: customer, KeyHash: keyOf(customer),
+		Class: class, Deadline: f.now.Add(time.Second),
+	}
+	for _, c := range change {
+		c(call)
+	}
+	f.core.OnArrival(f.now, call)
+	f.collect()
+	return call.ID
+}
+
+func (f *fixture) finish(id model.CallID, r Result) {
+	f.finishAs(Outcome{CallID: id, Result: r})
+}
+
+func (f *fixture) finishAs(o Outcome) {
+	delete(f.running, o.CallID)
+	f.core.OnFinished(f.now, o)
+	f.collect()
+}
+
+func (f *fixture) advance(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.core.Tick(f.now)
+	f.collect()
+}
+
+// collect books the decisions and checks that each call is answered once.
+func (f *fixture) collect() {
+	f.t.Helper()
+	for _, d := range f.core.Decisions() {
+		if f.ended[d.CallID] != nil {
+			f.t.Fatalf("call %d: a decision after its refusal", d.CallID)
+		}
+		switch {
+		case d.Run && f.running[d.CallID]:
+			f.t.Fatalf("call %d runs twice", d.CallID)
+		case d.Run:
+			f.running[d.CallID] = true
+		case d.Answer != nil && f.running[d.CallID]:
+			f.t.Fatalf("call %d is refused while it runs", d.CallID)
+		case d.Answer != nil:
+			f.ended[d.CallID] = d.Answer
+		}
+	}
+	f.signals = append(f.signals, f.core.Signals()...)
+}
+
+func (f *fixture) state() string { return f.core.target.machine.StateName(f.core.target.state) }
+
+// serve lets the target answer all running calls after d, with new calls from
+// the first customer to fill the limit, until the time is over.
+func (f *fixture) serve(total, d time.Duration, r Result) {
+	for end := f.now.Add(total); f.now.Before(end); {
+		for f.core.running < f.core.slots() {
+			before := f.core.running
+			f.arrive(customerName(0), "filing")
+			if f.core.running == before {
+				break
+			}
+		}
+		f.advance(d)
+		for id := range f.running {
+			f.finish(id, r)
+		}
+	}
+}
+
+func reasonOf(t *testing.T, f *fixture, id model.CallID) model.Reason {
+	t.Helper()
+	assert.Assert(t, f.ended[id] != nil, "call %d has no refusal", id)
+	assert.Equal(t, f.ended[id].Run, model.NotRun)
+	return f.ended[id].Reason
+}
--- /dev/null
+++ b/policy/admission/latency.go
@@ -0,0 +1,112 @@
+package admission
+
+import "time"
+
+const (
+	// minSamples is the number of answers from which a mean service time is
+	// taken as a baseline. Means of fewer answers scatter so much that their
+	// minimum is far below the usual time.
+	minSamples = 32
+	// bucketTime and buckets give the time over which the minimum is taken.
+	// A change of the target that lasts longer becomes the new baseline.
+	bucketTime = time.Second
+	buckets    = 30
+	// usualWeight is the weight of one answer in the usual service time.
+	usualWeight = 0.05
+	// trialPause is the time between two calls that run although the usual
+	// service time says that they end too late. Without them the node would
+	// not notice that the target has become faster.
+	trialPause = 200 * time.Millisecond
+)
+
+// latency holds service times for each class. Classes differ in their usual
+// work, and a change in the mix of classes is no change of the target.
+type latency struct {
+	byRank    []*classLatency
+	lastTrial time.Time
+}
+
+// classLatency holds the service times of one class.
+type classLatency struct {
+	usual    time.Duration // moving mean
+	sum      time.Duration // of the current bucket
+	samples  int
+	opened   time.Time
+	history  [buckets]time.Duration // means of the last buckets; zero when empty
+	position int
+}
+
+func (l *latency) class(rank int) *classLatency {
+	for len(l.byRank) <= rank {
+		l.byRank = append(l.byRank, new(classLatency))
+	}
+	return l.byRank[rank]
+}
+
+// observe books a service time and returns the class's baseline, which is the
+// service time itself while there is none.
+func (l *latency) observe(now time.Time, rank int, elapsed time.Duration) time.Duration {
+	c := l.class(rank)
+	c.learnUsual(elapsed)
+	if c.opened.IsZero() {
+		c.opened = now
+	}
+	c.sum += elapsed
+	c.samples++
+	if now.Sub(c.opened) >= bucketTime && c.samples >= minSamples {
+		c.closeBucket(now)
+	}
+	if base := c.baseline(); base > 0 {
+		return base
+	}
+	return elapsed
+}
+
+func (c *classLatency) learnUsual(elapsed time.Duration) {
+	if c.usual == 0 {
+		c.usual = elapsed
+		return
+	}
+	c.usual += time.Duration(usualWeight * float64(elapsed-c.usual))
+}
+
+func (c *classLatency) closeBucket(now time.Time) {
+	c.history[c.position] = c.sum / time.Duration(c.samples)
+	c.position = (c.position + 1) % buckets
+	c.sum, c.samples, c.opened = 0, 0, now
+}
+
+// baseline is the windowed minimum of the mean service time: what a call
+// takes when the target is not loaded beyond what it bears.
+func (c *classLatency) baseline() time.Duration {
+	var lowest time.Duration
+	for _, mean := range c.history {
+		if mean > 0 && (lowest == 0 || mean < lowest) {
+			lowest = mean
+		}
+	}
+	return lowest
+}
+
+// adopt makes the present service times the baseline.
+func (l *latency) adopt() {
+	for _, c := range l.byRank {
+		*c = classLatency{usual: c.usual, history: [buckets]time.Duration{c.usual}, position: 1}
+	}
+}
+
+// forget drops what is known, since a restarted target is another one.
+func (l *latency) forget() { l.byRank = nil }
+
+// feasible reports whether a call can end before its deadline when it takes
+// the usual time. Work that ends late is lost to both sides.
+func (l *latency) feasible(now time.Time, e *execution) bool {
+	if !now.Add(l.class(e.rank).usual).After(e.call.Deadline) {
+		return true
+	}
+	if now.Sub(l.lastTrial) < trialPause {
+		return false
+	}
+	l.lastTrial = now
+	return now.Before(e.call.Deadline)
+}
--- /dev/null
+++ b/policy/admission/list.go
@@ -0,0 +1,35 @@
+package admission
+
+// list is a doubly linked list through its executions, so that a call can be
+// taken from any place without a search or an allocation.
+type list struct {
+	customer   *customerQueue
+	head, tail *execution
+	length     int
+}
+
+func (l *list) append(e *execution) {
+	e.list, e.prev, e.next = l, l.tail, nil
+	if l.tail == nil {
+		l.head = e
+	} else {
+		l.tail.next = e
+	}
+	l.tail = e
+	l.length++
+}
+
+func (l *list) remove(e *execution) {
+	if e.prev == nil {
+		l.head = e.next
+	} else {
+		e.prev.next = e.next
+	}
+	if e.next == nil {
+		l.tail = e.prev
+	} else {
+		e.next.prev = e.prev
+	}
+	e.list, e.prev, e.next = nil, nil, nil
+	l.length--
+}
--- a/transport/target/client.go
+++ b/transport/target/client.go
@@ -26,6 +26,9 @@
 	ContextHeader = "Oleander-Context"
 	// DeadlineHeader carries the remaining time in milliseconds.
 	DeadlineHeader = "Oleander-Timeout"
+	// StartHeader is the start marker of a target that sends one. It changes
+	// when the target restarts.
+	StartHeader = "Oleander-Start"
 	// RequestIDHeader carries the id of a non-idempotent request.
 	RequestIDHeader = "Idempotency-Key"
 
@@ -68,6 +71,24 @@
 	return &Client{base: u, http: client}, nil
 }
 
+// Probe reports whether the target takes a connection.
+func (c *Client) Probe(ctx context.Context) bool {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", c.base.Host)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
+// TakeStart returns the start marker that came with an answer and removes it,
+// since it is no concern of the caller.
+func TakeStart(a *model.Answer) string {
+	start := a.Header.Get(StartHeader)
+	a.Header.Del(StartHeader)
+	return start
+}
+
 // noRedirect passes a target's redirect on to the caller.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
