Measure the policy in virtual time beside baselines; sub-calls first

Cause: nothing showed what the admission policy reaches under overload.

Package bench runs policy/admission and policy/routing against targets that slow down beyond their slots. Sub-calls now start before the first attempts of their customer, the unallocated share stops at the class that is being shed, old calls leave a standing queue, and time in sub-calls does not count as the target's own.

--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,54 @@
+package bench
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+)
+
+var (
+	csvPath  = flag.String("policy.csv", "", "write the table of BenchmarkPolicy to this file")
+	onlyCase = flag.String("policy.case", "", "comma-separated cases to run; all by default")
+	onlyVar  = flag.String("policy.variant", "", "comma-separated variants to run; all by default")
+)
+
+func selected(list, name string) bool {
+	if list == "" {
+		return true
+	}
+	for _, item := range strings.Split(list, ",") {
+		if item == name {
+			return true
+		}
+	}
+	return false
+}
+
+// BenchmarkPolicy runs every case with every policy once, in virtual time,
+// and reports the measures. Its time in ns says nothing about a policy.
+func BenchmarkPolicy(b *testing.B) {
+	all := jobs(func(_, c, v string) bool { return selected(*onlyCase, c) && selected(*onlyVar, v) })
+	results := runAll(all, max(runtime.GOMAXPROCS(0)/2, 1))
+	for _, r := range results {
+		b.Run(fmt.Sprintf("%s/%s/%s", r.Deployment, r.Case, r.Variant), func(b *testing.B) {
+			for range b.N {
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(100*r.Goodput, "%goodput")
+			b.ReportMetric(r.Recovery.Seconds(), "s-recovery")
+			b.ReportMetric(100*r.Worst, "%worst")
+			b.ReportMetric(100*r.Wrongful, "%wrongful")
+			b.ReportMetric(100*r.Service, "%service")
+			b.ReportMetric(100*r.Calm, "%calm-refused")
+			b.ReportMetric(float64(r.Crashes), "crashes")
+		})
+	}
+	if *csvPath != "" {
+		if err := os.WriteFile(*csvPath, []byte(csvTable(results)), 0o644); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/bench/fleet.go
@@ -0,0 +1,198 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/admission"
+	"github.com/oleanderworks/oleanderworks/policy/routing"
+)
+
+// fleet is a deployment with its nodes, targets and callers.
+type fleet struct {
+	loop       loop
+	rng        *rand.Rand
+	deployment *deployment
+	variant    variant
+	entry      entryLimit
+	nodes      []*node
+	byService  [][]*node
+	documents  map[string]any
+	sequence   uint64
+	nextID     model.CallID
+	measure    *measure
+	retry      retry
+	factor     func(service, customer int) float64 // of the base demand, now
+}
+
+// node is one target's node, which is also an entry node.
+type node struct {
+	fleet   *fleet
+	index   int
+	service int
+	member  model.Member
+	routing *routing.Core
+	gate    gate
+	target  *target
+	flights map[model.CallID]*flight  // calls that entered here
+	runs    map[model.CallID]*attempt // calls at this node's target
+	out     bool
+	pumping bool
+	again   bool
+	buffer  []admission.Decision
+}
+
+// flight is a call at its entry node.
+type flight struct {
+	entry   *node
+	request *request
+	step    *step
+	depth   int
+	attempt *attempt // latest
+	timed   bool
+	done    func(*model.Answer)
+}
+
+// attempt is a call on its way to or at a target's node.
+type attempt struct {
+	flight *flight
+	node   *node
+	call   *model.Call
+	work   *work
+	ended  bool
+	failed bool          // a sub-call failed
+	waited time.Duration // for a sub-call
+}
+
+func newFleet(d *deployment, v variant, seed uint64) *fleet {
+	f := &fleet{
+		rng:        rand.New(rand.NewPCG(seed, 1)),
+		deployment: d,
+		variant:    v,
+		documents:  make(map[string]any),
+		factor:     func(int, int) float64 { return 1 },
+	}
+	if v.entry != nil {
+		f.entry = v.entry(d)
+	}
+	f.documents[model.FleetDocument] = model.FleetConfig{Classes: d.classes, RetryBudget: 2, Groups: 1}
+	for i := range d.services {
+		f.addService(i)
+	}
+	for c := range customerShares {
+		f.documents["customer/"+string(customerName(c))] = model.CustomerConfig{
+			Name: customerName(c), Rate: 1e6, Burst: 1e6, Weight: 1,
+		}
+		f.documents["key/"+model.HashKey(keyOf(c)).String()] = model.KeyConfig{Customer: customerName(c)}
+	}
+	f.publish(0)
+	f.measure = newMeasure(f)
+	for _, n := range f.nodes {
+		f.tick(n)
+	}
+	return f
+}
+
+func customerName(c int) model.Customer { return model.Customer(fmt.Sprintf("customer-%d", c)) }
+
+func keyOf(c int) string { return fmt.Sprintf("key-%d", c) }
+
+func (f *fleet) addService(i int) {
+	size := &f.deployment.services[i]
+	f.documents["service/"+string(size.name)] = model.ServiceConfig{
+		Name: size.name, Slots: size.slots, Connections: size.connections,
+		ColdFloor: max(size.slots/coldPart, 1), RampTime: model.Duration(rampTime),
+		Routes: f.routes(),
+	}
+	var nodes []*node
+	for u := range size.upstreams {
+		zone := f.deployment.zones[u%len(f.deployment.zones)]
+		member := model.Member{
+			NodeID:  model.NodeID{Instance: model.Instance(fmt.Sprintf("%s-%d", size.name, u)), Incarnation: 1},
+			Service: size.name, Zone: zone, Region: "region",
+		}
+		n := &node{
+			fleet: f, index: len(f.nodes), service: i, member: member,
+			routing: routing.New(member, f.newRand()),
+			gate:    f.variant.gate(member, size, f.newRand()),
+			target:  newTarget(&f.loop, size),
+			flights: make(map[model.CallID]*flight),
+			runs:    make(map[model.CallID]*attempt),
+		}
+		f.nodes = append(f.nodes, n)
+		nodes = append(nodes, n)
+	}
+	f.byService = append(f.byService, nodes)
+}
+
+// routes gives each class a path of its own.
+func (f *fleet) routes() []model.Route {
+	var routes []model.Route
+	for _, class := range f.deployment.classes {
+		routes = append(routes, model.Route{
+			Prefix: "/" + string(class), Class: class, Idempotent: true, Timeout: model.Duration(callTimeout),
+		})
+	}
+	return routes
+}
+
+func (f *fleet) newRand() *rand.Rand { return rand.New(rand.NewPCG(f.rng.Uint64(), 2)) }
+
+// publish gives the documents to all nodes, each after a random part of
+// spread.
+func (f *fleet) publish(spread time.Duration) {
+	f.sequence++
+	documents := make(map[string]model.Document)
+	for name, doc := range f.documents {
+		body, err := json.Marshal(doc)
+		if err != nil {
+			panic(err)
+		}
+		documents[name] = model.Document{Name: name, Version: f.sequence, Body: body}
+	}
+	snapshot, err := model.NewSnapshot(f.sequence, documents)
+	if err != nil {
+		panic(err)
+	}
+	for _, n := range f.nodes {
+		snapshot.Members[n.member.Service] = append(snapshot.Members[n.member.Service], n.member)
+	}
+	for _, n := range f.nodes {
+		if spread == 0 {
+			n.onSnapshot(snapshot)
+			continue
+		}
+		f.loop.after(time.Duration(f.rng.Float64()*float64(spread)), func() { n.onSnapshot(snapshot) })
+	}
+}
+
+func (n *node) onSnapshot(s *model.Snapshot) {
+	n.out = s.Zones[n.member.Zone].Out
+	n.routing.OnSnapshot(s)
+	n.gate.OnSnapshot(n.fleet.loop.clock(), s)
+	n.pump()
+}
+
+// tickTime is the time between two ticks of a node, as its duty has under load.
+const tickTime = 10 * time.Millisecond
+
+func (f *fleet) tick(n *node) {
+	n.gate.Tick(f.loop.clock())
+	n.pump()
+	f.loop.after(tickTime, func() { f.tick(n) })
+}
+
+// latency is the one-way time between two nodes.
+func (f *fleet) latency(a, b *node) time.Duration {
+	switch {
+	case a == b:
+		return 0
+	case a.member.Zone == b.member.Zone:
+		return f.deployment.zoneLatency / 5
+	default:
+		return f.deployment.zoneLatency
+	}
+}
--- a/policy/admission/coldstart.go
+++ b/policy/admission/coldstart.go
@@ -8,7 +8,7 @@
 	rampSteps = 20
 	// coldSamples is the fewest good answers that lift the limit of a cold or
 	// ramping target, so that one lucky fast answer does not.
-	coldSamples = 8
+	coldSamples = 4
 	// stepDownFactor lowers the limit of a ramping target after a bad window.
 	stepDownFactor = 0.7
 )
@@ -30,7 +30,7 @@
 	case stateTrial:
 		return w.samples >= 1
 	case stateChecking:
-		return w.samples >= max(coldSamples, c.slots())
+		return w.samples >= coldSamples
 	default:
 		return w.samples >= max(coldSamples, c.slots()) && open >= c.stepTime()
 	}
@@ -53,27 +53,33 @@
 	if c.target.onEnd(now, o, inFlight) {
 		return
 	}
-	elapsed := now.Sub(e.started)
 	switch o.Result {
 	case ResultGood:
-		usual := c.latency.observe(now, e.rank, elapsed)
-		c.addSample(now, e, elapsed, usual, false, inFlight)
+		c.observeGood(now, e, o, inFlight)
 	case ResultOverload:
 		c.addSample(now, e, 0, 0, true, inFlight)
 	case ResultLate:
-		c.observeLate(now, e, elapsed, inFlight)
+		c.observeLate(now, e, o, inFlight)
 	}
 }
 
-// observeLate books a call without an answer in time. A deadline that was
-// short of the usual time says nothing about the target.
-func (c *Core) observeLate(now time.Time, e *execution, elapsed time.Duration, inFlight int) {
-	usual := c.latency.class(e.rank).usual
-	if elapsed < 2*usual {
+// observeLate books a call without an answer in time as one that took until
+// then. A deadline that was short of the usual time says nothing about the
+// target.
+func (c *Core) observeLate(now time.Time, e *execution, o Outcome, inFlight int) {
+	elapsed := now.Sub(e.started)
+	if elapsed < 2*c.latency.class(e.rank).usual {
 		return
 	}
-	c.latency.class(e.rank).learnUsual(elapsed)
-	c.addSample(now, e, 0, 0, true, inFlight)
+	c.observeGood(now, e, o, inFlight)
+}
+
+// observeGood books the time of a call.
+func (c *Core) observeGood(now time.Time, e *execution, o Outcome, inFlight int) {
+	elapsed := now.Sub(e.started)
+	own := max(elapsed-o.Waited, 0)
+	base := c.latency.observe(now, e.rank, own, elapsed-own)
+	c.addSample(now, e, own, base, false, inFlight)
 }
 
 func (c *Core) addSample(now time.Time, e *execution, elapsed, usual time.Duration, overload bool, inFlight int) {
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -149,7 +149,7 @@
 func (c *Core) Tick(now time.Time) time.Time {
 	c.target.tick(now)
 	if !now.Before(c.nextScan) {
-		c.expireWaiting(now)
+		c.scanWaiting(now)
 		c.checkInvariants()
 		c.nextScan = now.Add(scanInterval)
 	}
@@ -198,16 +198,30 @@
 	c.target.onEmptied(now)
 }
 
-// expireWaiting drops waiting calls whose deadline has passed.
-func (c *Core) expireWaiting(now time.Time) {
+// scanWaiting drops waiting calls that have no chance to start: their deadline
+// has passed, or they are old in a standing queue.
+func (c *Core) scanWaiting(now time.Time) {
 	for _, e := range c.queue.all() {
-		if !now.Before(e.call.Deadline) {
+		switch {
+		case !now.Before(e.call.Deadline):
 			e.step(now, eventExpired)
+		case c.tooOld(now, e):
+			e.step(now, eventPushedOut)
 		}
 	}
 	c.target.onEmptied(now)
 }
 
+// tooOld reports whether a call has waited for longer than it usually runs,
+// in a queue that does not get shorter.
+func (c *Core) tooOld(now time.Time, e *execution) bool {
+	customer := e.list.customer
+	if !customer.order.observe(now, now.Sub(customer.oldest().arrived)) {
+		return false
+	}
+	return now.Sub(e.arrived) > max(maxStanding, c.latency.class(e.rank).usual)
+}
+
 // recheckWaiting refuses waiting calls that the fences no longer let pass.
 func (c *Core) recheckWaiting(now time.Time) {
 	for _, e := range c.queue.all() {
--- a/policy/admission/execution.go
+++ b/policy/admission/execution.go
@@ -114,7 +114,7 @@
 func (e *execution) victim() *execution {
 	c := e.core
 	if !c.queue.belowPart(e, c.weight(e.call.Customer), c.budget()) {
-		return c.queue.ownRetry(e)
+		return c.queue.ownLater(e)
 	}
 	return c.queue.victim(e)
 }
--- a/policy/admission/fairness.go
+++ b/policy/admission/fairness.go
@@ -12,6 +12,7 @@
 	name       model.Customer
 	weight     float64
 	deficit    float64 // calls that the customer may still start in its turn
+	subs       list    // sub-calls: their parents' work is lost when they are
 	first      list    // first attempts
 	retries    list    // client retries
 	order      order
@@ -25,11 +26,28 @@
 	maxWeight = 100
 )
 
-func (c *customerQueue) length() int { return c.first.length + c.retries.length }
+func (c *customerQueue) length() int { return c.subs.length + c.first.length + c.retries.length }
+
+// list returns the list in which a call waits.
+func (c *customerQueue) list(call *model.Call) *list {
+	switch {
+	case call.Depth > 0:
+		return &c.subs
+	case call.ClientRetry:
+		return &c.retries
+	default:
+		return &c.first
+	}
+}
 
-// pick returns the call that starts next: a first attempt before a retry.
+// pick returns the call that starts next. Sub-calls come first, since the
+// work of their parents would be lost with them, and client retries last,
+// since they must not displace new work.
 func (c *customerQueue) pick(newestFirst bool) *execution {
-	l := &c.first
+	l := &c.subs
+	if l.length == 0 {
+		l = &c.first
+	}
 	if l.length == 0 {
 		l = &c.retries
 	}
@@ -42,13 +60,15 @@
 // oldest returns the call that would start next by order of arrival.
 func (c *customerQueue) oldest() *execution { return c.pick(false) }
 
-// newest returns the call that is dropped first: a retry before a first
-// attempt.
+// newest returns the call that is dropped first: the newest of the calls that
+// would start last.
 func (c *customerQueue) newest() *execution {
-	if c.retries.length > 0 {
-		return c.retries.tail
+	for _, l := range []*list{&c.retries, &c.first} {
+		if l.length > 0 {
+			return l.tail
+		}
 	}
-	return c.first.tail
+	return c.subs.tail
 }
 
 // customer returns the queue of a customer and puts it into the ring.
@@ -56,7 +76,7 @@
 	c := q.customers[name]
 	if c == nil {
 		c = &customerQueue{name: name}
-		c.first.customer, c.retries.customer = c, c
+		c.subs.customer, c.first.customer, c.retries.customer = c, c, c
 		q.customers[name] = c
 	}
 	if c.length() == 0 {
@@ -154,21 +174,38 @@
 		}
 		longest := class.longest()
 		if class.rank == e.rank && longest.name == e.call.Customer {
-			return q.ownRetry(e)
+			return q.ownLater(e)
 		}
 		return longest.newest()
 	}
 	return nil
 }
 
-// ownRetry returns a waiting retry of the same customer and class that a
-// first attempt replaces, or nil.
-func (q *queue) ownRetry(e *execution) *execution {
+// ownLater returns the newest waiting call of the same customer and class
+// that would start after e in any case, or nil: a sub-call replaces a first
+// attempt, and that replaces a retry.
+func (q *queue) ownLater(e *execution) *execution {
 	own := q.classes[e.rank].customers[e.call.Customer]
-	if e.call.ClientRetry || own == nil {
+	if own == nil {
 		return nil
 	}
-	return own.retries.tail
+	newest := own.newest()
+	if urgency(newest.call) < urgency(e.call) {
+		return newest
+	}
+	return nil
+}
+
+// urgency orders the calls of one customer: higher starts first.
+func urgency(call *model.Call) int {
+	switch {
+	case call.Depth > 0:
+		return 2
+	case call.ClientRetry:
+		return 0
+	default:
+		return 1
+	}
 }
 
 func (q *classQueue) longest() *customerQueue {
--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -28,8 +28,9 @@
 
 // classLatency holds the service times of one class.
 type classLatency struct {
-	usual    time.Duration // moving mean
-	sum      time.Duration // of the current bucket
+	usual    time.Duration // moving mean, with the time in sub-calls
+	recent   time.Duration // moving mean of the target's own time
+	sum      time.Duration // of the target's own time in the current bucket
 	samples  int
 	opened   time.Time
 	history  [buckets]time.Duration // means of the last buckets; zero when empty
@@ -43,15 +44,17 @@
 	return l.byRank[rank]
 }
 
-// observe books a service time and returns the class's baseline, which is the
-// service time itself while there is none.
-func (l *latency) observe(now time.Time, rank int, elapsed time.Duration) time.Duration {
+// observe books a service time, of which the target waited some for
+// sub-calls. It returns the baseline of its own time, which is the own time
+// itself while there is no baseline.
+func (l *latency) observe(now time.Time, rank int, own, waited time.Duration) time.Duration {
 	c := l.class(rank)
-	c.learnUsual(elapsed)
+	c.usual = moved(c.usual, own+waited)
+	c.recent = moved(c.recent, own)
 	if c.opened.IsZero() {
 		c.opened = now
 	}
-	c.sum += elapsed
+	c.sum += own
 	c.samples++
 	if now.Sub(c.opened) >= bucketTime && c.samples >= minSamples {
 		c.closeBucket(now)
@@ -59,15 +62,16 @@
 	if base := c.baseline(); base > 0 {
 		return base
 	}
-	return elapsed
+	return own
 }
 
-func (c *classLatency) learnUsual(elapsed time.Duration) {
-	if c.usual == 0 {
-		c.usual = elapsed
-		return
+// moved returns a moving mean after one more value. The first value counts in
+// full.
+func moved(mean, value time.Duration) time.Duration {
+	if mean == 0 {
+		return value
 	}
-	c.usual += time.Duration(usualWeight * float64(elapsed-c.usual))
+	return mean + time.Duration(usualWeight*float64(value-mean))
 }
 
 func (c *classLatency) closeBucket(now time.Time) {
@@ -91,7 +95,7 @@
 // adopt makes the present service times the baseline.
 func (l *latency) adopt() {
 	for _, c := range l.byRank {
-		*c = classLatency{usual: c.usual, history: [buckets]time.Duration{c.usual}, position: 1}
+		*c = classLatency{usual: c.usual, recent: c.recent, history: [buckets]time.Duration{c.recent}, position: 1}
 	}
 }
 
--- a/policy/admission/order.go
+++ b/policy/admission/order.go
@@ -10,6 +10,10 @@
 	// is below the usual service times, so that waiting stays a small part of
 	// a call.
 	standingSojourn = 5 * time.Millisecond
+	// maxStanding is the least time after which a call is dropped from a
+	// standing queue. Newest first leaves it no chance to start, and while it
+	// waits it may hold the slot of its parent at another target.
+	maxStanding = 100 * time.Millisecond
 )
 
 // order chooses between oldest first and newest first.
@@ -25,8 +29,8 @@
 	newestFirst bool
 }
 
-// observe books the sojourn of the oldest waiting call at the time a call is
-// taken, and reports whether the newest is to be taken. The oldest is looked
+// observe books the sojourn of the oldest waiting call, each time a call is
+// taken and at each scan of the queue, and reports whether the newest is to be taken. The oldest is looked
 // at also while the newest are taken: their short sojourns would otherwise
 // end the order that made them short.
 func (o *order) observe(now time.Time, sojourn time.Duration) bool {
--- a/policy/admission/outcome.go
+++ b/policy/admission/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
 )
@@ -24,6 +25,9 @@
 	CallID model.CallID
 	Result Result
 	Start  string // the target's start marker; empty when it sends none
+	// Waited is the time in which the call waited for its sub-calls. It is no
+	// work of the target and says nothing about its load.
+	Waited time.Duration
 }
 
 // OutcomeOf reads the outcome from an answer. An answer with another error
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -26,7 +26,6 @@
 	classes   []*classQueue // by rank; the first is shed first
 	length    int
 	fromShare int   // running calls on the unallocated share
-	lastLower int   // rank that the unallocated share served last
 	standing  order // over all classes, for the load report
 }
 
@@ -60,16 +59,11 @@
 	return max(queueFactor*c.slots(), minBudget)
 }
 
-// add appends a call to its customer's queue. Client retries wait behind
-// first attempts, so that retries cannot displace new work.
+// add appends a call to its customer's queue.
 func (q *queue) add(e *execution, weight float64) {
 	class := q.classes[e.rank]
 	customer := class.customer(e.call.Customer, weight)
-	if e.call.ClientRetry {
-		customer.retries.append(e)
-	} else {
-		customer.first.append(e)
-	}
+	customer.list(e.call).append(e)
 	class.length++
 	q.length++
 }
@@ -94,8 +88,8 @@
 func (q *queue) next(now time.Time, reserve int) *execution {
 	top := q.top()
 	class := top
-	if q.fromShare < reserve && !q.shedRecently(now, top.rank) {
-		if lower := q.lower(top.rank); lower != nil {
+	if q.fromShare < reserve {
+		if lower := q.lower(now, top.rank); lower != nil {
 			class = lower
 		}
 	}
@@ -117,21 +111,22 @@
 	return nil
 }
 
-// lower returns a waiting class below a rank, each in its turn, or nil.
-func (q *queue) lower(rank int) *classQueue {
-	for i := range rank {
-		class := q.classes[(q.lastLower+1+i)%rank]
-		if class.length > 0 {
-			q.lastLower = class.rank
-			return class
+// lower returns the lowest waiting class that the unallocated share may serve
+// instead of top, or nil. The share is for the time in which the classes
+// above are within what the target bears: beyond it, each lookup in the share
+// would cost a filing.
+func (q *queue) lower(now time.Time, top int) *classQueue {
+	var found *classQueue
+	for rank := top; rank > 0 && !q.shedRecently(now, rank); rank-- {
+		if class := q.classes[rank-1]; class.length > 0 {
+			found = class
 		}
 	}
-	return nil
+	return found
 }
 
 // shedRecently reports whether calls of a class were dropped a short time
-// ago. The unallocated share is for the time in which the class is within
-// what the target bears; beyond it, filings would be lost to lookups.
+// ago.
 func (q *queue) shedRecently(now time.Time, rank int) bool {
 	last := q.classes[rank].lastShed
 	return !last.IsZero() && now.Sub(last) < shareHold
@@ -172,11 +167,10 @@
 	out := make([]*execution, 0, q.length)
 	for _, class := range q.classes {
 		class.each(func(c *customerQueue) {
-			for e := c.first.head; e != nil; e = e.next {
-				out = append(out, e)
-			}
-			for e := c.retries.head; e != nil; e = e.next {
-				out = append(out, e)
+			for _, l := range []*list{&c.subs, &c.first, &c.retries} {
+				for e := l.head; e != nil; e = e.next {
+					out = append(out, e)
+				}
 			}
 		})
 	}
--- a/policy/admission/target.go
+++ b/policy/admission/target.go
@@ -218,10 +218,14 @@
 	t.core.refuseWaiting(t.now, reason, detail)
 }
 
-// stepUp grows the limit by one step of the ramp.
+// stepUp grows the limit in proportion to the time of the window that was
+// good. Windows at few slots take long, and the ramp must still end in its
+// time; a limit never more than doubles on one window.
 func (t *target) stepUp() {
 	l := &t.core.limit
-	l.set(l.value + (l.slots()-l.floor())/rampSteps)
+	part := float64(t.now.Sub(t.judged.opened)) / float64(t.core.config.RampTime.D())
+	step := (l.slots() - l.floor()) * max(part, 1.0/rampSteps)
+	l.set(l.value + min(step, l.value))
 }
 
 // stepDown lowers the limit of a ramping target, not below its floor.
