Follow a target in cold start along its ramp

Cause: the limit lagged 0.7 s behind what a returning target bears: probes were up to 400 ms apart, the ramp counted from the end of the trial call, and each step waited for as many answers as slots.

--- a/bench/cases.go
+++ b/bench/cases.go
@@ -99,7 +99,7 @@
 		more(f)
 		f.loop.after(triggerStart, func() {
 			for _, n := range f.byService[2] {
-				n.target.restart()
+				n.target.fail()
 			}
 		})
 	})
--- a/policy/admission/coldstart.go
+++ b/policy/admission/coldstart.go
@@ -5,7 +5,7 @@
 const (
 	// rampSteps is the number of steps from the floor to the slots. Small
 	// steps keep the limit close below what a warming target bears.
-	rampSteps = 20
+	rampSteps = 40
 	// coldSamples is the fewest good answers that lift the limit of a cold or
 	// ramping target, so that one lucky fast answer does not.
 	coldSamples = 4
@@ -32,7 +32,7 @@
 	case stateChecking:
 		return w.samples >= coldSamples
 	default:
-		return w.samples >= max(coldSamples, c.slots()) && open >= c.stepTime()
+		return w.samples >= max(coldSamples, c.slots()/2) && open >= c.stepTime()
 	}
 }
 
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -93,7 +93,8 @@
 		c.reorderQueue(s.Fleet.Classes)
 	}
 	if c.target.state == stateCold {
-		c.limit.toFloor()
+		c.target.now = now
+		c.target.toFloor()
 	}
 	c.target.onSwitch(now, c.isOut())
 	c.recheckWaiting(now)
--- a/policy/admission/target.go
+++ b/policy/admission/target.go
@@ -46,8 +46,11 @@
 	// breaks all of them at once.
 	resetWindow = 200 * time.Millisecond
 	// Pace of connection attempts to a lost target.
-	firstProbe = 50 * time.Millisecond
-	maxProbe   = 2 * time.Second
+	firstProbe = 25 * time.Millisecond
+	maxProbe   = 100 * time.Millisecond
+	// maxTrialPause bounds the pause after a trial call was lost: such a call
+	// costs a caller its request, a connection attempt costs nothing.
+	maxTrialPause = 4 * time.Second
 	// drainQueueTime is how long waiting calls may still start after the
 	// shutdown began: a leaving target gets no new work after a few seconds.
 	drainQueueTime = 2 * time.Second
@@ -77,6 +80,7 @@
 	atReset    int // calls in flight at firstReset
 	probePause time.Duration
 	due        time.Time // of the next timer; zero when none is planned
+	rampFrom   time.Time // start of the ramp
 	out        bool
 }
 
@@ -96,7 +100,7 @@
 			"at_slots": func(t *target) bool { return t.core.limit.atSlots() },
 		},
 		Actions: map[string]func(*target){
-			"to_floor":       func(t *target) { t.core.limit.toFloor() },
+			"to_floor":       (*target).toFloor,
 			"step_up":        (*target).stepUp,
 			"step_down":      (*target).stepDown,
 			"decrease":       func(t *target) { t.core.limit.decrease(&t.judged) },
@@ -108,8 +112,10 @@
 			"refuse_waiting": (*target).refuseWaiting,
 			"schedule_probe": func(t *target) { t.due = t.now.Add(t.jittered()) },
 			"retry_probe":    (*target).retryProbe,
+			"back_off":       (*target).backOff,
 			"send_probe":     (*target).sendProbe,
-			"allow_trial":    func(t *target) { t.core.limit.value = 1 },
+			"allow_trial":    (*target).allowTrial,
+			"end_trial":      func(t *target) { t.core.limit.toFloor() },
 			"reset_probe":    func(t *target) { t.probePause = firstProbe },
 			"limit_drain":    func(t *target) { t.due = t.now.Add(drainQueueTime) },
 			"report_empty":   func(t *target) { t.core.signals = append(t.core.signals, Signal{Emptied: true}) },
@@ -196,10 +202,18 @@
 
 func (t *target) sendProbe() { t.core.signals = append(t.core.signals, Signal{Probe: true}) }
 
-// retryProbe doubles the pause, so that a target that fails at each start is
-// not kept busy with attempts.
+// retryProbe doubles the pause after a failed connection attempt.
 func (t *target) retryProbe() {
-	t.probePause = min(2*t.probePause, maxProbe)
+	if t.probePause < maxProbe {
+		t.probePause *= 2
+	}
+	t.due = t.now.Add(t.jittered())
+}
+
+// backOff lengthens the pause after a lost trial call, so that a target that
+// fails at each start does not get a call at each.
+func (t *target) backOff() {
+	t.probePause = min(4*t.probePause, maxTrialPause)
 	t.due = t.now.Add(t.jittered())
 }
 
@@ -218,20 +232,38 @@
 	t.core.refuseWaiting(t.now, reason, detail)
 }
 
-// stepUp grows the limit in proportion to the time of the window that was
-// good. Windows at few slots take long, and the ramp must still end in its
-// time; a limit never more than doubles on one window.
+// stepUp lifts the limit to the line from the floor, at the time the target
+// came back, to the slots at the end of the ramp. A limit never more than
+// doubles on one good window.
 func (t *target) stepUp() {
 	l := &t.core.limit
-	part := float64(t.now.Sub(t.judged.opened)) / float64(t.core.config.RampTime.D())
-	step := (l.slots() - l.floor()) * max(part, 1.0/rampSteps)
-	l.set(l.value + min(step, l.value))
+	part := float64(t.now.Sub(t.rampFrom)) / float64(t.core.config.RampTime.D())
+	line := l.floor() + (l.slots()-l.floor())*part
+	l.set(min(max(line, l.value), 2*l.value))
 }
 
-// stepDown lowers the limit of a ramping target, not below its floor.
+// stepDown lowers the limit of a ramping target, not below its floor. The ramp
+// goes on from there.
 func (t *target) stepDown() {
 	l := &t.core.limit
 	l.set(max(l.value*stepDownFactor, l.floor()))
+	if rest := l.slots() - l.floor(); rest > 0 {
+		part := (l.value - l.floor()) / rest
+		t.rampFrom = t.now.Add(-time.Duration(part * float64(t.core.config.RampTime.D())))
+	}
+}
+
+// allowTrial lets one call pass. The ramp counts from here, since the target
+// has come back by now.
+func (t *target) allowTrial() {
+	t.core.limit.value = 1
+	t.rampFrom = t.now
+}
+
+// toFloor begins a ramp.
+func (t *target) toFloor() {
+	t.core.limit.toFloor()
+	t.rampFrom = t.now
 }
 
 // closed returns why no call is taken, or no reason.
