Refuse sub-calls at once in a class that gets no slots

Cause: with the deep service of the co-operative slowed five times, 27% of the slots of timber-class were held by requests that waited for sub-calls which the deep service dropped later, at four nodes in turn.

--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -192,7 +192,7 @@
 		case !c.latency.feasible(now, e):
 			e.step(now, eventExpired)
 		default:
-			c.queue.charge(e)
+			c.queue.charge(now, e)
 			e.step(now, eventSlotFree)
 		}
 	}
@@ -220,6 +220,9 @@
 	if !customer.order.observe(now, now.Sub(customer.oldest().arrived)) {
 		return false
 	}
+	if c.queue.classes[e.rank].starved(now) && e.call.Depth > 0 {
+		return true
+	}
 	return now.Sub(e.arrived) > max(maxStanding, c.latency.class(e.rank).usual)
 }
 
--- a/policy/admission/execution.go
+++ b/policy/admission/execution.go
@@ -105,7 +105,14 @@
 
 func (e *execution) queueHasRoom() bool {
 	c := e.core
-	return c.queue.length < c.budget() && c.queue.belowPart(e, c.weight(e.call.Customer), c.budget())
+	return !e.hopeless() && c.queue.length < c.budget() && c.queue.belowPart(e, c.weight(e.call.Customer), c.budget())
+}
+
+// hopeless reports whether a sub-call would wait in a class that gets no
+// slots. It is refused at once, since it would hold the slot of its parent at
+// another target until it is dropped.
+func (e *execution) hopeless() bool {
+	return e.call.Depth > 0 && e.core.queue.classes[e.rank].starved(e.now)
 }
 
 func (e *execution) mayPushOut() bool { return e.victim() != nil }
@@ -113,6 +120,9 @@
 // victim returns the waiting call that e replaces, or nil.
 func (e *execution) victim() *execution {
 	c := e.core
+	if e.hopeless() {
+		return nil
+	}
 	if !c.queue.belowPart(e, c.weight(e.call.Customer), c.budget()) {
 		return c.queue.ownLater(e)
 	}
--- a/policy/admission/fairness.go
+++ b/policy/admission/fairness.go
@@ -1,6 +1,10 @@
 package admission
 
-import "github.com/oleanderworks/oleanderworks/model"
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
 
 // customerQueue holds the waiting calls of one customer in one class.
 //
@@ -132,10 +136,11 @@
 
 // charge books a waiting call that starts. A customer without deficit left
 // goes to the end of the round.
-func (q *queue) charge(e *execution) {
-	c := e.list.customer
+func (q *queue) charge(now time.Time, e *execution) {
+	class, c := q.classes[e.rank], e.list.customer
+	class.lastStart = now
 	if c.deficit--; c.deficit < 1 {
-		q.classes[e.rank].ring = c.next
+		class.ring = c.next
 	}
 }
 
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -36,9 +36,15 @@
 	ring      *customerQueue // whose turn it is; nil when none waits
 	weights   float64        // sum over the customers that wait
 	length    int
+	lastStart time.Time // last start of a waiting call, or begin of the waiting
 	lastShed  time.Time // last drop of a call of this class
 }
 
+// starved reports whether calls of the class wait and none of them starts.
+func (q *classQueue) starved(now time.Time) bool {
+	return q.length > 0 && now.Sub(q.lastStart) > maxStanding
+}
+
 // setClasses sets the shedding order of an empty queue.
 func (q *queue) setClasses(classes []model.Class) {
 	q.names = classes
@@ -64,6 +70,9 @@
 	class := q.classes[e.rank]
 	customer := class.customer(e.call.Customer, weight)
 	customer.list(e.call).append(e)
+	if class.length == 0 {
+		class.lastStart = e.now
+	}
 	class.length++
 	q.length++
 }
