--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -11,6 +11,7 @@
 	"github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
+	policy "github.com/oleanderworks/oleanderworks/policy/admission"
 	"github.com/oleanderworks/oleanderworks/transport/target"
 )
 
@@ -47,7 +48,7 @@
 	if verdict.Answer != nil {
 		return verdict.Answer
 	}
-	answer, used := s.run(running, call, began)
+	answer, used := s.run(running, call, verdict, began)
 	s.finish(answer)
 	if n, err := used.Wait(context.Background()); err == nil {
 		answer.RetriesUsed = n
@@ -55,9 +56,11 @@
 	return answer
 }
 
-// run hands a call to the target. While it runs, its sub-calls are accepted
-// under an opaque random id. used gets the retries that they took.
-func (s *Server) run(ctx context.Context, call *model.Call, began time.Time) (a *model.Answer, used ring.Reply[int]) {
+// run hands an admitted call to the target, unless the process was paused
+// since the decision: the fences that the call passed may not hold any more.
+// While it runs, its sub-calls are accepted under an opaque random id. used
+// gets the retries that they took.
+func (s *Server) run(ctx context.Context, call *model.Call, v admission.Verdict, began time.Time) (a *model.Answer, used ring.Reply[int]) {
 	contextID := rand.Text()
 	used = ring.NewReply[int]()
 	if err := s.Parents.Put(ctx, &routing.RegisterParent{ContextID: contextID, Call: call}); err != nil {
@@ -65,7 +68,11 @@
 		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), used
 	}
 	handed := time.Now()
-	a = s.Target.Do(ctx, call, contextID)
+	if handed.Before(v.Until) {
+		a = s.Target.Do(ctx, call, contextID)
+	} else {
+		a = model.Refusal(call.ID, model.ReasonNodeBusy, "the permission to run has expired before the handoff")
+	}
 	end := &routing.EndParent{
 		ContextID: contextID,
 		Canceled:  ctx.Err() != nil,
@@ -81,7 +88,8 @@
 // finish frees the slot. It waits for room in the ring, since a lost message
 // would hold the slot for ever.
 func (s *Server) finish(answer *model.Answer) {
-	done := &admission.Finish{Answer: answer, Reply: ring.NewReply[model.Load]()}
+	outcome := policy.OutcomeOf(answer, target.TakeStart(answer))
+	done := &admission.Finish{Answer: answer, Outcome: outcome, Reply: ring.NewReply[model.Load]()}
 	if err := s.Admission.Put(context.Background(), done); err != nil {
 		return
 	}
