--- a/agent/config.go
+++ b/agent/config.go
@@ -35,6 +35,8 @@
 	c.appender = appender.New(ctx, n.service, newRand(), n.log)
 	c.seeds = follower.NewSeeds(sessions, n.endpoint, n.settings.Peers, n.log)
 	c.duty, c.follower = follower.New(follower.Config{
+		Context:   ctx,
+		Service:   n.service,
 		Self:      n.self,
 		Streams:   n.streams(),
 		Rand:      newRand(),
@@ -67,12 +69,6 @@
 	c := &n.configuration
 	c.appender.Start(&n.tomb)
 	c.duty.Start(&n.tomb)
-	for _, stream := range n.streams() {
-		n.tomb.Go(func() error {
-			c.follower.Read(ctx, n.service, stream, c.duty.Ring())
-			return nil
-		})
-	}
 	n.tomb.Go(func() error {
 		c.seeds.Run(ctx)
 		return nil
--- a/agent/node.go
+++ b/agent/node.go
@@ -17,10 +17,13 @@
 	"github.com/oleanderworks/oleanderworks/agent/entry"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
+	"github.com/oleanderworks/oleanderworks/agent/quarantine"
+	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/admission"
@@ -47,8 +50,10 @@
 	log      *event.Log
 	service  logservice.Log
 	vars     *expvar.Map
+	checker  *invariant.Checker
 
 	routing   *duty.Duty[routingduty.Message]
+	quorum    *duty.Duty[quorum.Message]
 	admission *duty.Duty[admissionduty.Message]
 	links     *duty.Duty[links.Message]
 
@@ -99,22 +104,44 @@
 	if err != nil {
 		return err
 	}
-	n.admission = admissionduty.New(admission.New(n.self), n.log)
-	n.routing = routingduty.New(routing.New(n.self, newRand()), n.log)
-	server := &local.Server{Admission: n.admission.Ring(), Target: client}
+	ctx := n.tomb.Context(context.Background())
 	dispatcher := links.NewDispatcher(n.log)
-	n.endpoint = &peerlink.Endpoint{Self: n.self, Calls: server.Serve, Control: controlHandler(dispatcher)}
+	n.endpoint = &peerlink.Endpoint{Self: n.self, Control: controlHandler(dispatcher)}
 	var sessions *links.Handler
-	n.links, sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand()), n.endpoint, n.log)
+	n.links, sessions = links.New(ctx, n.self, link.New(newRand()), n.endpoint, n.log)
 	n.endpoint.Accepted = sessions.Accept
+
+	n.checker = invariant.New(n.log, nil)
+	table := n.newQuarantine(sessions, dispatcher)
+	admissionCore := admission.New(n.self, admission.Options{Rand: newRand(), Check: n.checker, Quarantine: table})
+	n.admission = admissionduty.New(ctx, admissionCore, client, table, n.log)
+	n.quorum = routingduty.NewStandIn()
+	var decisions *routingduty.Handler
+	n.routing, decisions = routingduty.New(routing.New(n.self, newRand(), n.checker), n.quorum.Ring(), n.log)
+	server := &local.Server{Admission: n.admission.Ring(), Target: client, Parents: n.routing.Ring()}
+	n.endpoint.Calls = server.Serve
 	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: sessions, Local: server.Serve}
 	n.buildConfiguration(sessions, dispatcher)
 	n.vars.Set("routing", n.routing.Vars())
+	n.vars.Set("calls", decisions.Vars())
+	n.vars.Set("invariant_breaches", expvar.Func(func() any { return n.checker.Breaches() }))
+	n.vars.Set("quorum", n.quorum.Vars())
 	n.vars.Set("admission", n.admission.Vars())
 	n.vars.Set("links", n.links.Vars())
 	return nil
 }
 
+// newQuarantine returns the quarantine table of the admission duty, which
+// talks to the other nodes of the service.
+func (n *Node) newQuarantine(s *links.Handler, d *links.Dispatcher) *quarantine.Table {
+	table := quarantine.New(n.self, s, n.log)
+	n.vars.Set("quarantine", table.Vars())
+	quarantine.Register(d, n.log, func(news quarantine.News) bool {
+		return n.admission.Ring().Offer(&admissionduty.QuarantineNews{News: news})
+	})
+	return table
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // controlHandler passes the frames of a control stream to their duties.
@@ -159,6 +186,7 @@
 func (n *Node) Start() {
 	n.admission.Start(&n.tomb)
 	n.routing.Start(&n.tomb)
+	n.quorum.Start(&n.tomb)
 	n.links.Start(&n.tomb)
 	n.startConfiguration(n.tomb.Context(context.Background()))
 	n.tomb.Go(func() error { return n.endpoint.Serve(&n.tomb, n.listeners.peer) })
--- a/model/builder.go
+++ b/model/builder.go
@@ -173,6 +173,9 @@
 	return v, err
 }
 
+// Service returns the current configuration of a service, or nil.
+func (b *Builder) Service(s Service) *ServiceConfig { return b.current.Services[s] }
+
 // Zones returns the availability zones that the documents or, without such
 // documents, the members name.
 func (b *Builder) Zones() []Zone {
--- a/policy/configlog/core_test.go
+++ b/policy/configlog/core_test.go
@@ -498,6 +498,19 @@
 	assert.Equal(t, epochs[1].From.Unix(), int64(20))
 }
 
+// Guards against a target whose node does not know the members of a service
+// that the configuration lets it call.
+func TestMembersOfCalledServicesAreFollowed(t *testing.T) {
+	f := newFleet(t, time.Hour)
+	n := f.add("suva")
+	registry := model.Member{NodeID: model.NodeID{Instance: "registry-1", Incarnation: 1}, Service: "registry"}
+	f.append(n, model.MemberStream("registry"), uuid.NewString(), model.MemberRecord{Member: registry})
+	service := model.Amendment{Document: "service/tally", Body: json.RawMessage(`{"calls":["registry"]}`)}
+	f.publish(model.Publication{Amendments: []model.Amendment{service}})
+	f.run(time.Second, step)
+	assert.Equal(t, len(n.latest.Members["registry"]), 1)
+}
+
 // Guards against a node that, after records expired, takes a loser of a race
 // for the winner and keeps it although a peer knows better.
 func TestGapIsSettledByPeer(t *testing.T) {
