Accept a withdrawal by region, by the nodes' confirmation

The operator is told the regions that did not confirm; nodes confirm only what they apply.

Conclusion: a withdrawal that is only in the log answers 202 with the missing regions; the same request succeeds once a majority confirmed.

--- a/agent/config_test.go
+++ b/agent/config_test.go
@@ -45,14 +45,14 @@
 	return n
 }
 
-func withdraw(t *testing.T, n *Node, key string) string {
+func withdraw(t *testing.T, n *Node, key string) []model.Region {
 	t.Helper()
 	body, err := json.Marshal(map[string]string{"key": key})
 	assert.NilError(t, err)
 	resp, err := http.Post("http://"+n.OpsAddress()+"/keys/withdraw", "application/json", bytes.NewReader(body))
 	assert.NilError(t, err)
 	defer resp.Body.Close()
-	var answer struct{ Accepted string }
+	var answer withdrawAnswer
 	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&answer))
 	return answer.Accepted
 }
@@ -92,10 +92,10 @@
 	assert.Assert(t, second.configuration.follower.View().LogContact.IsZero())
 
 	log.SetFaults(memlog.Faults{Down: true})
-	assert.Equal(t, withdraw(t, first, testKey), "peers")
+	assert.DeepEqual(t, withdraw(t, first, testKey), []model.Region{"viti"})
 	waitStatus(t, second, http.StatusUnauthorized)
 	waitStatus(t, first, http.StatusUnauthorized)
-	assert.Equal(t, withdraw(t, second, testKey), "peers")
+	assert.DeepEqual(t, withdraw(t, second, testKey), []model.Region{"viti"})
 
 	log.SetFaults(memlog.Faults{})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/agent/follower/duty.go
+++ b/agent/follower/duty.go
@@ -124,7 +124,7 @@
 	case *Withdraw:
 		done := func(a configlog.Acceptance) { m.Reply.Send(a) }
 		if !h.core.OnWithdraw(now, m.Hash, done) {
-			m.Reply.Send(configlog.NotAccepted)
+			m.Reply.Send(configlog.Acceptance{Missing: []model.Region{h.config.Self.Region}})
 		}
 	}
 }
--- a/agent/operators_config.go
+++ b/agent/operators_config.go
@@ -78,8 +78,16 @@
 	return model.ParseKeyHash(r.Hash)
 }
 
-// serveWithdraw answers 200 when the withdrawal is accepted, and 202 when
-// this node applies it but neither the log nor enough peers have it yet.
+// withdrawAnswer says where a withdrawal is in force for certain.
+type withdrawAnswer struct {
+	Key      string         `json:"key"`      // first digits of the hash
+	Accepted []model.Region `json:"accepted"` // regions
+	Missing  []model.Region `json:"missing"`  // regions that did not confirm
+	InLog    bool           `json:"in_log"`
+}
+
+// serveWithdraw answers 200 when each region has accepted the withdrawal, and
+// 202 when this node applies it but some region did not confirm.
 func (n *Node) serveWithdraw(w http.ResponseWriter, r bunrouter.Request) error {
 	var request withdrawRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOperatorBody)).Decode(&request); err != nil {
@@ -104,8 +112,13 @@
 		return nil
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if acceptance == configlog.NotAccepted {
+	if len(acceptance.Missing) > 0 {
 		w.WriteHeader(http.StatusAccepted)
 	}
-	return json.NewEncoder(w).Encode(map[string]string{"key": hash.Short(), "accepted": string(acceptance)})
+	return json.NewEncoder(w).Encode(withdrawAnswer{
+		Key:      hash.Short(),
+		Accepted: acceptance.Regions,
+		Missing:  acceptance.Missing,
+		InLog:    acceptance.InLog,
+	})
 }
--- a/command/key/withdraw.go
+++ b/command/key/withdraw.go
@@ -33,7 +33,8 @@
 		ShortHelp: "make a key stop working, for good",
 		LongHelp: "The argument is the key, its hash as \"key list\" shows it, or - to read either from the\n" +
 			"standard input, which keeps a key out of the shell's history. With --node the withdrawal\n" +
-			"travels from node to node and works while the log service is down.",
+			"travels from node to node, also while the log service is down, and counts as accepted when\n" +
+			"nodes in a majority of each region's availability zones confirm it.",
 		Flags: flags.Set,
 		Exec: func(ctx context.Context, args []string) error {
 			text, err := operator.One(args, "a key, its hash or -")
@@ -78,7 +79,10 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(stdout, "accepted: key %s is withdrawn, offset %d\n", hash.Short(), p.Offset)
+	fmt.Fprintf(stdout, "in the log: key %s is withdrawn, offset %d\n", hash.Short(), p.Offset)
+	if node == "" {
+		fmt.Fprintln(stdout, "nodes that reach the log apply it within seconds; --node URL waits for their confirmation")
+	}
 	return nil
 }
 
@@ -111,9 +115,12 @@
 	if err != nil {
 		return fault.At("withdraw key", node, err)
 	}
+	if resp.StatusCode == http.StatusAccepted {
+		return fault.New("withdraw key", node, "not confirmed in every region yet, run the command again: %s", strings.TrimSpace(string(answer)))
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fault.New("withdraw key", node, "status %d: %s", resp.StatusCode, strings.TrimSpace(string(answer)))
 	}
-	fmt.Fprintf(stdout, "node: %s\n", strings.TrimSpace(string(answer)))
+	fmt.Fprintf(stdout, "accepted: %s\n", strings.TrimSpace(string(answer)))
 	return nil
 }
--- a/model/builder.go
+++ b/model/builder.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"maps"
-	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -177,16 +176,19 @@
 func (b *Builder) Service(s Service) *ServiceConfig { return b.current.Services[s] }
 
 // Zones returns the availability zones that the documents or, without such
-// documents, the members name.
-func (b *Builder) Zones() []Zone {
-	if len(b.current.Zones) > 0 {
-		return slices.Collect(maps.Keys(b.current.Zones))
+// documents, the members name, with their regions.
+func (b *Builder) Zones() map[Zone]Region {
+	out := make(map[Zone]Region)
+	for zone, s := range b.current.Zones {
+		out[zone] = s.Region
+	}
+	if len(out) > 0 {
+		return out
 	}
-	seen := make(map[Zone]bool)
 	for _, members := range b.current.Members {
 		for _, m := range members {
-			seen[m.Zone] = true
+			out[m.Zone] = m.Region
 		}
 	}
-	return slices.Collect(maps.Keys(seen))
+	return out
 }
--- a/policy/configlog/core_test.go
+++ b/policy/configlog/core_test.go
@@ -338,7 +338,7 @@
 	f.run(5*step, step)
 	assert.Assert(t, f.all(func(n *testNode) bool { return !works(n) }))
 	assert.Assert(t, !works(newcomer))
-	assert.Equal(t, got, AcceptedByPeers)
+	assert.DeepEqual(t, got, Acceptance{Regions: []model.Region{"viti"}})
 	t.Logf("withdrawn on 6 nodes within %s", f.now.Sub(began))
 
 	f.nodes[0].alone, f.nodes[0].cutOff = true, true // its append is lost with it
@@ -353,6 +353,31 @@
 	assert.Assert(t, !works(f.nodes[1]))
 }
 
+// Guards against a withdrawal that counts as accepted because it is in the
+// log, although nodes in a majority of availability zones do not have it, and
+// against a region that the operator is not told about.
+func TestWithdrawalInLogAloneIsNotAccepted(t *testing.T) {
+	f := newFleet(t, time.Hour)
+	asked, other := f.add("suva"), f.add("nadi")
+	p := model.Publication{Amendments: zones("suva", "nadi", "lautoka")}
+	p.Amendments = append(p.Amendments, model.Amendment{Document: "zone/apia", Body: json.RawMessage(`{"region":"samoa"}`)})
+	f.publish(p)
+	f.run(time.Second, step)
+	other.alone, other.cutOff = true, true
+	var answers []Acceptance
+	note := func(a Acceptance) { answers = append(answers, a) }
+	hash := model.HashKey("secret")
+	assert.Assert(t, asked.core.OnWithdraw(f.now, hash, note))
+	f.run(withdrawPatience+time.Second, step)
+	assert.DeepEqual(t, answers, []Acceptance{{Missing: []model.Region{"samoa", "viti"}, InLog: true}})
+
+	other.alone, other.cutOff = false, false
+	assert.Assert(t, asked.core.OnWithdraw(f.now, hash, note))
+	f.run(withdrawPatience+time.Second, step)
+	assert.DeepEqual(t, answers[1], Acceptance{Regions: []model.Region{"viti"}, Missing: []model.Region{"samoa"}, InLog: true})
+	assert.Equal(t, len(asked.core.pending), 0)
+}
+
 // Guards against a log whose records have all expired while nodes, members
 // and groups still depend on them.
 func TestRefreshOutlivesRetention(t *testing.T) {
--- a/policy/configlog/withdraw.go
+++ b/policy/configlog/withdraw.go
@@ -23,15 +23,14 @@
 	maxPending = 10_000
 )
 
-// Acceptance says where a withdrawal is safe.
-type Acceptance string
-
-// Values of Acceptance.
-const (
-	AcceptedByLog   Acceptance = "log"   // it is in the log
-	AcceptedByPeers Acceptance = "peers" // nodes in a majority of availability zones have it
-	NotAccepted     Acceptance = "pending"
-)
+// Acceptance says where a withdrawal is in force for certain: in the regions
+// where nodes in a majority of availability zones have it. Being in the log
+// alone is not enough, since a node may be cut off from the log.
+type Acceptance struct {
+	Regions []model.Region // accepted
+	Missing []model.Region // not confirmed yet
+	InLog   bool           // seen in the log by this node
+}
 
 // Events of the key_withdrawal chart, in the chart's order.
 const (
@@ -60,53 +59,63 @@
 
 var withdrawalMachine = sync.OnceValue(func() *chart.Machine[*withdrawal] {
 	return chart.MustCompile(charts.MustRead("key_withdrawal"), chart.Binding[*withdrawal]{
-		States: []string{"spreading", "confirmed", "logged"},
+		States: []string{"spreading", "confirmed", "logged", "settled"},
 		Events: []string{"asked", "acknowledged", "repeat_due", "append_due", "patience_over", "seen_in_log"},
 		Guards: map[string]func(*withdrawal) bool{
-			"majority": (*withdrawal).majority,
-			"appended": func(w *withdrawal) bool { return w.appended },
+			"everywhere":     func(w *withdrawal) bool { return len(w.acceptance().Missing) == 0 },
+			"appended":       func(w *withdrawal) bool { return w.appended },
+			"operator_waits": func(w *withdrawal) bool { return len(w.waiters) > 0 },
 		},
 		Actions: map[string]func(*withdrawal){
-			"spread":         (*withdrawal).spread,
-			"append":         (*withdrawal).append,
-			"answer_peers":   func(w *withdrawal) { w.answer(AcceptedByPeers) },
-			"answer_pending": func(w *withdrawal) { w.answer(NotAccepted) },
-			"answer_log":     func(w *withdrawal) { w.answer(AcceptedByLog) },
+			"spread": (*withdrawal).spread,
+			"append": (*withdrawal).append,
+			"answer": (*withdrawal).answer,
 		},
 	})
 })
 
 // OnWithdraw withdraws a key on behalf of an operator. Done is called once,
-// without blocking. It reports false when too many withdrawals wait.
+// without blocking: when each region has accepted, or after some seconds. It
+// reports false when too many withdrawals wait.
 func (c *Core) OnWithdraw(now time.Time, hash model.KeyHash, done func(Acceptance)) bool {
-	if isWithdrawn(c.config.Document(keyDocument(hash))) {
-		done(AcceptedByLog)
-		return true
-	}
 	w := c.learnWithdrawal(now, hash)
+	inLog := isWithdrawn(c.config.Document(keyDocument(hash)))
+	if w == nil && inLog && len(c.pending) < maxPending {
+		w = c.newWithdrawal(now, hash)
+		w.appended = true
+	}
 	if w == nil {
 		return false
 	}
 	w.waiters = append(w.waiters, done)
 	w.giveUpAt = now.Add(withdrawPatience)
+	if inLog {
+		w.step(now, eventSeenInLog)
+	}
 	w.step(now, eventAsked)
 	return true
 }
 
-// OnWithdrawals takes withdrawals or confirmations from a peer.
+// OnWithdrawals takes withdrawals or confirmations from a peer. It confirms
+// what this node applies.
 func (c *Core) OnWithdrawals(now time.Time, from model.Member, m *Withdrawals) {
+	var applied []model.KeyHash
 	for _, hash := range m.Hashes {
 		if !m.Ack {
 			c.learnWithdrawal(now, hash)
 		}
-		if w := c.pending[hash]; w != nil {
+		w := c.pending[hash]
+		if w != nil || isWithdrawn(c.config.Document(keyDocument(hash))) {
+			applied = append(applied, hash)
+		}
+		if w != nil {
 			w.peers[from.Instance] = true
 			w.zones[from.Zone] = true
 			w.step(now, eventAcknowledged)
 		}
 	}
-	if !m.Ack {
-		c.emit(&Send{To: from.Instance, Withdrawals: &Withdrawals{Hashes: m.Hashes, Ack: true}})
+	if !m.Ack && len(applied) > 0 {
+		c.emit(&Send{To: from.Instance, Withdrawals: &Withdrawals{Hashes: applied, Ack: true}})
 	}
 }
 
@@ -119,6 +128,13 @@
 	if len(c.pending) >= maxPending || isWithdrawn(c.config.Document(keyDocument(hash))) {
 		return nil
 	}
+	c.builder.Withdraw(hash)
+	c.dirty = true
+	c.emit(&Notice{Kind: NoticeWithdrawn, ID: hash.Short()})
+	return c.newWithdrawal(now, hash)
+}
+
+func (c *Core) newWithdrawal(now time.Time, hash model.KeyHash) *withdrawal {
 	w := &withdrawal{
 		core:  c,
 		hash:  hash,
@@ -127,9 +143,6 @@
 		peers: make(map[model.Instance]bool),
 	}
 	c.pending[hash] = w
-	c.builder.Withdraw(hash)
-	c.dirty = true
-	c.emit(&Notice{Kind: NoticeWithdrawn, ID: hash.Short()})
 	w.step(now, eventRepeatDue)
 	return w
 }
@@ -193,17 +206,40 @@
 	return !now.Before(w.appendAt)
 }
 
-// majority reports whether nodes in a majority of availability zones have the
-// withdrawal.
-func (w *withdrawal) majority() bool {
-	known := w.core.builder.Zones()
-	have := 0
-	for _, zone := range known {
-		if w.zones[zone] {
-			have++
+// acceptance judges the zones that have confirmed, region by region.
+func (w *withdrawal) acceptance() Acceptance {
+	out := Acceptance{InLog: isWithdrawn(w.core.config.Document(keyDocument(w.hash)))}
+	for region, zones := range w.core.regions() {
+		have := 0
+		for _, zone := range zones {
+			if w.zones[zone] {
+				have++
+			}
+		}
+		if 2*have > len(zones) {
+			out.Regions = append(out.Regions, region)
+		} else {
+			out.Missing = append(out.Missing, region)
+		}
+	}
+	slices.Sort(out.Regions)
+	slices.Sort(out.Missing)
+	return out
+}
+
+// regions returns the availability zones of each region that the documents
+// name, besides this node's own.
+func (c *Core) regions() map[model.Region][]model.Zone {
+	out := make(map[model.Region][]model.Zone)
+	zones := c.builder.Zones()
+	zones[c.self.Zone] = c.self.Region
+	for zone, region := range zones {
+		if region == "" {
+			region = c.self.Region
 		}
+		out[region] = append(out[region], zone)
 	}
-	return 2*have > len(known)
+	return out
 }
 
 // spread sends the withdrawal to the peers that are not known to have it.
@@ -226,7 +262,8 @@
 	})
 }
 
-func (w *withdrawal) answer(a Acceptance) {
+func (w *withdrawal) answer() {
+	a := w.acceptance()
 	for _, done := range w.waiters {
 		done(a)
 	}
