--- a/agent/follower/duty.go
+++ b/agent/follower/duty.go
@@ -6,7 +6,9 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/core/duty"
@@ -15,6 +17,7 @@
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/configlog"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
 )
 
 const (
@@ -46,6 +49,7 @@
 	log         *event.Log
 	state       *configlog.State
 	members     map[model.Service]map[model.Instance]model.Member
+	groups      map[model.GroupKey][]model.GroupRecord
 	subscribers []Subscriber
 	sequence    uint64
 	current     *model.Snapshot
@@ -59,6 +63,7 @@
 		log:         log,
 		state:       configlog.NewState(),
 		members:     make(map[model.Service]map[model.Instance]model.Member),
+		groups:      make(map[model.GroupKey][]model.GroupRecord),
 		subscribers: subscribers,
 		pending:     make([]bool, len(subscribers)),
 	}
@@ -91,6 +96,10 @@
 			changed = h.applyConfig(r) || changed
 			continue
 		}
+		if strings.HasPrefix(page.Stream, model.GroupStream("")) {
+			changed = h.applyGroup(r) || changed
+			continue
+		}
 		changed = h.applyMember(r) || changed
 	}
 	return changed
@@ -132,6 +141,18 @@
 	return true
 }
 
+func (h *Handler) applyGroup(r logservice.Record) bool {
+	var record model.GroupRecord
+	if err := json.Unmarshal(r.Body, &record); err != nil {
+		h.log.Emit(event.RecordMalformed, "offset", r.Offset, "error", err)
+		return false
+	}
+	key := model.GroupKey{Region: record.Region, Group: record.Group}
+	epochs, ok := quorum.AppendRecord(h.groups[key], record)
+	h.groups[key] = epochs
+	return ok
+}
+
 func (h *Handler) publish() {
 	h.sequence++
 	s, err := model.NewSnapshot(h.sequence, h.state.Documents())
@@ -147,6 +168,7 @@
 			return cmp.Compare(a.Instance, b.Instance)
 		})
 	}
+	maps.Copy(s.Groups, h.groups)
 	h.current = s
 	for i := range h.pending {
 		h.pending[i] = true
--- a/agent/links/duty.go
+++ b/agent/links/duty.go
@@ -143,16 +143,25 @@
 	go h.watch(m.Session)
 }
 
-// wanted lists the members of the snapshot besides this node.
+// wanted lists the members of the snapshot besides this node, and the members
+// of quorum groups that serve other services.
 func (h *Handler) wanted(s *model.Snapshot) []model.Member {
 	var out []model.Member
-	for _, members := range s.Members {
+	known := map[model.Instance]bool{h.self.Instance: true}
+	add := func(members []model.Member) {
 		for _, m := range members {
-			if m.Instance != h.self.Instance {
+			if !known[m.Instance] {
+				known[m.Instance] = true
 				out = append(out, m)
 			}
 		}
 	}
+	for _, members := range s.Members {
+		add(members)
+	}
+	for _, epochs := range s.Groups {
+		add(epochs[len(epochs)-1].Members)
+	}
 	return out
 }
 
--- a/agent/node.go
+++ b/agent/node.go
@@ -21,10 +21,12 @@
 	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
+	quorumduty "github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/admission"
@@ -49,13 +51,14 @@
 	settings *settings.Node
 	self     model.Member
 	log      *event.Log
-	service  logservice.Log
+	service  *quorumduty.ContactLog
 	vars     *expvar.Map
 
 	routing   *duty.Duty[routingduty.Message]
 	admission *duty.Duty[admissionduty.Message]
 	follower  *duty.Duty[follower.Message]
 	links     *duty.Duty[links.Message]
+	quorum    *duty.Duty[quorumduty.Message]
 
 	endpoint  *peerlink.Endpoint
 	entry     *entry.Entry
@@ -73,7 +76,7 @@
 func New(s *settings.Node, log logservice.Log, out hclog.Logger) (*Node, error) {
 	n := &Node{
 		settings: s,
-		service:  log,
+		service:  quorumduty.NewContactLog(log, model.GroupStream(model.Region(s.Region))),
 		log:      event.New(out.Named(s.Instance)),
 		vars:     new(expvar.Map).Init(),
 	}
@@ -110,18 +113,32 @@
 	var sessions *links.Handler
 	n.links, sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand()), n.endpoint, n.log)
 	n.endpoint.Accepted = sessions.Accept
+	var quorumVars *expvar.Map
+	n.quorum, quorumVars = quorumduty.New(quorumduty.Config{
+		Self:    n.self,
+		Send:    quorumduty.SendOver(sessions, n.log),
+		Append:  quorumduty.AppendTo(n.tomb.Context(context.Background()), n.service, n.log),
+		Contact: n.service.Contact,
+		NewID:   uuid.NewString,
+		Rand:    newRand(),
+		Log:     n.log,
+		Checker: invariant.New(n.log, nil),
+	})
+	quorumduty.Register(dispatcher, n.quorum.Ring(), n.log)
 	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: sessions, Local: server.Serve}
 	n.follower = follower.New(n.log, []follower.Subscriber{
 		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
 		func(s *model.Snapshot) bool {
 			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
 		},
+		func(s *model.Snapshot) bool { return n.quorum.Ring().Offer(&quorumduty.SnapshotChanged{Snapshot: s}) },
 		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
 	})
 	n.vars.Set("routing", n.routing.Vars())
 	n.vars.Set("admission", n.admission.Vars())
 	n.vars.Set("follower", n.follower.Vars())
 	n.vars.Set("links", n.links.Vars())
+	n.vars.Set("quorum", quorumVars)
 	return nil
 }
 
@@ -170,6 +187,7 @@
 	n.admission.Start(&n.tomb)
 	n.routing.Start(&n.tomb)
 	n.links.Start(&n.tomb)
+	n.quorum.Start(&n.tomb)
 	n.follower.Start(&n.tomb)
 	ctx := n.tomb.Context(context.Background())
 	for _, stream := range n.streams() {
@@ -197,7 +215,7 @@
 	for _, s := range services {
 		streams = append(streams, model.MemberStream(model.Service(s)))
 	}
-	return streams
+	return append(streams, model.GroupStream(n.self.Region))
 }
 
 // announce appends the target to the members of its service.
--- /dev/null
+++ b/agent/quorum/dispatch.go
@@ -0,0 +1,162 @@
+package quorum
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+)
+
+// dispatch passes a message to its core and sends the answer.
+func (h *Handler) dispatch(now time.Time, from model.Instance, m quorum.Message) {
+	switch m := m.(type) {
+	case *quorum.ProbeRequest:
+		h.send(from, h.votes.OnProbe(now, m))
+	case *quorum.ProbeAnswer:
+		h.composer.OnProbeAnswer(now, m)
+	case *quorum.SealRequest:
+		h.send(from, h.votes.OnSeal(now, m))
+	case *quorum.SealAnswer:
+		h.composer.OnSealAnswer(now, m)
+	case *tokenlease.PromiseRequest:
+		h.send(from, h.promises.OnRequest(now, m))
+	case *tokenlease.PromiseAnswer:
+		h.leases.OnAnswer(now, m)
+	case *tokenlease.PromiseRelease:
+		h.promises.OnRelease(now, m)
+	case *tokenlease.TokenRequest:
+		h.send(from, h.grant(now, m))
+	case *tokenlease.TokenAnswer:
+		h.acquirer.OnAnswer(now, from, m)
+	case *record.ClaimRequest:
+		h.send(from, h.store.OnClaim(now, m))
+	case *record.ClaimAnswer:
+		h.claimant.OnAnswer(now, m)
+	case *record.ClaimRelease:
+		h.store.OnRelease(now, m)
+	case *record.ClaimComplete:
+		h.store.OnComplete(now, m)
+	}
+}
+
+// grant answers a request for tokens. A node that is not grantor names the
+// one to which its voter promised the lease.
+func (h *Handler) grant(now time.Time, r *tokenlease.TokenRequest) *tokenlease.TokenAnswer {
+	grantor := h.leases.Grantor(now, r.Key)
+	customer := h.directory.Customer(r.Customer)
+	if grantor == nil || customer == nil {
+		a := &tokenlease.TokenAnswer{Customer: r.Customer, Sequence: r.Sequence, NotGrantor: true}
+		if holder, ok := h.promises.Holder(now, r.Key); ok {
+			a.Grantor = holder.Instance
+		}
+		return a
+	}
+	a := grantor.Grant(now, customer, r.Want)
+	a.Customer, a.Sequence = r.Customer, r.Sequence
+	h.metrics.granted.Add(int64(a.Granted))
+	return &a
+}
+
+// speaksFor reports whether an instance may send m: it votes, claims and
+// leases only for itself.
+func speaksFor(from model.Instance, m quorum.Message) bool {
+	switch m := m.(type) {
+	case *quorum.ProbeAnswer:
+		return m.Voter.Instance == from
+	case *quorum.SealAnswer:
+		return m.Ballot.Voter.Instance == from && m.Voter.Instance == from
+	case *tokenlease.PromiseRequest:
+		return m.Holder.Instance == from
+	case *tokenlease.PromiseAnswer:
+		return m.Ballot.Voter.Instance == from
+	case *tokenlease.PromiseRelease:
+		return m.Holder.Instance == from
+	case *record.ClaimRequest:
+		return m.Holder.Node.Instance == from
+	case *record.ClaimAnswer:
+		return m.Ballot.Voter.Instance == from
+	case *record.ClaimRelease:
+		return m.Holder.Node.Instance == from
+	case *record.ClaimComplete:
+		return m.Holder.Node.Instance == from
+	default:
+		return true
+	}
+}
+
+// flush sends what the cores decided. Messages to this node itself are
+// handled at once, without the network.
+func (h *Handler) flush(now time.Time) {
+	for {
+		h.collect()
+		if len(h.local) == 0 {
+			break
+		}
+		batch := h.local
+		h.local = nil
+		for _, m := range batch {
+			h.dispatch(now, h.config.Self.Instance, m)
+		}
+	}
+	for _, r := range h.composer.Proposals() {
+		h.logProposed(&r)
+		h.config.Append(r)
+	}
+	h.deliver()
+}
+
+func (h *Handler) collect() {
+	outboxes := []*quorum.Outbox{&h.composer.Outbox, &h.leases.Outbox, &h.acquirer.Outbox, &h.claimant.Outbox}
+	for _, o := range outboxes {
+		for _, m := range o.Outgoing() {
+			h.send(m.To, m.Message)
+		}
+	}
+}
+
+func (h *Handler) send(to model.Instance, m quorum.Message) {
+	if to == h.config.Self.Instance {
+		h.local = append(h.local, m)
+		return
+	}
+	if !h.config.Send(to, m) {
+		h.metrics.unsent.Add(1)
+		h.config.Log.Emit(event.QuorumUnsent, "peer", to)
+	}
+}
+
+func (h *Handler) deliver() {
+	for _, d := range h.acquirer.Deliveries() {
+		if d.Result.Reason != model.ReasonNone {
+			h.metrics.refused.Add(1)
+			h.config.Log.Emit(event.TokensRefused, "customer", d.Result.Customer, "reason", d.Result.Reason)
+		}
+		d.Deliver(d.Result)
+	}
+	for _, d := range h.claimant.Deliveries() {
+		h.metrics.claims.Add(1)
+		if d.Result.Outcome != record.Granted {
+			h.config.Log.Emit(event.ClaimRefused, "outcome", d.Result.Outcome)
+		}
+		d.Deliver(d.Result)
+	}
+}
+
+func (h *Handler) logComposed(r *model.GroupRecord) {
+	instances := make([]model.Instance, len(r.Members))
+	for i, m := range r.Members {
+		instances[i] = m.Instance
+	}
+	h.config.Log.Emit(event.GroupComposed, "group", r.Group, "epoch", r.Epoch, "members", instances, "from", r.From)
+}
+
+func (h *Handler) logProposed(r *model.GroupRecord) {
+	d := event.GroupProposed
+	if !r.Sealed {
+		d = event.GroupUnsealed
+	}
+	h.config.Log.Emit(d, "group", r.Group, "epoch", r.Epoch, "from", r.From)
+}
--- /dev/null
+++ b/agent/quorum/duty.go
@@ -0,0 +1,189 @@
+package quorum
+
+import (
+	"expvar"
+	"math/rand/v2"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/core/duty"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+)
+
+const (
+	// ringCapacity bounds the waiting messages. A peer's message beyond it is
+	// dropped, which counts as no vote.
+	ringCapacity = 8192
+	// refreshInterval is the time between two looks at compositions that
+	// start or end by time.
+	refreshInterval = time.Second
+)
+
+// Config holds what the duty needs from its node.
+type Config struct {
+	Self model.Member
+	// Send passes a message to a peer. It does not block and reports false
+	// when there is no link.
+	Send func(to model.Instance, m quorum.Message) bool
+	// Append appends a composition to the log. It does not block; a record
+	// that does not come back is proposed again.
+	Append func(model.GroupRecord)
+	// Contact returns the time of the latest contact to the log.
+	Contact func() time.Time
+	// NewID makes the ids of log records.
+	NewID   func() string
+	Rand    *rand.Rand
+	Log     *event.Log
+	Checker *invariant.Checker // may be nil
+}
+
+// Handler is the logic of the quorum duty. It owns the node's votes, lease
+// promises, request records and buckets, and the questions under way on
+// behalf of its callers.
+type Handler struct {
+	config    Config
+	directory *quorum.Directory
+	votes     *quorum.Votes
+	composer  *quorum.Composer
+	promises  *tokenlease.Promises
+	leases    *tokenlease.Leases
+	acquirer  *tokenlease.Acquirer
+	store     *record.Store
+	claimant  *record.Claimant
+
+	known     map[model.GroupKey]uint64 // epochs that were logged
+	refreshAt time.Time
+	local     []quorum.Message // messages of this node to itself
+	metrics   *metrics
+}
+
+// New returns the duty and its metrics.
+func New(c Config) (*duty.Duty[Message], *expvar.Map) {
+	h := NewHandler(c)
+	d := duty.New[Message]("quorum", ringCapacity, h)
+	vars := d.Vars()
+	h.metrics.addTo(vars)
+	return d, vars
+}
+
+// NewHandler returns the logic of the duty, to run on one thread.
+func NewHandler(c Config) *Handler {
+	votes := quorum.NewVotes(c.Self.NodeID, c.Rand)
+	promises := tokenlease.NewPromises(votes)
+	return &Handler{
+		config:    c,
+		directory: quorum.NewDirectory(c.Self.Region, nil),
+		votes:     votes,
+		composer:  quorum.NewComposer(c.Self, votes, c.NewID),
+		promises:  promises,
+		leases:    tokenlease.NewLeases(votes, promises, c.Rand, c.Checker),
+		acquirer:  tokenlease.NewAcquirer(),
+		store:     record.NewStore(votes),
+		claimant:  record.NewClaimant(c.Self.NodeID, c.Rand),
+		known:     make(map[model.GroupKey]uint64),
+		metrics:   new(metrics),
+	}
+}
+
+// Handle implements duty.Handler.
+func (h *Handler) Handle(now time.Time, batch []Message) {
+	h.votes.OnContact(h.config.Contact())
+	for _, m := range batch {
+		h.handle(now, m)
+		h.flush(now)
+	}
+}
+
+func (h *Handler) handle(now time.Time, m Message) {
+	switch m := m.(type) {
+	case *AcquireTokens:
+		h.acquirer.OnAcquire(now, m.Customer, m.Want, m.Deliver)
+	case *AcquireClaim:
+		h.claimant.OnAcquire(now, record.Request{
+			Key: record.Key{Customer: m.Customer, ID: m.RequestID}, Call: m.CallID, Target: m.Target, Attempt: m.Attempt,
+		}, m.Deliver)
+	case *CompleteClaim:
+		h.claimant.OnComplete(m.Claim, m.Answer)
+	case *ReleaseClaim:
+		h.claimant.OnRelease(m.Claim)
+	case *PeerMessage:
+		if !speaksFor(m.From, m.Message) {
+			h.config.Log.Emit(event.QuorumMalformed, "peer", m.From)
+			return
+		}
+		h.dispatch(now, m.From, m.Message)
+	case *SnapshotChanged:
+		h.onSnapshot(now, m.Snapshot)
+	}
+}
+
+func (h *Handler) onSnapshot(now time.Time, s *model.Snapshot) {
+	h.directory = quorum.NewDirectory(h.config.Self.Region, s)
+	h.acquirer.OnDirectory(h.directory)
+	h.claimant.OnDirectory(h.directory)
+	h.refresh(now)
+	h.composer.OnSnapshot(now, s, h.directory)
+}
+
+// refresh brings votes and leases in line with the compositions that hold at
+// now.
+func (h *Handler) refresh(now time.Time) {
+	h.refreshAt = now.Add(refreshInterval)
+	keys := make([]model.GroupKey, h.directory.GroupCount())
+	for i := range keys {
+		keys[i] = model.GroupKey{Region: h.config.Self.Region, Group: i}
+		h.refreshVotes(now, keys[i])
+	}
+	h.leases.OnDirectory(now, keys, h.directory)
+}
+
+func (h *Handler) refreshVotes(now time.Time, key model.GroupKey) {
+	epochs := h.directory.Epochs(key)
+	for i := range epochs {
+		if i+1 < len(epochs) {
+			h.votes.OnSuccessor(now, &epochs[i+1], record.Keep)
+			continue
+		}
+		h.votes.OnRecord(now, &epochs[i])
+		if h.known[key] != epochs[i].Epoch {
+			h.known[key] = epochs[i].Epoch
+			h.logComposed(&epochs[i])
+		}
+	}
+}
+
+// Tick implements duty.Handler.
+func (h *Handler) Tick(now time.Time) time.Time {
+	h.votes.OnContact(h.config.Contact())
+	if !h.refreshAt.After(now) {
+		h.refresh(now)
+	}
+	next := h.refreshAt
+	for _, tick := range []func(time.Time) time.Time{
+		h.composer.Tick, h.leases.Tick, h.acquirer.Tick, h.claimant.Tick, h.store.Tick,
+	} {
+		if t := tick(now); !t.IsZero() && t.Before(next) {
+			next = t
+		}
+	}
+	h.flush(now)
+	h.metrics.update(h)
+	return next
+}
+
+// Paused implements duty.PauseObserver. Durations that the node measured may
+// be wrong, so it gives up what rests on them and goes on under a new voter
+// incarnation, which a next composition names.
+func (h *Handler) Paused(now time.Time, gap time.Duration) {
+	h.config.Log.Emit(event.VotesRetired, "gap", gap)
+	h.leases.GiveUp(now)
+	h.promises.Forget()
+	h.votes.Retire(now)
+	h.composer.OnPaused(now)
+	h.metrics.pauses.Add(1)
+	h.flush(now)
+}
--- a/agent/quorum/messages.go
+++ b/agent/quorum/messages.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
 	"github.com/oleanderworks/oleanderworks/policy/record"
 	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
 )
@@ -40,6 +41,12 @@
 // ReleaseClaim gives up a claim that was certainly not handed to a target.
 type ReleaseClaim struct{ Claim *model.Claim }
 
+// PeerMessage is a message of the quorum duty of another node.
+type PeerMessage struct {
+	From    model.Instance
+	Message quorum.Message
+}
+
 // SnapshotChanged carries a new configuration.
 type SnapshotChanged struct{ Snapshot *model.Snapshot }
 
@@ -47,4 +54,5 @@
 func (*AcquireClaim) quorumMessage()    {}
 func (*CompleteClaim) quorumMessage()   {}
 func (*ReleaseClaim) quorumMessage()    {}
+func (*PeerMessage) quorumMessage()     {}
 func (*SnapshotChanged) quorumMessage() {}
--- /dev/null
+++ b/agent/quorum/peers.go
@@ -0,0 +1,94 @@
+package quorum
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/agent/links"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/ring"
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+// appendTimeout bounds one append of a composition.
+const appendTimeout = 5 * time.Second
+
+// Register passes the peers' messages to the duty's ring. When it is full the
+// message is dropped and counted; the sender counts no vote and asks again.
+func Register(d *links.Dispatcher, inbox *ring.Ring[Message], log *event.Log) {
+	for _, kind := range []uint32{wire.KindVote, wire.KindTokens} {
+		d.Register(kind, func(from model.Member, body []byte) {
+			m, err := wire.DecodeQuorum(kind, body)
+			if err != nil {
+				log.Emit(event.QuorumMalformed, "peer", from.Instance, "error", err)
+				return
+			}
+			if !inbox.Offer(&PeerMessage{From: from.Instance, Message: m}) {
+				log.Emit(event.QuorumBusy, "peer", from.Instance)
+			}
+		})
+	}
+}
+
+// SendOver returns the duty's way to its peers.
+func SendOver(h *links.Handler, log *event.Log) func(model.Instance, quorum.Message) bool {
+	return func(to model.Instance, m quorum.Message) bool {
+		kind, frame, err := wire.EncodeQuorum(m)
+		if err != nil {
+			log.Emit(event.QuorumMalformed, "peer", to, "error", err)
+			return false
+		}
+		return h.Send(to, kind, frame)
+	}
+}
+
+// AppendTo returns the duty's way to the log. Each append runs on a goroutine
+// of its own, since appends block; a composition is rare.
+func AppendTo(ctx context.Context, service logservice.Log, log *event.Log) func(model.GroupRecord) {
+	return func(r model.GroupRecord) {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+			defer cancel()
+			body, err := json.Marshal(r)
+			if err == nil {
+				_, err = service.Append(ctx, model.GroupStream(r.Region), r.ID, body)
+			}
+			if err != nil {
+				log.Emit(event.LogUnavailable, "step", "append composition", "error", err)
+			}
+		}()
+	}
+}
+
+// ContactLog is a log service that notes when a stream was last read.
+type ContactLog struct {
+	logservice.Log
+	stream string
+	latest atomic.Pointer[time.Time]
+}
+
+// NewContactLog watches the reads of one stream of log.
+func NewContactLog(log logservice.Log, stream string) *ContactLog {
+	l := &ContactLog{Log: log, stream: stream}
+	l.latest.Store(new(time.Time))
+	return l
+}
+
+// Read implements logservice.Log.
+func (l *ContactLog) Read(ctx context.Context, stream string, from logservice.Offset, opts logservice.ReadOptions) (logservice.Page, error) {
+	page, err := l.Log.Read(ctx, stream, from, opts)
+	if err == nil && stream == l.stream {
+		now := time.Now()
+		l.latest.Store(&now)
+	}
+	return page, err
+}
+
+// Contact returns the time of the latest successful read, or the zero time.
+// It is safe for use by several threads.
+func (l *ContactLog) Contact() time.Time { return *l.latest.Load() }
--- /dev/null
+++ b/agent/quorum_test.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	quorumduty "github.com/oleanderworks/oleanderworks/agent/quorum"
+	"github.com/oleanderworks/oleanderworks/core/ring"
+	"github.com/oleanderworks/oleanderworks/logservice/memlog"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+)
+
+const waitLimit = 10 * time.Second
+
+func acquireTokens(t *testing.T, n *Node, want int) tokenlease.Result {
+	t.Helper()
+	reply := ring.NewReply[tokenlease.Result]()
+	assert.Assert(t, n.quorum.Ring().Offer(&quorumduty.AcquireTokens{
+		Customer: "herders", Want: want, Deliver: func(r tokenlease.Result) { reply.Send(r) },
+	}))
+	return await(t, reply)
+}
+
+func acquireClaim(t *testing.T, n *Node, id model.RequestID, call model.CallID) record.Result {
+	t.Helper()
+	reply := ring.NewReply[record.Result]()
+	assert.Assert(t, n.quorum.Ring().Offer(&quorumduty.AcquireClaim{
+		CallID: call, Customer: "herders", RequestID: id, Target: n.self.NodeID,
+		Deliver: func(r record.Result) { reply.Send(r) },
+	}))
+	return await(t, reply)
+}
+
+func await[T any](t *testing.T, reply ring.Reply[T]) T {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	v, err := reply.Wait(ctx)
+	assert.NilError(t, err)
+	return v
+}
+
+func quorumFleet(t *testing.T, instances ...string) []*Node {
+	t.Helper()
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publish(t, log, map[string]any{
+		model.FleetDocument: model.FleetConfig{Classes: []model.Class{"filing"}, Groups: 2},
+		"service/tally":     model.ServiceConfig{Slots: 4, Routes: []model.Route{{Prefix: "/", Class: "filing"}}},
+		"customer/herders":  model.CustomerConfig{Name: "herders", Rate: 1000, Burst: 1000, Home: "viti"},
+	})
+	var nodes []*Node
+	for _, instance := range instances {
+		nodes = append(nodes, startNode(t, log, instance, "tally", "http://127.0.0.1:1"))
+	}
+	return nodes
+}
+
+// Guards against a break on the path of tokens and claims from a node's ring
+// through composition, links and votes and back, in fleets of one to three.
+func TestFleetGrantsTokensAndClaims(t *testing.T) {
+	for _, instances := range [][]string{{"tally-1"}, {"tally-1", "tally-2"}, {"tally-1", "tally-2", "tally-3"}} {
+		t.Run(instances[len(instances)-1], func(t *testing.T) {
+			nodes := quorumFleet(t, instances...)
+			// A first composition comes within a second; ids made before it
+			// are too old for it.
+			assert.Equal(t, acquireTokens(t, nodes[0], 1).Grant.Count, 1)
+			for _, n := range nodes {
+				r := acquireTokens(t, n, 5)
+				assert.Assert(t, r.Grant.Count >= 1, "%+v", r)
+			}
+			id := uuid.Must(uuid.NewV7())
+			last := nodes[len(nodes)-1]
+			granted := acquireClaim(t, nodes[0], id, 1)
+			assert.Equal(t, granted.Outcome, record.Granted)
+			assert.Equal(t, acquireClaim(t, last, id, 2).Outcome, record.InProgress)
+
+			answer := &model.Answer{Run: model.Completed, Status: 201, Body: []byte("filed")}
+			assert.Assert(t, nodes[0].quorum.Ring().Offer(&quorumduty.CompleteClaim{Claim: granted.Claim, Answer: answer}))
+			replay := acquireClaim(t, last, id, 3)
+			for replay.Outcome == record.InProgress {
+				replay = acquireClaim(t, last, id, 3)
+			}
+			assert.Equal(t, replay.Outcome, record.Replay)
+			assert.Equal(t, string(replay.Answer.Body), "filed")
+			assert.Equal(t, replay.Answer.Status, 201)
+		})
+	}
+}
--- /dev/null
+++ b/policy/quorum/candidates.go
@@ -0,0 +1,70 @@
+package quorum
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// GroupSize is the number of members of a group where there are enough nodes.
+const GroupSize = 3
+
+// ranked returns the region's members that may vote, best rank for the group
+// first. Members of zones and targets out of service take no new votes.
+func ranked(s *model.Snapshot, key model.GroupKey) []model.Member {
+	var out []model.Member
+	for _, members := range s.Members {
+		for _, m := range members {
+			if m.Region == key.Region && !s.Zones[m.Zone].Out && !s.Targets[m.Instance].Out {
+				out = append(out, m)
+			}
+		}
+	}
+	prefix := strconv.Itoa(key.Group) + "/"
+	ranks := make(map[model.Instance]uint64, len(out))
+	for _, m := range out {
+		ranks[m.Instance] = xxhash.Sum64String(prefix + string(m.Instance))
+	}
+	slices.SortFunc(out, func(a, b model.Member) int {
+		return cmp.Or(cmp.Compare(ranks[b.Instance], ranks[a.Instance]), cmp.Compare(a.Instance, b.Instance))
+	})
+	return out
+}
+
+// choose picks up to GroupSize members: survivors before others, and each
+// availability zone once before any zone twice.
+func choose(survivors, candidates []model.Member) []model.Member {
+	var chosen []model.Member
+	zones := make(map[model.Zone]bool)
+	pick := func(from []model.Member, newZoneOnly bool) {
+		for _, m := range from {
+			if len(chosen) == GroupSize || contains(chosen, m.Instance) || newZoneOnly && zones[m.Zone] {
+				continue
+			}
+			zones[m.Zone] = true
+			chosen = append(chosen, m)
+		}
+	}
+	pick(survivors, true)
+	pick(candidates, true)
+	pick(survivors, false)
+	pick(candidates, false)
+	return chosen
+}
+
+func contains(members []model.Member, i model.Instance) bool {
+	return slices.ContainsFunc(members, func(m model.Member) bool { return m.Instance == i })
+}
+
+// spread returns the number of members and of availability zones.
+func spread(members []model.Member) (size, zones int) {
+	seen := make(map[model.Zone]bool)
+	for _, m := range members {
+		seen[m.Zone] = true
+	}
+	return len(members), len(seen)
+}
--- /dev/null
+++ b/policy/quorum/directory.go
@@ -0,0 +1,126 @@
+// Package quorum decides the composition of quorum groups, maps customers and
+// requests to them and keeps a node's standing as a voter.
+package quorum
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Directory maps customers and requests to groups and epochs. It reads one
+// snapshot; every node that has the same log records gives the same answers.
+type Directory struct {
+	region   model.Region
+	snapshot *model.Snapshot
+}
+
+// NewDirectory returns a directory of a snapshot. Customers without a home
+// belong to region.
+func NewDirectory(region model.Region, s *model.Snapshot) *Directory {
+	return &Directory{region: region, snapshot: s}
+}
+
+// Customer returns the configuration of a customer, or nil.
+func (d *Directory) Customer(c model.Customer) *model.CustomerConfig {
+	if d.snapshot == nil {
+		return nil
+	}
+	return d.snapshot.Customers[c]
+}
+
+// GroupCount returns the number of groups in each region, at least 1.
+func (d *Directory) GroupCount() int {
+	if d.snapshot == nil {
+		return 1
+	}
+	return max(d.snapshot.Fleet.Groups, 1)
+}
+
+// GroupOf returns the group that keeps the customer's rate.
+func (d *Directory) GroupOf(c model.Customer) model.GroupKey {
+	return d.place(c, xxhash.Sum64String(string(c)))
+}
+
+// GroupOfRequest returns the group that keeps the record of a request.
+func (d *Directory) GroupOfRequest(c model.Customer, id model.RequestID) model.GroupKey {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(c))
+	_, _ = h.Write(id[:])
+	return d.place(c, h.Sum64())
+}
+
+func (d *Directory) place(c model.Customer, key uint64) model.GroupKey {
+	return model.GroupKey{Region: d.home(c), Group: rendezvous(key, d.GroupCount())}
+}
+
+func (d *Directory) home(c model.Customer) model.Region {
+	if config := d.Customer(c); config != nil && config.Home != "" {
+		return config.Home
+	}
+	return d.region
+}
+
+// rendezvous returns the number below n with the highest hash together with
+// key. A larger n moves only the keys that the new numbers win.
+func rendezvous(key uint64, n int) int {
+	var best uint64
+	winner := 0
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], key)
+	for i := range n {
+		binary.LittleEndian.PutUint64(buf[8:], uint64(i))
+		if h := xxhash.Sum64(buf[:]); i == 0 || h > best {
+			best, winner = h, i
+		}
+	}
+	return winner
+}
+
+// Epochs returns the compositions of a group in ascending order of epoch.
+func (d *Directory) Epochs(key model.GroupKey) []model.GroupRecord {
+	if d.snapshot == nil {
+		return nil
+	}
+	return d.snapshot.Groups[key]
+}
+
+// EpochAt returns the composition to which an id made at t belongs: the one
+// that starts last at or before t. It returns nil when t is before all.
+func (d *Directory) EpochAt(key model.GroupKey, t time.Time) *model.GroupRecord {
+	epochs := d.Epochs(key)
+	for i := len(epochs) - 1; i >= 0; i-- {
+		if !epochs[i].From.After(t) {
+			return &epochs[i]
+		}
+	}
+	return nil
+}
+
+// Latest returns the composition with the highest epoch, or nil.
+func (d *Directory) Latest(key model.GroupKey) *model.GroupRecord {
+	epochs := d.Epochs(key)
+	if len(epochs) == 0 {
+		return nil
+	}
+	return &epochs[len(epochs)-1]
+}
+
+// LeaseEpoch returns the composition whose members promise the group's lease
+// at now. An unsealed composition promises nothing before its start, since
+// members of the one before may still vote.
+func (d *Directory) LeaseEpoch(key model.GroupKey, now time.Time) *model.GroupRecord {
+	epochs := d.Epochs(key)
+	for i := len(epochs) - 1; i >= 0; i-- {
+		if epochs[i].Sealed || !epochs[i].From.After(now) {
+			return &epochs[i]
+		}
+	}
+	return nil
+}
+
+// Majority returns the number of votes that decide among n members.
+func Majority(n int) int { return n/2 + 1 }
--- /dev/null
+++ b/policy/quorum/votes.go
@@ -0,0 +1,191 @@
+package quorum
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	// Horizon bounds how long a voter without contact to the log goes on. An
+	// unsealed composition starts after it.
+	Horizon = 15 * time.Minute
+	// clockAllowance is the assumed bound on the difference between the wall
+	// clocks of two instances.
+	clockAllowance = time.Minute
+	// idResolution is the resolution of the time in a request id.
+	idResolution = time.Millisecond
+)
+
+// epochKey names one epoch of a group.
+type epochKey struct {
+	key   model.GroupKey
+	epoch uint64
+}
+
+// membership is the standing of this node's voter in one epoch.
+type membership struct {
+	voter    model.NodeID
+	learned  time.Time // when this node read the composition
+	standing Standing
+	sealTime time.Time // ids from here on are refused when sealed
+	accepted time.Time // largest time of an accepted id
+	end      time.Time // start of the successor; zero when there is none
+}
+
+// Votes keeps in which epochs this node votes. It lives in memory and is
+// bound to a voter incarnation: a node that restarts or was paused is in no
+// group until a composition names its new incarnation.
+type Votes struct {
+	rng     *rand.Rand
+	voter   model.NodeID
+	former  []model.NodeID // retired incarnations of this process
+	members map[epochKey]*membership
+	contact time.Time // latest contact to the log
+}
+
+// NewVotes returns the votes of a node that has started.
+func NewVotes(self model.NodeID, rng *rand.Rand) *Votes {
+	return &Votes{rng: rng, voter: self, members: make(map[epochKey]*membership)}
+}
+
+// Voter returns the incarnation that new compositions name.
+func (v *Votes) Voter() model.NodeID { return v.voter }
+
+// OnContact records the time of the latest contact to the log.
+func (v *Votes) OnContact(t time.Time) {
+	if t.After(v.contact) {
+		v.contact = t
+	}
+}
+
+// OnRecord takes the composition of an epoch.
+func (v *Votes) OnRecord(now time.Time, r *model.GroupRecord) {
+	k := epochKey{model.GroupKey{Region: r.Region, Group: r.Group}, r.Epoch}
+	if v.members[k] != nil {
+		return
+	}
+	for _, m := range r.Members {
+		if m.NodeID == v.voter {
+			v.members[k] = &membership{voter: v.voter, learned: now, standing: StandingMember}
+		}
+	}
+}
+
+// OnSuccessor takes the composition after an epoch. The epoch ends where the
+// successor starts; it is dropped keep after that, when no id of it is valid
+// any more. Before an unsealed successor starts, the epoch goes on.
+func (v *Votes) OnSuccessor(now time.Time, next *model.GroupRecord, keep time.Duration) {
+	k := epochKey{model.GroupKey{Region: next.Region, Group: next.Group}, next.Epoch - 1}
+	m := v.members[k]
+	if m == nil {
+		return
+	}
+	m.end = next.From
+	if next.Sealed || !now.Before(next.From.Add(-clockAllowance)) {
+		m.seal(next.From)
+	}
+	if now.After(next.From.Add(keep)) {
+		delete(v.members, k)
+	}
+}
+
+// Standing returns the standing of the addressed voter at now.
+func (v *Votes) Standing(now time.Time, b Ballot) Standing {
+	if b.Voter != v.voter && !slices.Contains(v.former, b.Voter) {
+		return StandingGone
+	}
+	m := v.members[epochKey{b.Key, b.Epoch}]
+	if m == nil || m.voter != b.Voter {
+		return StandingNone
+	}
+	if m.standing == StandingMember && v.contactLost(now) {
+		return StandingNone
+	}
+	return m.standing
+}
+
+func (v *Votes) contactLost(now time.Time) bool { return now.Sub(v.contact) > Horizon }
+
+// MayPromise reports whether the addressed voter may promise a lease. A voter
+// waits until promises of the epoch before have lapsed.
+func (v *Votes) MayPromise(now time.Time, b Ballot, lapse time.Duration) bool {
+	if v.Standing(now, b) != StandingMember {
+		return false
+	}
+	m := v.members[epochKey{b.Key, b.Epoch}]
+	return b.Epoch == 1 || now.Sub(m.learned) >= lapse
+}
+
+// AcceptID decides whether the addressed voter may accept a new id made at t,
+// and remembers it. Any standing but StandingMember is a refusal.
+func (v *Votes) AcceptID(now time.Time, b Ballot, t time.Time) Standing {
+	standing := v.Standing(now, b)
+	m := v.members[epochKey{b.Key, b.Epoch}]
+	switch standing {
+	case StandingMember:
+		if t.After(v.contact.Add(Horizon)) {
+			return StandingNone
+		}
+		if !m.end.IsZero() && !t.Before(m.end) {
+			return StandingSealed
+		}
+	case StandingSealed:
+		if !t.Before(m.sealTime) {
+			return StandingSealed
+		}
+	default:
+		return standing
+	}
+	if t.After(m.accepted) {
+		m.accepted = t
+	}
+	return StandingMember
+}
+
+// OnProbe answers a probe.
+func (v *Votes) OnProbe(now time.Time, r *ProbeRequest) *ProbeAnswer {
+	return &ProbeAnswer{Ballot: r.Ballot, Standing: v.Standing(now, r.Ballot), Voter: v.voter}
+}
+
+// OnSeal seals an epoch.
+func (v *Votes) OnSeal(now time.Time, r *SealRequest) *SealAnswer {
+	a := &SealAnswer{Ballot: r.Ballot, Standing: v.Standing(now, r.Ballot), Voter: v.voter}
+	if a.Standing == StandingGone {
+		return a
+	}
+	m := v.members[epochKey{r.Ballot.Key, r.Ballot.Epoch}]
+	if m == nil || m.voter != r.Ballot.Voter {
+		return a
+	}
+	m.seal(r.Time)
+	a.Standing, a.Time = m.standing, m.sealTime
+	return a
+}
+
+// seal refuses ids made at or after t, but none that was accepted. An earlier
+// seal stands.
+func (m *membership) seal(t time.Time) {
+	if m.standing != StandingMember {
+		return
+	}
+	m.standing = StandingSealed
+	m.sealTime = t
+	if next := m.accepted.Add(idResolution); next.After(t) {
+		m.sealTime = next
+	}
+}
+
+// Retire gives up all votes. The node goes on under a new incarnation, which
+// is in no group. The retired voter still answers seals, so that a group can
+// be composed again without the unsealed fallback.
+func (v *Votes) Retire(now time.Time) {
+	v.former = append(v.former, v.voter)
+	v.voter.Incarnation = model.Incarnation(v.rng.Uint64())
+	for _, m := range v.members {
+		m.seal(now)
+		m.standing = StandingRetired
+	}
+}
--- a/policy/record/result.go
+++ b/policy/record/result.go
@@ -18,8 +18,13 @@
 	// TooOld means that a record may have been dropped already.
 	TooOld
 	// Unavailable means that no majority answered. Nothing was handed over
-	// under this claim.
+	// under this claim. An earlier send of the same id by the caller may have
+	// been, so "not run" is true only for an id that the node made itself.
 	Unavailable
+	// TooFarAhead means that the id's time is more than 60 s ahead of this
+	// node's clock. As for Unavailable, an earlier send of the id may have
+	// been handed over by a node whose clock is ahead of this one.
+	TooFarAhead
 )
 
 // Result is the answer to a request for a claim.
--- /dev/null
+++ b/policy/tokenlease/acquirer.go
@@ -0,0 +1,236 @@
+package tokenlease
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
+)
+
+const (
+	// answerTimeout is the wait for one answer before another member is asked.
+	answerTimeout = 150 * time.Millisecond
+	// searchInterval separates questions while no grantor is known.
+	searchInterval = 50 * time.Millisecond
+	// HoldTime is how long a request waits for its customer's next token. A
+	// customer that keeps to its rate has one within a token life.
+	HoldTime = 1500 * time.Millisecond
+	// SearchTime is how long a request waits for a grantor. A lost grantor is
+	// followed after its lease of 2 s.
+	SearchTime = 3 * time.Second
+)
+
+// Delivery is a result for one request of the routing duty.
+type Delivery struct {
+	Deliver func(Result)
+	Result  Result
+}
+
+// Acquirer asks grantors for tokens on behalf of this node. It has at most
+// one question under way for each customer, so that no customer fills the
+// grantor's ring. All methods run on one thread.
+type Acquirer struct {
+	quorum.Outbox
+	directory  *quorum.Directory
+	customers  map[model.Customer]*demand
+	grantors   map[model.GroupKey]model.Instance
+	sequence   uint64
+	deliveries []Delivery
+}
+
+// demand is what waits for tokens of one customer.
+type demand struct {
+	customer model.Customer
+	key      model.GroupKey
+	waiting  []request
+	sequence uint64 // of the question under way; 0 when there is none
+	askedAt  time.Time
+	due      time.Time // end of the wait for an answer, or next question
+	tries    int       // members asked since the latest answer of a grantor
+	foundAt  time.Time // latest answer of a grantor
+}
+
+type request struct {
+	want    int
+	since   time.Time
+	deliver func(Result)
+}
+
+// NewAcquirer returns an acquirer that knows no configuration yet.
+func NewAcquirer() *Acquirer {
+	return &Acquirer{
+		directory: quorum.NewDirectory("", nil),
+		customers: make(map[model.Customer]*demand),
+		grantors:  make(map[model.GroupKey]model.Instance),
+	}
+}
+
+// Deliveries returns the results since the last call.
+func (c *Acquirer) Deliveries() []Delivery {
+	out := c.deliveries
+	c.deliveries = nil
+	return out
+}
+
+// OnDirectory takes new compositions.
+func (c *Acquirer) OnDirectory(d *quorum.Directory) { c.directory = d }
+
+// OnAcquire asks for want tokens. deliver is handed out with the result.
+func (c *Acquirer) OnAcquire(now time.Time, customer model.Customer, want int, deliver func(Result)) {
+	d := c.customers[customer]
+	if d == nil {
+		d = &demand{customer: customer, key: c.directory.GroupOf(customer)}
+		c.customers[customer] = d
+	}
+	r := request{want: max(want, 1), since: now, deliver: deliver}
+	if wait := d.due.Sub(now); d.sequence == 0 && wait > HoldTime {
+		c.deliver(r, Result{Customer: customer, Reason: model.ReasonRateLimited, RetryAfter: wait})
+		return
+	}
+	d.waiting = append(d.waiting, r)
+	if d.sequence == 0 && !d.due.After(now) {
+		c.ask(now, d)
+	}
+}
+
+// OnAnswer takes the answer to a question.
+func (c *Acquirer) OnAnswer(now time.Time, from model.Instance, a *TokenAnswer) {
+	d := c.customers[a.Customer]
+	if d == nil || d.sequence != a.Sequence {
+		return
+	}
+	d.sequence = 0
+	if a.NotGrantor {
+		c.onNotGrantor(now, d, from, a)
+		return
+	}
+	c.grantors[d.key] = from
+	d.tries, d.foundAt = 0, now
+	if a.Granted == 0 {
+		d.due = now.Add(a.RetryAfter)
+		c.refuse(now, d, a.RetryAfter)
+		return
+	}
+	d.due = now
+	if d.askedAt.Add(a.Life).After(now) {
+		c.share(d, a)
+	}
+	if len(d.waiting) > 0 {
+		c.ask(now, d)
+	}
+}
+
+func (c *Acquirer) onNotGrantor(now time.Time, d *demand, from model.Instance, a *TokenAnswer) {
+	delete(c.grantors, d.key)
+	d.due = now.Add(searchInterval)
+	if a.Grantor != "" && a.Grantor != from && d.tries < maxHints {
+		c.grantors[d.key] = a.Grantor
+		c.ask(now, d)
+	}
+}
+
+// maxHints bounds how often a hint is followed at once, since two members
+// with old knowledge may name each other.
+const maxHints = 4
+
+// share hands the granted tokens to the waiting requests in order.
+func (c *Acquirer) share(d *demand, a *TokenAnswer) {
+	left := a.Granted
+	grant := Grant{Customer: d.customer, Group: d.key.Group, Epoch: a.Term, Expiry: d.askedAt.Add(a.Life)}
+	for left > 0 && len(d.waiting) > 0 {
+		r := d.waiting[0]
+		d.waiting = d.waiting[1:]
+		grant.Count = min(left, r.want)
+		left -= grant.Count
+		c.deliver(r, Result{Customer: d.customer, Grant: grant})
+	}
+}
+
+// refuse answers requests that would wait longer than HoldTime for a token.
+func (c *Acquirer) refuse(now time.Time, d *demand, retryAfter time.Duration) {
+	kept := d.waiting[:0]
+	for _, r := range d.waiting {
+		if now.Add(retryAfter).Sub(r.since) <= HoldTime {
+			kept = append(kept, r)
+			continue
+		}
+		c.deliver(r, Result{Customer: d.customer, Reason: model.ReasonRateLimited, RetryAfter: retryAfter})
+	}
+	d.waiting = kept
+}
+
+func (c *Acquirer) deliver(r request, result Result) {
+	c.deliveries = append(c.deliveries, Delivery{Deliver: r.deliver, Result: result})
+}
+
+// Tick repeats questions and ends those that found no grantor. It returns the
+// time of the next event.
+func (c *Acquirer) Tick(now time.Time) time.Time {
+	var next time.Time
+	for name, d := range c.customers {
+		if len(d.waiting) == 0 && d.sequence == 0 {
+			delete(c.customers, name)
+			continue
+		}
+		if !d.due.After(now) {
+			c.onDue(now, d)
+		}
+		if next.IsZero() || d.due.Before(next) {
+			next = d.due
+		}
+	}
+	return next
+}
+
+func (c *Acquirer) onDue(now time.Time, d *demand) {
+	if d.sequence != 0 {
+		delete(c.grantors, d.key)
+	}
+	kept := d.waiting[:0]
+	for _, r := range d.waiting {
+		if now.Sub(later(r.since, d.foundAt)) < SearchTime {
+			kept = append(kept, r)
+			continue
+		}
+		c.deliver(r, Result{Customer: d.customer, Reason: model.ReasonRateUnavailable, RetryAfter: time.Second})
+	}
+	d.waiting = kept
+	d.sequence = 0
+	if len(d.waiting) > 0 {
+		c.ask(now, d)
+	}
+}
+
+// ask sends one question for all that waits.
+func (c *Acquirer) ask(now time.Time, d *demand) {
+	d.key = c.directory.GroupOf(d.customer)
+	to, ok := c.grantors[d.key]
+	record := c.directory.LeaseEpoch(d.key, now)
+	if !ok && record == nil {
+		d.sequence = 0
+		d.due = now.Add(searchInterval)
+		return
+	}
+	if !ok {
+		to = record.Members[d.tries%len(record.Members)].Instance
+	}
+	d.tries++
+	c.sequence++
+	d.sequence, d.askedAt, d.due = c.sequence, now, now.Add(answerTimeout)
+	c.Send(to, &TokenRequest{Key: d.key, Customer: d.customer, Want: d.want(), Sequence: d.sequence})
+}
+
+func (d *demand) want() int {
+	n := 0
+	for _, r := range d.waiting {
+		n += r.want
+	}
+	return n
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/policy/tokenlease/promise.go
@@ -0,0 +1,94 @@
+package tokenlease
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
+)
+
+const (
+	// PromiseLife is how long a voter promises a lease, on its monotonic
+	// clock from its answer on.
+	PromiseLife = 2 * time.Second
+	// renewInterval is the time between two renewals.
+	renewInterval = 500 * time.Millisecond
+	// leaseMargin is what a holder leaves unused of a lease, so that clocks
+	// that run at slightly different speeds do no harm.
+	leaseMargin = 50 * time.Millisecond
+)
+
+// Promises are the lease promises of this node's voter, one for each group.
+type Promises struct {
+	votes  *quorum.Votes
+	groups map[model.GroupKey]*promise
+}
+
+type promise struct {
+	holder model.NodeID
+	term   uint64
+	until  time.Time
+}
+
+// NewPromises returns a voter without promises.
+func NewPromises(votes *quorum.Votes) *Promises {
+	return &Promises{votes: votes, groups: make(map[model.GroupKey]*promise)}
+}
+
+// OnRequest promises the lease unless another node's promise stands or the
+// voter has no vote in the epoch.
+func (p *Promises) OnRequest(now time.Time, r *PromiseRequest) *PromiseAnswer {
+	standing := p.groups[r.Ballot.Key]
+	a := &PromiseAnswer{Ballot: r.Ballot, Sequence: r.Sequence}
+	if standing != nil {
+		a.Holder, a.Term, a.Remaining = standing.holder, standing.term, max(standing.until.Sub(now), 0)
+	}
+	if !p.votes.MayPromise(now, r.Ballot, PromiseLife) || !standing.allows(now, r) {
+		return a
+	}
+	p.groups[r.Ballot.Key] = &promise{holder: r.Holder, term: r.Term, until: now.Add(PromiseLife)}
+	a.Promised, a.Holder, a.Term, a.Remaining = true, r.Holder, r.Term, PromiseLife
+	return a
+}
+
+// allows reports whether a request may replace the standing promise: a
+// renewal, or a higher term after the promise has lapsed. A lapsed term is
+// not renewed, since another node may have been grantor in between.
+func (s *promise) allows(now time.Time, r *PromiseRequest) bool {
+	if s == nil {
+		return true
+	}
+	live := now.Before(s.until)
+	if live {
+		return s.holder == r.Holder && s.term <= r.Term
+	}
+	return r.Term > s.term || r.Term == s.term && r.Holder == s.holder
+}
+
+// OnRelease ends a promise that its holder gives back.
+func (p *Promises) OnRelease(now time.Time, r *PromiseRelease) {
+	s := p.groups[r.Ballot.Key]
+	if s != nil && s.holder == r.Holder && s.term == r.Term {
+		s.until = now
+	}
+}
+
+// Holder returns the node to which the lease of a group is promised.
+func (p *Promises) Holder(now time.Time, key model.GroupKey) (model.NodeID, bool) {
+	s := p.groups[key]
+	if s == nil || !now.Before(s.until) {
+		return model.NodeID{}, false
+	}
+	return s.holder, true
+}
+
+// Remaining returns the life of the standing promise of a group.
+func (p *Promises) Remaining(now time.Time, key model.GroupKey) time.Duration {
+	if s := p.groups[key]; s != nil {
+		return max(s.until.Sub(now), 0)
+	}
+	return 0
+}
+
+// Forget drops all promises. The voter's new incarnation has made none.
+func (p *Promises) Forget() { clear(p.groups) }
--- a/transport/wire/call.go
+++ b/transport/wire/call.go
@@ -97,20 +97,7 @@
 
 // WriteAnswer writes the answer to a call.
 func WriteAnswer(w io.Writer, a *model.Answer) error {
-	head := &AnswerHead{
-		CallId:       uint64(a.ID),
-		Run:          uint32(a.Run),
-		Reason:       string(a.Reason),
-		Detail:       a.Detail,
-		Status:       int32(a.Status),
-		Headers:      fromHeader(a.Header),
-		RetriesUsed:  int32(a.RetriesUsed),
-		RetryAfterNs: int64(a.RetryAfter),
-		Replayed:     a.Replayed,
-		TargetLost:   a.TargetLost,
-		Load:         FromLoad(a.Load),
-	}
-	if err := WriteFrame(w, &CallFrame{Kind: &CallFrame_Answer{Answer: head}}); err != nil {
+	if err := WriteFrame(w, &CallFrame{Kind: &CallFrame_Answer{Answer: fromAnswer(a)}}); err != nil {
 		return err
 	}
 	return writeBody(w, a.Body)
@@ -130,8 +117,36 @@
 	if model.CallID(h.GetCallId()) != id {
 		return nil, fault.New("read answer", "", "answer belongs to call %x, want %x", h.GetCallId(), id)
 	}
-	a := &model.Answer{
-		ID:          id,
+	a := toAnswer(h)
+	body, err := readBody(r)
+	if err != nil {
+		return nil, fault.At("read answer body", "", err)
+	}
+	a.Body = body
+	return a, nil
+}
+
+// fromAnswer encodes an answer without its body.
+func fromAnswer(a *model.Answer) *AnswerHead {
+	return &AnswerHead{
+		CallId:       uint64(a.ID),
+		Run:          uint32(a.Run),
+		Reason:       string(a.Reason),
+		Detail:       a.Detail,
+		Status:       int32(a.Status),
+		Headers:      fromHeader(a.Header),
+		RetriesUsed:  int32(a.RetriesUsed),
+		RetryAfterNs: int64(a.RetryAfter),
+		Replayed:     a.Replayed,
+		TargetLost:   a.TargetLost,
+		Load:         FromLoad(a.Load),
+	}
+}
+
+// toAnswer decodes an answer without its body.
+func toAnswer(h *AnswerHead) *model.Answer {
+	return &model.Answer{
+		ID:          model.CallID(h.GetCallId()),
 		Run:         model.Run(h.GetRun()),
 		Reason:      model.Reason(h.GetReason()),
 		Detail:      h.GetDetail(),
@@ -143,12 +158,6 @@
 		TargetLost:  h.GetTargetLost(),
 		Load:        ToLoad(h.GetLoad()),
 	}
-	body, err := readBody(r)
-	if err != nil {
-		return nil, fault.At("read answer body", "", err)
-	}
-	a.Body = body
-	return a, nil
 }
 
 func fromHeader(h http.Header) []*Header {
--- /dev/null
+++ b/transport/wire/quorum.go
@@ -0,0 +1,136 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+)
+
+const (
+	// maxSmall bounds counts in frames, so that they fit every int.
+	maxSmall = 1 << 30
+	// maxDuration bounds durations in frames.
+	maxDuration = 24 * time.Hour
+)
+
+// EncodeQuorum returns the kind and the frame of a message.
+func EncodeQuorum(m quorum.Message) (uint32, proto.Message, error) {
+	switch m := m.(type) {
+	case *tokenlease.TokenRequest:
+		return KindTokens, &TokenFrame{Kind: &TokenFrame_Request{Request: fromTokenRequest(m)}}, nil
+	case *tokenlease.TokenAnswer:
+		return KindTokens, &TokenFrame{Kind: &TokenFrame_Answer{Answer: fromTokenAnswer(m)}}, nil
+	}
+	f := encodeVote(m)
+	if f == nil {
+		return 0, nil, errors.Errorf("no frame for %T", m)
+	}
+	return KindVote, f, nil
+}
+
+func encodeVote(m quorum.Message) *VoteFrame {
+	switch m := m.(type) {
+	case *quorum.ProbeRequest:
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_Probe{Probe: &ProbeRequest{}}}
+	case *quorum.ProbeAnswer:
+		a := &ProbeAnswer{Standing: uint32(m.Standing), Voter: FromNodeID(m.Voter)}
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_ProbeAnswer{ProbeAnswer: a}}
+	case *quorum.SealRequest:
+		r := &SealRequest{TimeMs: m.Time.UnixMilli()}
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_Seal{Seal: r}}
+	case *quorum.SealAnswer:
+		a := &SealAnswer{Standing: uint32(m.Standing), TimeMs: m.Time.UnixMilli(), Voter: FromNodeID(m.Voter)}
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_SealAnswer{SealAnswer: a}}
+	}
+	if f := encodePromise(m); f != nil {
+		return f
+	}
+	return encodeClaim(m)
+}
+
+func encodePromise(m quorum.Message) *VoteFrame {
+	switch m := m.(type) {
+	case *tokenlease.PromiseRequest:
+		r := &PromiseRequest{Holder: FromNodeID(m.Holder), Term: m.Term, Sequence: m.Sequence}
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_Promise{Promise: r}}
+	case *tokenlease.PromiseAnswer:
+		a := &PromiseAnswer{
+			Sequence: m.Sequence, Promised: m.Promised, Holder: FromNodeID(m.Holder),
+			Term: m.Term, RemainingNs: int64(m.Remaining),
+		}
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_PromiseAnswer{PromiseAnswer: a}}
+	case *tokenlease.PromiseRelease:
+		r := &PromiseRelease{Holder: FromNodeID(m.Holder), Term: m.Term}
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_PromiseRelease{PromiseRelease: r}}
+	}
+	return nil
+}
+
+func encodeClaim(m quorum.Message) *VoteFrame {
+	switch m := m.(type) {
+	case *record.ClaimRequest:
+		r := &ClaimRequest{
+			Key: fromRequestKey(m.Key), Holder: fromHolder(m.Holder), Target: FromNodeID(m.Target),
+			Round: int32(m.Round), Sequence: m.Sequence,
+		}
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_Claim{Claim: r}}
+	case *record.ClaimAnswer:
+		a := &ClaimAnswer{
+			Key: fromRequestKey(m.Key), Sequence: m.Sequence, Vote: uint32(m.Vote), Answer: fromStored(m.Answer),
+		}
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_ClaimAnswer{ClaimAnswer: a}}
+	case *record.ClaimRelease:
+		r := &ClaimRelease{Key: fromRequestKey(m.Key), Holder: fromHolder(m.Holder), Round: int32(m.Round)}
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_ClaimRelease{ClaimRelease: r}}
+	case *record.ClaimComplete:
+		c := &ClaimComplete{Key: fromRequestKey(m.Key), Holder: fromHolder(m.Holder), Answer: fromStored(m.Answer)}
+		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_ClaimComplete{ClaimComplete: c}}
+	}
+	return nil
+}
+
+func fromBallot(b quorum.Ballot) *Ballot {
+	return &Ballot{Region: string(b.Key.Region), Group: int32(b.Key.Group), Epoch: b.Epoch, Voter: FromNodeID(b.Voter)}
+}
+
+func fromRequestKey(k record.Key) *RequestKey {
+	return &RequestKey{Customer: string(k.Customer), RequestId: k.ID[:]}
+}
+
+func fromHolder(h record.Holder) *Holder {
+	return &Holder{Node: FromNodeID(h.Node), CallId: uint64(h.Call)}
+}
+
+func fromStored(a *model.Answer) *StoredAnswer {
+	if a == nil {
+		return nil
+	}
+	return &StoredAnswer{Head: fromAnswer(a), Body: a.Body}
+}
+
+func fromTokenRequest(m *tokenlease.TokenRequest) *TokenRequest {
+	return &TokenRequest{
+		Region: string(m.Key.Region), Group: int32(m.Key.Group), Customer: string(m.Customer),
+		Want: int32(min(m.Want, maxSmall)), Sequence: m.Sequence,
+	}
+}
+
+func fromTokenAnswer(m *tokenlease.TokenAnswer) *TokenAnswer {
+	return &TokenAnswer{
+		Customer: string(m.Customer), Sequence: m.Sequence, Granted: int32(m.Granted), Term: m.Term,
+		LifeNs: int64(m.Life), RetryAfterNs: int64(m.RetryAfter), NotGrantor: m.NotGrantor, Grantor: string(m.Grantor),
+	}
+}
+
+// toID reads a request id.
+func toID(raw []byte) (model.RequestID, error) {
+	id, err := uuid.FromBytes(raw)
+	return id, errors.Wrap(err, "request id")
+}
--- /dev/null
+++ b/transport/wire/quorum_decode.go
@@ -0,0 +1,167 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+)
+
+// DecodeQuorum reads a payload of kind KindVote or KindTokens. Unknown or
+// faulty content is an error.
+func DecodeQuorum(kind uint32, body []byte) (quorum.Message, error) {
+	if kind == KindTokens {
+		f := new(TokenFrame)
+		if err := proto.Unmarshal(body, f); err != nil {
+			return nil, errors.Wrap(err, "decode token frame")
+		}
+		return toTokenMessage(f)
+	}
+	f := new(VoteFrame)
+	if err := proto.Unmarshal(body, f); err != nil {
+		return nil, errors.Wrap(err, "decode vote frame")
+	}
+	if f.GetBallot() == nil || f.GetBallot().GetVoter() == nil {
+		return nil, errors.New("vote frame without ballot")
+	}
+	return toVoteMessage(toBallot(f.GetBallot()), f)
+}
+
+func toVoteMessage(b quorum.Ballot, f *VoteFrame) (quorum.Message, error) {
+	switch k := f.GetKind().(type) {
+	case *VoteFrame_Probe:
+		return &quorum.ProbeRequest{Ballot: b}, nil
+	case *VoteFrame_ProbeAnswer:
+		standing, err := toStanding(k.ProbeAnswer.GetStanding())
+		return &quorum.ProbeAnswer{Ballot: b, Standing: standing, Voter: ToNodeID(k.ProbeAnswer.GetVoter())}, err
+	case *VoteFrame_Seal:
+		return &quorum.SealRequest{Ballot: b, Time: time.UnixMilli(k.Seal.GetTimeMs())}, nil
+	case *VoteFrame_SealAnswer:
+		a := k.SealAnswer
+		standing, err := toStanding(a.GetStanding())
+		return &quorum.SealAnswer{
+			Ballot: b, Standing: standing, Time: time.UnixMilli(a.GetTimeMs()), Voter: ToNodeID(a.GetVoter()),
+		}, err
+	case *VoteFrame_Promise:
+		r := k.Promise
+		return &tokenlease.PromiseRequest{
+			Ballot: b, Holder: ToNodeID(r.GetHolder()), Term: r.GetTerm(), Sequence: r.GetSequence(),
+		}, nil
+	case *VoteFrame_PromiseAnswer:
+		a := k.PromiseAnswer
+		return &tokenlease.PromiseAnswer{
+			Ballot: b, Sequence: a.GetSequence(), Promised: a.GetPromised(), Holder: ToNodeID(a.GetHolder()),
+			Term: a.GetTerm(), Remaining: toDuration(a.GetRemainingNs()),
+		}, nil
+	case *VoteFrame_PromiseRelease:
+		r := k.PromiseRelease
+		return &tokenlease.PromiseRelease{Ballot: b, Holder: ToNodeID(r.GetHolder()), Term: r.GetTerm()}, nil
+	}
+	return toClaimMessage(b, f)
+}
+
+func toClaimMessage(b quorum.Ballot, f *VoteFrame) (quorum.Message, error) {
+	switch k := f.GetKind().(type) {
+	case *VoteFrame_Claim:
+		r := k.Claim
+		key, err := toRequestKey(r.GetKey())
+		return &record.ClaimRequest{
+			Ballot: b, Key: key, Holder: toHolder(r.GetHolder()), Target: ToNodeID(r.GetTarget()),
+			Round: int(r.GetRound()), Sequence: r.GetSequence(),
+		}, err
+	case *VoteFrame_ClaimAnswer:
+		a := k.ClaimAnswer
+		key, err := toRequestKey(a.GetKey())
+		if err != nil {
+			return nil, err
+		}
+		return toClaimAnswer(b, key, a)
+	case *VoteFrame_ClaimRelease:
+		r := k.ClaimRelease
+		key, err := toRequestKey(r.GetKey())
+		return &record.ClaimRelease{Ballot: b, Key: key, Holder: toHolder(r.GetHolder()), Round: int(r.GetRound())}, err
+	case *VoteFrame_ClaimComplete:
+		c := k.ClaimComplete
+		key, err := toRequestKey(c.GetKey())
+		if err == nil && c.GetAnswer() == nil {
+			err = errors.New("completion without answer")
+		}
+		return &record.ClaimComplete{Ballot: b, Key: key, Holder: toHolder(c.GetHolder()), Answer: toStored(c.GetAnswer())}, err
+	default:
+		return nil, errors.Errorf("vote frame of unknown kind %T", k)
+	}
+}
+
+func toClaimAnswer(b quorum.Ballot, key record.Key, a *ClaimAnswer) (quorum.Message, error) {
+	vote := record.Vote(a.GetVote())
+	if a.GetVote() > uint32(record.VoteNoEpoch) {
+		return nil, errors.Errorf("unknown vote %d", a.GetVote())
+	}
+	if vote == record.VoteDone && a.GetAnswer() == nil {
+		return nil, errors.New("vote for a completed request without its answer")
+	}
+	return &record.ClaimAnswer{Ballot: b, Key: key, Sequence: a.GetSequence(), Vote: vote, Answer: toStored(a.GetAnswer())}, nil
+}
+
+func toTokenMessage(f *TokenFrame) (quorum.Message, error) {
+	switch k := f.GetKind().(type) {
+	case *TokenFrame_Request:
+		r := k.Request
+		return &tokenlease.TokenRequest{
+			Key:      model.GroupKey{Region: model.Region(r.GetRegion()), Group: int(r.GetGroup())},
+			Customer: model.Customer(r.GetCustomer()), Want: toCount(r.GetWant()), Sequence: r.GetSequence(),
+		}, nil
+	case *TokenFrame_Answer:
+		a := k.Answer
+		return &tokenlease.TokenAnswer{
+			Customer: model.Customer(a.GetCustomer()), Sequence: a.GetSequence(), Granted: toCount(a.GetGranted()),
+			Term: a.GetTerm(), Life: toDuration(a.GetLifeNs()), RetryAfter: toDuration(a.GetRetryAfterNs()),
+			NotGrantor: a.GetNotGrantor(), Grantor: model.Instance(a.GetGrantor()),
+		}, nil
+	default:
+		return nil, errors.Errorf("token frame of unknown kind %T", k)
+	}
+}
+
+func toBallot(b *Ballot) quorum.Ballot {
+	return quorum.Ballot{
+		Key:   model.GroupKey{Region: model.Region(b.GetRegion()), Group: int(b.GetGroup())},
+		Epoch: b.GetEpoch(), Voter: ToNodeID(b.GetVoter()),
+	}
+}
+
+func toStanding(s uint32) (quorum.Standing, error) {
+	if s > uint32(quorum.StandingGone) {
+		return 0, errors.Errorf("unknown standing %d", s)
+	}
+	return quorum.Standing(s), nil
+}
+
+func toRequestKey(k *RequestKey) (record.Key, error) {
+	id, err := toID(k.GetRequestId())
+	return record.Key{Customer: model.Customer(k.GetCustomer()), ID: id}, err
+}
+
+func toHolder(h *Holder) record.Holder {
+	return record.Holder{Node: ToNodeID(h.GetNode()), Call: model.CallID(h.GetCallId())}
+}
+
+func toStored(a *StoredAnswer) *model.Answer {
+	if a == nil {
+		return nil
+	}
+	out := toAnswer(a.GetHead())
+	out.Body = a.GetBody()
+	return out
+}
+
+func toCount(n int32) int { return int(min(max(n, 0), maxSmall)) }
+
+func toDuration(ns int64) time.Duration {
+	return min(max(time.Duration(ns), 0), maxDuration)
+}
