Charge a grantor's bucket when the use of its tokens is over

Cause: with a bucket of burst - rate*life, one batch could not carry a burst, tokens that lay at a node after its demand had moved were lost to their customer, and bursts below one token life of rate had no whole token.

Granted tokens are now outstanding until the holder reports their use, gives them back or their life ends, and only then taken out of a bucket that holds the whole burst. No token outlives the lease of its grantor.

New on the seam: ReportTokens, Grant.ID, model.Token.Grant, tokenlease.Balances for the routing duty.

--- a/agent/quorum/dispatch.go
+++ b/agent/quorum/dispatch.go
@@ -28,7 +28,7 @@
 	case *tokenlease.PromiseRelease:
 		h.promises.OnRelease(now, m)
 	case *tokenlease.TokenRequest:
-		h.send(from, h.grant(now, m))
+		h.grant(now, from, m)
 	case *tokenlease.TokenAnswer:
 		h.acquirer.OnAnswer(now, from, m)
 	case *record.ClaimRequest:
@@ -44,7 +44,14 @@
 
 // grant answers a request for tokens. A node that is not grantor names the
 // one to which its voter promised the lease.
-func (h *Handler) grant(now time.Time, r *tokenlease.TokenRequest) *tokenlease.TokenAnswer {
+func (h *Handler) grant(now time.Time, from model.Instance, r *tokenlease.TokenRequest) {
+	a := h.tokens(now, from, r)
+	if r.Want > 0 {
+		h.send(from, a)
+	}
+}
+
+func (h *Handler) tokens(now time.Time, from model.Instance, r *tokenlease.TokenRequest) *tokenlease.TokenAnswer {
 	grantor := h.leases.Grantor(now, r.Key)
 	customer := h.directory.Customer(r.Customer)
 	if grantor == nil || customer == nil {
@@ -54,8 +61,7 @@
 		}
 		return a
 	}
-	a := grantor.Grant(now, customer, r.Want)
-	a.Customer, a.Sequence = r.Customer, r.Sequence
+	a := grantor.Grant(now, customer, from, r)
 	h.metrics.granted.Add(int64(a.Granted))
 	return &a
 }
@@ -105,6 +111,13 @@
 		h.logProposed(&r)
 		h.config.Append(r)
 	}
+	for _, c := range h.leases.Changes() {
+		d := event.LeaseClosed
+		if c.Open {
+			d = event.LeaseOpened
+		}
+		h.config.Log.Emit(d, "group", c.Key.Group, "term", c.Term)
+	}
 	h.deliver()
 }
 
--- a/agent/quorum/duty.go
+++ b/agent/quorum/duty.go
@@ -81,7 +81,7 @@
 		composer:  quorum.NewComposer(c.Self, votes, c.NewID),
 		promises:  promises,
 		leases:    tokenlease.NewLeases(votes, promises, c.Rand, c.Checker),
-		acquirer:  tokenlease.NewAcquirer(),
+		acquirer:  tokenlease.NewAcquirer(c.Rand),
 		store:     record.NewStore(votes),
 		claimant:  record.NewClaimant(c.Self.NodeID, c.Rand),
 		known:     make(map[model.GroupKey]uint64),
@@ -102,6 +102,8 @@
 	switch m := m.(type) {
 	case *AcquireTokens:
 		h.acquirer.OnAcquire(now, m.Customer, m.Want, m.Deliver)
+	case *ReportTokens:
+		h.acquirer.OnReports(now, m.Customer, m.Reports)
 	case *AcquireClaim:
 		h.claimant.OnAcquire(now, record.Request{
 			Key: record.Key{Customer: m.Customer, ID: m.RequestID}, Call: m.CallID, Target: m.Target, Attempt: m.Attempt,
--- a/agent/quorum/messages.go
+++ b/agent/quorum/messages.go
@@ -20,6 +20,14 @@
 	Deliver  func(tokenlease.Result)
 }
 
+// ReportTokens tells the grantor of a customer which tokens were used or are
+// given back. Without it the grantor counts every token as used when its life
+// ends, so that the customer's next tokens come later.
+type ReportTokens struct {
+	Customer model.Customer
+	Reports  []tokenlease.Report
+}
+
 // AcquireClaim asks for the right to hand a non-idempotent request to a
 // target. Attempt counts from 0 and grows when an earlier attempt was
 // certainly not run. Deliver runs on the quorum thread and must not block.
@@ -51,6 +59,7 @@
 type SnapshotChanged struct{ Snapshot *model.Snapshot }
 
 func (*AcquireTokens) quorumMessage()   {}
+func (*ReportTokens) quorumMessage()    {}
 func (*AcquireClaim) quorumMessage()    {}
 func (*CompleteClaim) quorumMessage()   {}
 func (*ReleaseClaim) quorumMessage()    {}
--- a/model/call.go
+++ b/model/call.go
@@ -31,6 +31,7 @@
 type Token struct {
 	Group  int           // quorum group whose grantor gave it
 	Epoch  uint64        // term of the grantor
+	Grant  uint64        // the grant it is from; known at the entry node only
 	Expiry time.Time     // on the holder's monotonic clock
 	Life   time.Duration // remaining life when the call was sent
 }
--- a/policy/tokenlease/acquirer.go
+++ b/policy/tokenlease/acquirer.go
@@ -1,6 +1,7 @@
 package tokenlease
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
@@ -12,6 +13,10 @@
 	answerTimeout = 150 * time.Millisecond
 	// searchInterval separates questions while no grantor is known.
 	searchInterval = 50 * time.Millisecond
+	// reportDelay bounds how long a report waits for a question to go with.
+	reportDelay = 5 * time.Millisecond
+	// maxReports bounds the reports of a customer that wait.
+	maxReports = 256
 	// HoldTime is how long a request waits for its customer's next token. A
 	// customer that keeps to its rate has one within a token life.
 	HoldTime = 1500 * time.Millisecond
@@ -48,6 +53,9 @@
 	due      time.Time // end of the wait for an answer, or next question
 	tries    int       // members asked since the latest answer of a grantor
 	foundAt  time.Time // latest answer of a grantor
+	term     uint64    // of the latest grantor
+	reports  []Report
+	reportAt time.Time // when reports go without a question
 }
 
 type request struct {
@@ -56,9 +64,12 @@
 	deliver func(Result)
 }
 
-// NewAcquirer returns an acquirer that knows no configuration yet.
-func NewAcquirer() *Acquirer {
+// NewAcquirer returns an acquirer that knows no configuration yet. The ids of
+// grants start at random, so that a restarted node does not use the ids of
+// grants that still live.
+func NewAcquirer(rng *rand.Rand) *Acquirer {
 	return &Acquirer{
+		sequence:  rng.Uint64N(1 << 48),
 		directory: quorum.NewDirectory("", nil),
 		customers: make(map[model.Customer]*demand),
 		grantors:  make(map[model.GroupKey]model.Instance),
@@ -77,11 +88,7 @@
 
 // OnAcquire asks for want tokens. deliver is handed out with the result.
 func (c *Acquirer) OnAcquire(now time.Time, customer model.Customer, want int, deliver func(Result)) {
-	d := c.customers[customer]
-	if d == nil {
-		d = &demand{customer: customer, key: c.directory.GroupOf(customer)}
-		c.customers[customer] = d
-	}
+	d := c.demand(customer)
 	r := request{want: max(want, 1), since: now, deliver: deliver}
 	if wait := d.due.Sub(now); d.sequence == 0 && wait > HoldTime {
 		c.deliver(r, Result{Customer: customer, Reason: model.ReasonRateLimited, RetryAfter: wait})
@@ -93,6 +100,29 @@
 	}
 }
 
+func (c *Acquirer) demand(customer model.Customer) *demand {
+	d := c.customers[customer]
+	if d == nil {
+		d = &demand{customer: customer, key: c.directory.GroupOf(customer)}
+		c.customers[customer] = d
+	}
+	return d
+}
+
+// OnReports takes reports for the grantor. They go with the next question, or
+// alone after reportDelay. One that is lost is not sent again: the life of
+// its tokens ends soon.
+func (c *Acquirer) OnReports(now time.Time, customer model.Customer, reports []Report) {
+	d := c.demand(customer)
+	if len(d.reports) == 0 {
+		d.reportAt = now.Add(reportDelay)
+	}
+	d.reports = append(d.reports, reports...)
+	if n := len(d.reports) - maxReports; n > 0 {
+		d.reports = d.reports[n:]
+	}
+}
+
 // OnAnswer takes the answer to a question.
 func (c *Acquirer) OnAnswer(now time.Time, from model.Instance, a *TokenAnswer) {
 	d := c.customers[a.Customer]
@@ -106,6 +136,9 @@
 	}
 	c.grantors[d.key] = from
 	d.tries, d.foundAt = 0, now
+	if d.term != a.Term {
+		d.restart(now, a.Term)
+	}
 	if a.Granted == 0 {
 		d.due = now.Add(a.RetryAfter)
 		c.refuse(now, d, a.RetryAfter)
@@ -129,6 +162,15 @@
 	}
 }
 
+// restart begins the wait of all requests anew at a new grantor, whose bucket
+// started empty: its customers are not to pay for the change.
+func (d *demand) restart(now time.Time, term uint64) {
+	d.term = term
+	for i := range d.waiting {
+		d.waiting[i].since = now
+	}
+}
+
 // maxHints bounds how often a hint is followed at once, since two members
 // with old knowledge may name each other.
 const maxHints = 4
@@ -136,7 +178,7 @@
 // share hands the granted tokens to the waiting requests in order.
 func (c *Acquirer) share(d *demand, a *TokenAnswer) {
 	left := a.Granted
-	grant := Grant{Customer: d.customer, Group: d.key.Group, Epoch: a.Term, Expiry: d.askedAt.Add(a.Life)}
+	grant := Grant{Customer: d.customer, Group: d.key.Group, Epoch: a.Term, ID: a.Sequence, Expiry: d.askedAt.Add(a.Life)}
 	for left > 0 && len(d.waiting) > 0 {
 		r := d.waiting[0]
 		d.waiting = d.waiting[1:]
@@ -168,14 +210,20 @@
 func (c *Acquirer) Tick(now time.Time) time.Time {
 	var next time.Time
 	for name, d := range c.customers {
-		if len(d.waiting) == 0 && d.sequence == 0 {
+		if len(d.reports) > 0 && !d.reportAt.After(now) {
+			c.sendReports(d)
+		}
+		if len(d.waiting) == 0 && d.sequence == 0 && len(d.reports) == 0 && !d.due.After(now) {
 			delete(c.customers, name)
 			continue
 		}
+		if len(d.reports) > 0 && (next.IsZero() || d.reportAt.Before(next)) {
+			next = d.reportAt
+		}
 		if !d.due.After(now) {
 			c.onDue(now, d)
 		}
-		if next.IsZero() || d.due.Before(next) {
+		if d.due.After(now) && (next.IsZero() || d.due.Before(next)) {
 			next = d.due
 		}
 	}
@@ -217,7 +265,15 @@
 	d.tries++
 	c.sequence++
 	d.sequence, d.askedAt, d.due = c.sequence, now, now.Add(answerTimeout)
-	c.Send(to, &TokenRequest{Key: d.key, Customer: d.customer, Want: d.want(), Sequence: d.sequence})
+	c.Send(to, &TokenRequest{Key: d.key, Customer: d.customer, Want: d.want(), Sequence: d.sequence, Reports: d.reports})
+	d.reports = nil
+}
+
+func (c *Acquirer) sendReports(d *demand) {
+	if to, ok := c.grantors[d.key]; ok {
+		c.Send(to, &TokenRequest{Key: d.key, Customer: d.customer, Reports: d.reports})
+	}
+	d.reports = nil
 }
 
 func (d *demand) want() int {
--- a/policy/tokenlease/balance.go
+++ b/policy/tokenlease/balance.go
@@ -2,21 +2,24 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
 const (
-	// demandWindow is the time over which demand is measured, and the longest
-	// time for which a batch is asked ahead.
-	demandWindow = 100 * time.Millisecond
+	// aheadTime is the longest time for which a batch is asked ahead.
+	aheadTime = 100 * time.Millisecond
 	// lifeShare is the part of a token's life for which a batch is asked
-	// ahead. Tokens that are not used within their life are lost to the
-	// customer, so a batch must be used up well before.
+	// ahead, and after which an idle token is given back: tokens that lie at
+	// a node are missing elsewhere.
 	lifeShare = 4
-	// demandWeight is the weight of the latest window in the demand.
-	demandWeight = 0.5
+	// demandWindow is the time over which demand is counted.
+	demandWindow = 100 * time.Millisecond
+	// demandWindows is the number of windows of which the smallest count is
+	// the demand. A burst is not repeated, so it is not asked for again.
+	demandWindows = 4
 )
 
 // Balances are the tokens that an entry node holds. They are owned by the
@@ -27,67 +30,83 @@
 
 // balance is the tokens of one customer and its recent demand.
 type balance struct {
-	grants      []Grant // earliest expiry first
-	demand      float64 // requests a second
+	grants      []*held // earliest expiry first
+	reports     []Report
+	counts      [demandWindows]int // requests in the latest full windows
+	current     int                // requests in the window that runs
 	windowStart time.Time
-	windowCount int
 	asked       bool
 }
 
+// held is what is left of one grant.
+type held struct {
+	Grant
+	idleAt   time.Time // when unused tokens are given back
+	count    int       // tokens not taken
+	used     int       // tokens whose use is over
+	returned int
+}
+
 // NewBalances returns a holder without tokens.
 func NewBalances() *Balances {
 	return &Balances{customers: make(map[model.Customer]*balance)}
 }
 
+// OnRequest counts one request of the customer.
+func (b *Balances) OnRequest(now time.Time, customer model.Customer) {
+	a := b.account(customer)
+	a.roll(now)
+	a.current++
+}
+
 // Take uses the token that expires first. It reports false when there is
-// none. Each request is counted as demand once, by OnRequest.
+// none.
 func (b *Balances) Take(now time.Time, customer model.Customer) (*model.Token, bool) {
 	a := b.account(customer)
 	a.expire(now)
-	if len(a.grants) == 0 {
-		return nil, false
-	}
-	g := &a.grants[0]
-	token := &model.Token{Group: g.Group, Epoch: g.Epoch, Expiry: g.Expiry}
-	if g.Count--; g.Count == 0 {
-		a.grants = a.grants[1:]
+	for _, h := range a.grants {
+		if h.count > 0 {
+			h.count--
+			return &model.Token{Group: h.Group, Epoch: h.Epoch, Grant: h.ID, Expiry: h.Expiry}, true
+		}
 	}
-	return token, true
+	return nil, false
 }
 
-// Refund gives back the token of a request that was not run. A token whose
-// life is over is lost.
+// Refund takes back the token of a request that was certainly not run. A
+// token whose life is over is lost.
 func (b *Balances) Refund(now time.Time, customer model.Customer, t *model.Token) {
-	b.add(now, Grant{Customer: customer, Group: t.Group, Epoch: t.Epoch, Count: 1, Expiry: t.Expiry})
+	if h := b.find(now, customer, t); h != nil {
+		h.count++
+	}
 }
 
-// OnResult takes the answer to the question that Want opened.
-func (b *Balances) OnResult(now time.Time, r Result) {
-	b.account(r.Customer).asked = false
-	if r.Grant.Count > 0 {
-		b.add(now, r.Grant)
+// Settle records that the request of a token has run and ended, so that the
+// token cannot be used any more. It is not called for a request whose outcome
+// is unknown.
+func (b *Balances) Settle(now time.Time, customer model.Customer, t *model.Token) {
+	if h := b.find(now, customer, t); h != nil {
+		h.used++
+		b.customers[customer].note(h)
 	}
 }
 
-func (b *Balances) add(now time.Time, g Grant) {
-	if !now.Before(g.Expiry) {
+// OnResult takes the answer to the question that Want opened.
+func (b *Balances) OnResult(now time.Time, r Result) {
+	a := b.account(r.Customer)
+	a.asked = false
+	if r.Grant.Count <= 0 || !now.Before(r.Grant.Expiry) {
 		return
 	}
-	a := b.account(g.Customer)
-	i := len(a.grants)
-	for i > 0 && g.Expiry.Before(a.grants[i-1].Expiry) {
-		i--
+	for _, h := range a.grants {
+		if h.ID == r.Grant.ID && h.Epoch == r.Grant.Epoch {
+			h.count += r.Grant.Count
+			return
+		}
 	}
-	a.grants = append(a.grants, Grant{})
-	copy(a.grants[i+1:], a.grants[i:])
-	a.grants[i] = g
-}
-
-// OnRequest counts one request of the customer.
-func (b *Balances) OnRequest(now time.Time, customer model.Customer) {
-	a := b.account(customer)
-	a.roll(now)
-	a.windowCount++
+	idle := min(aheadTime, r.Grant.Expiry.Sub(now)/2)
+	a.grants = append(a.grants, &held{Grant: r.Grant, count: r.Grant.Count, idleAt: now.Add(idle)})
+	slices.SortStableFunc(a.grants, func(x, y *held) int { return x.Expiry.Compare(y.Expiry) })
 }
 
 // Want returns how many tokens to ask for now, when waiting requests wait for
@@ -101,7 +120,7 @@
 	a.expire(now)
 	a.roll(now)
 	life := NewTerms(customer.Rate, customer.Burst).Life
-	ahead := a.demand * min(demandWindow, life/lifeShare).Seconds()
+	ahead := a.demand() * min(aheadTime, life/lifeShare).Seconds()
 	held := float64(a.held())
 	if waiting == 0 && held >= ahead/2 {
 		return 0
@@ -111,6 +130,35 @@
 	return want
 }
 
+// Reports returns what the grantor has to know: tokens whose use is over, and
+// idle tokens, which are given back.
+func (b *Balances) Reports(now time.Time, customer model.Customer) []Report {
+	a := b.account(customer)
+	a.expire(now)
+	for _, h := range a.grants {
+		if h.count > 0 && !now.Before(h.idleAt) {
+			h.returned += h.count
+			h.count = 0
+			a.note(h)
+		}
+	}
+	out := a.reports
+	a.reports = nil
+	return out
+}
+
+// Customers returns the customers with tokens or demand, sorted.
+func (b *Balances) Customers() []model.Customer {
+	var out []model.Customer
+	for c, a := range b.customers {
+		if len(a.grants) > 0 || len(a.reports) > 0 {
+			out = append(out, c)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Held returns the number of live tokens of a customer.
 func (b *Balances) Held(now time.Time, customer model.Customer) int {
 	a := b.account(customer)
@@ -130,10 +178,33 @@
 	return a
 }
 
+// find returns the live grant of a token, or nil.
+func (b *Balances) find(now time.Time, customer model.Customer, t *model.Token) *held {
+	a := b.account(customer)
+	a.expire(now)
+	for _, h := range a.grants {
+		if h.ID == t.Grant && h.Epoch == t.Epoch {
+			return h
+		}
+	}
+	return nil
+}
+
+// note queues a report of a grant. Reports hold totals, so the latest one is
+// enough.
+func (a *balance) note(h *held) {
+	r := Report{Grant: h.ID, Used: h.used, Returned: h.returned}
+	if i := slices.IndexFunc(a.reports, func(x Report) bool { return x.Grant == h.ID }); i >= 0 {
+		a.reports[i] = r
+		return
+	}
+	a.reports = append(a.reports, r)
+}
+
 func (a *balance) held() int {
 	n := 0
-	for _, g := range a.grants {
-		n += g.Count
+	for _, h := range a.grants {
+		n += h.count
 	}
 	return n
 }
@@ -146,16 +217,20 @@
 
 // roll closes the windows that have ended.
 func (a *balance) roll(now time.Time) {
-	elapsed := now.Sub(a.windowStart)
-	if elapsed < demandWindow {
-		return
-	}
-	rate := float64(a.windowCount) / max(elapsed, demandWindow).Seconds()
-	if elapsed > 10*demandWindow {
-		rate = 0
+	for i := 0; now.Sub(a.windowStart) >= demandWindow; i++ {
+		if i == demandWindows {
+			a.windowStart = now
+			return
+		}
+		copy(a.counts[1:], a.counts[:])
+		a.counts[0], a.current = a.current, 0
+		a.windowStart = a.windowStart.Add(demandWindow)
 	}
-	a.demand += demandWeight * (rate - a.demand)
-	a.windowStart, a.windowCount = now, 0
+}
+
+// demand returns the requests a second that have been steady.
+func (a *balance) demand() float64 {
+	return float64(slices.Min(a.counts[:])) / demandWindow.Seconds()
 }
 
 // Fresh reports whether a token may still be used at the target's node, when
--- a/policy/tokenlease/grant.go
+++ b/policy/tokenlease/grant.go
@@ -14,6 +14,7 @@
 	Customer model.Customer
 	Group    int
 	Epoch    uint64    // term of the grantor
+	ID       uint64    // chosen by the holder's quorum duty
 	Count    int       // tokens
 	Expiry   time.Time // on the holder's monotonic clock
 }
--- a/policy/tokenlease/lease.go
+++ b/policy/tokenlease/lease.go
@@ -40,6 +40,21 @@
 	machine  *chart.Machine[*lease]
 	groups   map[model.GroupKey]*lease
 	sequence uint64
+	changes  []Change
+}
+
+// Change reports that this node opened or closed the buckets of a group.
+type Change struct {
+	Key  model.GroupKey
+	Term uint64
+	Open bool
+}
+
+// Changes returns the changes since the last call.
+func (c *Leases) Changes() []Change {
+	out := c.changes
+	c.changes = nil
+	return out
 }
 
 // lease is the lease of one group.
@@ -87,7 +102,7 @@
 			"open":      (*lease).open,
 			"extend":    (*lease).extend,
 			"give_back": (*lease).giveBack,
-			"close":     func(l *lease) { l.grantor = nil },
+			"close":     (*lease).close,
 		},
 	})
 }
@@ -239,16 +254,31 @@
 // open starts empty buckets. The promises of a majority exclude any other
 // grantor at this time.
 func (l *lease) open() {
-	l.extend()
 	l.grantor = NewGrantor(l.now, l.term, l.core.checker)
+	l.extend()
 	l.due = l.askedAt.Add(renewInterval)
+	l.core.changes = append(l.core.changes, Change{Key: l.key, Term: l.term, Open: true})
+}
+
+func (l *lease) close() {
+	l.grantor = nil
+	l.core.changes = append(l.core.changes, Change{Key: l.key, Term: l.term})
 }
 
 // extend counts the lease from before the members were asked.
-func (l *lease) extend() { l.until = l.askedAt.Add(PromiseLife - leaseMargin) }
+func (l *lease) extend() {
+	l.until = l.askedAt.Add(PromiseLife - leaseMargin)
+	if l.grantor != nil {
+		l.grantor.Extend(l.until)
+	}
+}
 
 func (l *lease) giveBack() {
+	var remaining time.Duration
+	if l.grantor != nil {
+		remaining = l.grantor.Outstanding(l.now)
+	}
 	for _, m := range l.record.Members {
-		l.core.Send(m.Instance, &PromiseRelease{Ballot: l.ballot(m), Holder: l.holder, Term: l.term})
+		l.core.Send(m.Instance, &PromiseRelease{Ballot: l.ballot(m), Holder: l.holder, Term: l.term, Remaining: remaining})
 	}
 }
--- a/policy/tokenlease/message.go
+++ b/policy/tokenlease/message.go
@@ -27,19 +27,30 @@
 }
 
 // PromiseRelease gives a promise back, so that another node may become
-// grantor at once.
+// grantor before it lapses: after Remaining, when the last token has ended.
 type PromiseRelease struct {
-	Ballot quorum.Ballot
-	Holder model.NodeID
-	Term   uint64
+	Ballot    quorum.Ballot
+	Holder    model.NodeID
+	Term      uint64
+	Remaining time.Duration
+}
+
+// Report tells the grantor what became of the tokens of one grant, as totals.
+// Neither used nor returned tokens are used any more after it was sent.
+type Report struct {
+	Grant    uint64
+	Used     int
+	Returned int
 }
 
-// TokenRequest asks the grantor of a customer's group for tokens.
+// TokenRequest asks the grantor of a customer's group for tokens. With Want 0
+// it only reports and gets no answer.
 type TokenRequest struct {
 	Key      model.GroupKey
 	Customer model.Customer
 	Want     int
-	Sequence uint64
+	Sequence uint64 // id of the grant
+	Reports  []Report
 }
 
 // TokenAnswer is the answer to a TokenRequest. Life counts from the grantor's
--- a/policy/tokenlease/promise.go
+++ b/policy/tokenlease/promise.go
@@ -69,7 +69,7 @@
 func (p *Promises) OnRelease(now time.Time, r *PromiseRelease) {
 	s := p.groups[r.Ballot.Key]
 	if s != nil && s.holder == r.Holder && s.term == r.Term {
-		s.until = now
+		s.until = earlier(s.until, now.Add(r.Remaining))
 	}
 }
 
@@ -90,5 +90,12 @@
 	return 0
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Forget drops all promises. The voter's new incarnation has made none.
 func (p *Promises) Forget() { clear(p.groups) }
--- a/transport/wire/quorum.go
+++ b/transport/wire/quorum.go
@@ -67,7 +67,7 @@
 		}
 		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_PromiseAnswer{PromiseAnswer: a}}
 	case *tokenlease.PromiseRelease:
-		r := &PromiseRelease{Holder: FromNodeID(m.Holder), Term: m.Term}
+		r := &PromiseRelease{Holder: FromNodeID(m.Holder), Term: m.Term, RemainingNs: int64(m.Remaining)}
 		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_PromiseRelease{PromiseRelease: r}}
 	}
 	return nil
@@ -116,9 +116,14 @@
 }
 
 func fromTokenRequest(m *tokenlease.TokenRequest) *TokenRequest {
+	reports := make([]*TokenReport, len(m.Reports))
+	for i, r := range m.Reports {
+		reports[i] = &TokenReport{Grant: r.Grant, Used: int32(r.Used), Returned: int32(r.Returned)}
+	}
 	return &TokenRequest{
 		Region: string(m.Key.Region), Group: int32(m.Key.Group), Customer: string(m.Customer),
 		Want: int32(min(m.Want, maxSmall)), Sequence: m.Sequence,
+		Reports: reports,
 	}
 }
 
--- a/transport/wire/quorum_decode.go
+++ b/transport/wire/quorum_decode.go
@@ -60,7 +60,10 @@
 		}, nil
 	case *VoteFrame_PromiseRelease:
 		r := k.PromiseRelease
-		return &tokenlease.PromiseRelease{Ballot: b, Holder: ToNodeID(r.GetHolder()), Term: r.GetTerm()}, nil
+		return &tokenlease.PromiseRelease{
+			Ballot: b, Holder: ToNodeID(r.GetHolder()), Term: r.GetTerm(),
+			Remaining: toDuration(r.GetRemainingNs()),
+		}, nil
 	}
 	return toClaimMessage(b, f)
 }
@@ -112,9 +115,14 @@
 	switch k := f.GetKind().(type) {
 	case *TokenFrame_Request:
 		r := k.Request
+		reports := make([]tokenlease.Report, len(r.GetReports()))
+		for i, p := range r.GetReports() {
+			reports[i] = tokenlease.Report{Grant: p.GetGrant(), Used: toCount(p.GetUsed()), Returned: toCount(p.GetReturned())}
+		}
 		return &tokenlease.TokenRequest{
 			Key:      model.GroupKey{Region: model.Region(r.GetRegion()), Group: int(r.GetGroup())},
 			Customer: model.Customer(r.GetCustomer()), Want: toCount(r.GetWant()), Sequence: r.GetSequence(),
+			Reports: reports,
 		}, nil
 	case *TokenFrame_Answer:
 		a := k.Answer
