--- a/agent/routing/duty.go
+++ b/agent/routing/duty.go
@@ -133,10 +133,6 @@
 }
 
 func (h *Handler) onTokens(now time.Time, m *TokensGranted) {
-	if m.Result.Reason != model.ReasonNone {
-		h.log.Emit(event.TokensRefused, "customer", m.Result.Customer, "reason", m.Result.Reason,
-			"retry_after", m.Result.RetryAfter)
-	}
 	h.core.OnTokens(now, m.Result)
 }
 
--- /dev/null
+++ b/policy/record/claimant.go
@@ -0,0 +1,187 @@
+package record
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/core/timers"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
+)
+
+const (
+	// claimTimeout bounds the search for a majority.
+	claimTimeout = 2 * time.Second
+	// resendInterval separates requests to members that have not answered.
+	resendInterval = 200 * time.Millisecond
+	// contentionRounds is how often contenders that split the votes try again.
+	contentionRounds = 3
+	// contentionDelay spreads contenders that split the votes.
+	contentionDelay = 20 * time.Millisecond
+	// epochDelay is the first wait for a composition that is on its way.
+	epochDelay = 50 * time.Millisecond
+	// maxEpochDelay bounds the wait between two rounds.
+	maxEpochDelay = 400 * time.Millisecond
+)
+
+// Delivery is a result for one request of the routing duty.
+type Delivery struct {
+	Deliver func(Result)
+	Result  Result
+}
+
+// Request asks for a claim.
+type Request struct {
+	Key     Key
+	Call    model.CallID
+	Target  model.NodeID
+	Attempt int // grows when an earlier attempt was certainly not run
+}
+
+// Claimant claims requests at their quorum groups on behalf of this node. All
+// methods run on one thread.
+type Claimant struct {
+	quorum.Outbox
+	self       model.NodeID
+	rng        *rand.Rand
+	directory  *quorum.Directory
+	pending    map[callKey]*claim // claims that seek a majority
+	held       map[Key]*claim     // claims that have one
+	expiry     []expiringClaim    // held claims in order of expiry
+	rounds     map[uint64]*claim  // by sequence of the round under way
+	timers     *timers.Queue[*claim]
+	sequence   uint64
+	deliveries []Delivery
+}
+
+type expiringClaim struct {
+	claim *claim
+	at    time.Time
+}
+
+type callKey struct {
+	key  Key
+	call model.CallID
+}
+
+// NewClaimant returns a claimant that knows no configuration yet.
+func NewClaimant(self model.NodeID, rng *rand.Rand) *Claimant {
+	return &Claimant{
+		self:      self,
+		rng:       rng,
+		directory: quorum.NewDirectory("", nil),
+		pending:   make(map[callKey]*claim),
+		held:      make(map[Key]*claim),
+		rounds:    make(map[uint64]*claim),
+		timers:    timers.New[*claim](),
+	}
+}
+
+// Deliveries returns the results since the last call.
+func (c *Claimant) Deliveries() []Delivery {
+	out := c.deliveries
+	c.deliveries = nil
+	return out
+}
+
+// OnDirectory takes new compositions.
+func (c *Claimant) OnDirectory(d *quorum.Directory) { c.directory = d }
+
+// OnAcquire starts a claim, or replaces the call's claim with a later
+// attempt. deliver is handed out with the result.
+func (c *Claimant) OnAcquire(now time.Time, r Request, deliver func(Result)) {
+	k := callKey{r.Key, r.Call}
+	cl := c.claim(k)
+	cl.deliver, cl.target, cl.attempt = deliver, r.Target, r.Attempt
+	cl.deadline, cl.contended, cl.delay = now.Add(claimTimeout), 0, 0
+	cl.forget()
+	t := model.Time(r.Key.ID)
+	if t.Before(now.Add(-MaxAge)) {
+		cl.finish(Result{Outcome: TooOld})
+		return
+	}
+	if t.After(now.Add(MaxAhead)) {
+		cl.finish(Result{Outcome: TooFarAhead})
+		return
+	}
+	c.pending[k] = cl
+	cl.ask(now)
+}
+
+// claim returns the call's claim. Another call with the same id has its own.
+func (c *Claimant) claim(k callKey) *claim {
+	if cl := c.held[k.key]; cl != nil && cl.key == k {
+		return cl
+	}
+	if cl := c.pending[k]; cl != nil {
+		return cl
+	}
+	return &claim{core: c, key: k}
+}
+
+// OnAnswer takes a member's vote. Votes of rounds that are over are ignored:
+// their claims were released.
+func (c *Claimant) OnAnswer(now time.Time, a *ClaimAnswer) {
+	cl := c.rounds[a.Sequence]
+	if cl == nil || a.Ballot.Epoch != cl.record.Epoch || a.Key != cl.key.key {
+		return
+	}
+	cl.votes[a.Ballot.Voter] = a.Vote
+	if a.Vote == VoteDone {
+		cl.answer = a.Answer
+	}
+	cl.count(now)
+}
+
+// OnRelease gives up a claim that was certainly not handed over.
+func (c *Claimant) OnRelease(m *model.Claim) {
+	if cl := c.holding(m); cl != nil {
+		cl.release()
+		cl.forget()
+	}
+}
+
+// OnComplete stores the first answer of a request at the members.
+func (c *Claimant) OnComplete(m *model.Claim, a *model.Answer) {
+	cl := c.holding(m)
+	if cl == nil {
+		return
+	}
+	for _, member := range cl.record.Members {
+		c.Send(member.Instance, &ClaimComplete{Ballot: cl.ballot(member), Key: cl.key.key, Holder: cl.holder(), Answer: a})
+	}
+	cl.forget()
+}
+
+func (c *Claimant) holding(m *model.Claim) *claim {
+	return c.held[Key{m.Customer, m.RequestID}]
+}
+
+func (c *Claimant) deliver(cl *claim, r Result) {
+	c.deliveries = append(c.deliveries, Delivery{Deliver: cl.deliver, Result: r})
+}
+
+// Tick sends requests again, ends those that found no majority, and returns
+// the time of the next event.
+func (c *Claimant) Tick(now time.Time) time.Time {
+	c.expire(now)
+	for {
+		cl, ok := c.timers.PopDue(now)
+		if !ok {
+			return c.timers.Next()
+		}
+		cl.onDue(now)
+	}
+}
+
+// expire forgets claims whose records the members drop.
+func (c *Claimant) expire(now time.Time) {
+	n := 0
+	for n < len(c.expiry) && c.expiry[n].at.Before(now) {
+		if cl := c.expiry[n].claim; c.held[cl.key.key] == cl {
+			cl.forget()
+		}
+		n++
+	}
+	c.expiry = c.expiry[n:]
+}
