Publish how far each stream is known, also through peers

Cause: quorum groups count contact to the log 'direct or through peers'; ContactLog noted the end of a read before its records were applied, and no peer's knowledge.

Answers carry the age of the peer's knowledge, counted from when it was asked. The quorum duty's horizon now uses the follower's value; ContactLog is no longer wired.

Conclusion: a node cut off from the log stays within 3 s of its peers' knowledge and ages with them (virtual time).

--- a/agent/config.go
+++ b/agent/config.go
@@ -16,7 +16,6 @@
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
-	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
@@ -41,7 +40,7 @@
 		Self:      n.self,
 		Streams:   n.streams(),
 		Rand:      newRand(),
-		Checker:   invariant.New(n.log, nil),
+		Checker:   n.checker,
 		Log:       n.log,
 		Peers:     c.seeds,
 		Append:    func(a *appender.Append) bool { return c.appender.Ring().Offer(a) },
@@ -95,6 +94,12 @@
 	return streams
 }
 
+// groupsKnown returns the time before which every composition of the region's
+// quorum groups is known here, read from the log or through peers.
+func (n *Node) groupsKnown() time.Time {
+	return n.configuration.follower.View().Known(model.GroupStream(n.self.Region))
+}
+
 // appendGroup appends a composition of a quorum group. The duty proposes it
 // again when it does not come back from the log.
 func (n *Node) appendGroup(r model.GroupRecord) {
--- a/agent/follower/duty.go
+++ b/agent/follower/duty.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -165,8 +166,7 @@
 	}
 	old := h.view.Load()
 	p := Published{LogContact: h.core.Contact(), Positions: h.core.Positions(), Ready: h.core.Ready()}
-	same := p.LogContact.Equal(old.LogContact) && p.Ready == old.Ready && p.ConfigOffset() == old.ConfigOffset()
-	if s == nil && same {
+	if s == nil && p.Ready == old.Ready && slices.Equal(p.Positions, old.Positions) {
 		return
 	}
 	h.view.Store(&View{Published: p, Snapshot: h.snapshots.current})
--- /dev/null
+++ b/agent/follower/duty_test.go
@@ -0,0 +1,79 @@
+package follower
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/agent/appender"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/logservice/memlog"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/configlog"
+)
+
+// Guards against a subscriber that stays on an old configuration because its
+// ring was full when the newest was published.
+func TestSubscriberWithoutRoomGetsTheNewest(t *testing.T) {
+	room := false
+	var got []int
+	o := newOffers[int]([]func(*int) bool{func(v *int) bool {
+		if room {
+			got = append(got, *v)
+		}
+		return room
+	}})
+	for i := range 3 {
+		o.publish(&i)
+	}
+	room = true
+	o.offer()
+	o.offer()
+	assert.DeepEqual(t, got, []int{2})
+}
+
+// Guards against other duties that are not told when the log was last read,
+// and against a record that is lost because the appender had no room.
+func TestContactIsPublishedAndRecordsAreKept(t *testing.T) {
+	var published []*Published
+	var taken []*appender.Append
+	room := false
+	_, h := New(Config{
+		Context: t.Context(),
+		Service: memlog.New(time.Now, time.Hour),
+		Streams: []string{model.ConfigStream},
+		Rand:    rand.New(rand.NewPCG(1, 1)),
+		Log:     event.Discard(),
+		Peers:   noPeers{},
+		Append: func(a *appender.Append) bool {
+			if room {
+				taken = append(taken, a)
+			}
+			return room
+		},
+		Contacts: []ContactSubscriber{func(p *Published) bool {
+			published = append(published, p)
+			return true
+		}},
+	})
+	now := time.Unix(1_700_000_000, 0)
+	h.Tick(now)
+	read := configlog.Read{Stream: model.ConfigStream, Started: now, Page: logservice.Page{Retention: time.Hour}}
+	h.Handle(now.Add(time.Second), []Message{&ReadDone{Read: read}})
+	last := published[len(published)-1]
+	assert.Assert(t, last.LogContact.Equal(now) && last.Known(model.ConfigStream).Equal(now) && last.Ready)
+
+	h.Handle(now.Add(time.Second), []Message{&Withdraw{Hash: model.HashKey("k")}})
+	assert.Equal(t, len(taken), 0)
+	room = true
+	h.Tick(now.Add(2 * time.Second))
+	assert.Equal(t, len(taken), 1)
+	var p model.Publication
+	assert.NilError(t, json.Unmarshal(taken[0].Body, &p))
+	assert.DeepEqual(t, p.Withdraw, []string{model.HashKey("k").String()})
+	assert.Equal(t, p.ID, taken[0].ID)
+}
--- a/agent/follower/messages.go
+++ b/agent/follower/messages.go
@@ -71,6 +71,18 @@
 	return 0
 }
 
+// Known returns the latest time before which every record that was appended
+// to a stream is applied at this node, read from the log or through peers. It
+// is zero when there is none.
+func (p *Published) Known(stream string) time.Time {
+	for _, position := range p.Positions {
+		if position.Stream == stream {
+			return position.Known
+		}
+	}
+	return time.Time{}
+}
+
 // View is what operators see of the follower. It is immutable.
 type View struct {
 	Published
--- a/agent/node.go
+++ b/agent/node.go
@@ -49,7 +49,7 @@
 	settings *settings.Node
 	self     model.Member
 	log      *event.Log
-	service  *quorumduty.ContactLog
+	service  logservice.Log
 	vars     *expvar.Map
 	checker  *invariant.Checker
 
@@ -76,7 +76,7 @@
 func New(s *settings.Node, log logservice.Log, out hclog.Logger) (*Node, error) {
 	n := &Node{
 		settings: s,
-		service:  quorumduty.NewContactLog(log, model.GroupStream(model.Region(s.Region))),
+		service:  log,
 		log:      event.New(out.Named(s.Instance)),
 		vars:     new(expvar.Map).Init(),
 	}
@@ -139,7 +139,7 @@
 		Self:    n.self,
 		Send:    quorumduty.SendOver(sessions, n.log),
 		Append:  n.appendGroup,
-		Contact: n.service.Contact,
+		Contact: n.groupsKnown,
 		NewID:   uuid.NewString,
 		Rand:    newRand(),
 		Log:     n.log,
--- a/policy/configlog/core.go
+++ b/policy/configlog/core.go
@@ -35,6 +35,8 @@
 	peers     []model.Instance
 	askWanted bool
 	askAt     time.Time
+	asked     [askedKept]time.Time // by sequence
+	sequenced uint64
 	incoming  incoming
 	held      []heldSet
 
@@ -141,7 +143,7 @@
 func (c *Core) Positions() []Position {
 	out := make([]Position, len(c.tracks))
 	for i, t := range c.tracks {
-		out[i] = Position{Stream: t.stream, Next: c.next(t.stream)}
+		out[i] = Position{Stream: t.stream, Next: c.next(t.stream), Known: t.known}
 	}
 	return out
 }
--- a/policy/configlog/core_test.go
+++ b/policy/configlog/core_test.go
@@ -296,6 +296,30 @@
 	return true
 }
 
+// Guards against a node that counts as in contact with the log, through peers,
+// for longer than the peers are, or that takes a delayed answer for fresh.
+func TestKnowledgeThroughPeersAges(t *testing.T) {
+	f := newFleet(t, 24*time.Hour)
+	a, b := f.add("suva"), f.add("suva")
+	f.publish(model.Publication{Amendments: zones("suva")})
+	f.run(time.Second, step)
+	b.cutOff = true
+	f.run(10*time.Second, step)
+	known := func(n *testNode) time.Time { return n.core.Positions()[0].Known }
+	assert.Assert(t, f.now.Sub(known(b)) < 3*time.Second, "%s", f.now.Sub(known(b)))
+	assert.Assert(t, f.now.Sub(b.core.Contact()) > 9*time.Second)
+
+	f.log.SetFaults(memlog.Faults{Down: true})
+	f.run(20*time.Second, step)
+	assert.Assert(t, f.now.Sub(known(a)) > 19*time.Second)
+	assert.Assert(t, !known(b).After(known(a)), "b knows more than a")
+
+	before := known(b)
+	late := StreamRecords{Stream: model.ConfigStream, From: 1, Next: 1, KnownAge: 1}
+	b.core.OnAnswer(f.now, a.self, &Answer{Sequence: 1, Streams: []StreamRecords{late}})
+	assert.Equal(t, known(b), before)
+}
+
 // Guards against configuration that goes back to a peer's older state.
 func TestOlderStateOfPeerIsIgnored(t *testing.T) {
 	f := newFleet(t, 24*time.Hour)
--- a/policy/configlog/messages.go
+++ b/policy/configlog/messages.go
@@ -11,11 +11,16 @@
 type Position struct {
 	Stream string
 	Next   logservice.Offset
+	// Known is the latest time, on this node's clock, before which every
+	// record that was appended is applied here, read from the log or through
+	// peers. It is zero when there is none. It is not sent to peers.
+	Known time.Time
 }
 
 // Request asks a peer for the records after the positions.
 type Request struct {
 	Positions []Position
+	Sequence  uint64 // of the sender's requests; the answer repeats it
 	// WantSet asks for a document set even when the position is current,
 	// because records before it are missing.
 	WantSet bool
@@ -34,10 +39,14 @@
 	// Compact says that the records replace everything before Next.
 	Compact bool
 	Records []logservice.Record
+	// KnownAge is how long ago every record before Next was all there was, as
+	// the peer knows it. It is 0 when the peer does not know.
+	KnownAge time.Duration
 }
 
 // Answer passes on what a peer knows and the asker does not.
 type Answer struct {
+	Sequence  uint64 // of the request
 	Streams   []StreamRecords
 	Set       *Set
 	Withdrawn []model.KeyHash
--- a/policy/configlog/relay.go
+++ b/policy/configlog/relay.go
@@ -17,6 +17,9 @@
 	// gapAskInterval is the same for a node that serves from the log and only
 	// wants a peer to settle what it could not read.
 	gapAskInterval = 30 * time.Second
+	// askedKept is how many requests may wait for an answer. Later answers say
+	// nothing about how fresh they are.
+	askedKept = 8
 	// maxPartBytes and maxPartDocuments bound one part of a document set,
 	// under the limit of 1 MiB for a frame.
 	maxPartBytes     = 256 << 10
@@ -61,7 +64,9 @@
 	if c.ready && c.byName[model.ConfigStream].state == stateFollowing {
 		c.askAt = now.Add(gapAskInterval)
 	}
-	request := &Request{Positions: c.Positions(), WantSet: c.config.Gap(), Withdrawn: c.pendingHashes()}
+	c.sequenced++
+	c.asked[c.sequenced%askedKept] = now
+	request := &Request{Sequence: c.sequenced, Positions: c.Positions(), WantSet: c.config.Gap(), Withdrawn: c.pendingHashes()}
 	for _, i := range c.rng.Perm(len(c.peers))[:min(askPeers, len(c.peers))] {
 		c.emit(&Send{To: c.peers[i], Request: request})
 	}
@@ -72,7 +77,7 @@
 	for _, hash := range r.Withdrawn {
 		c.learnWithdrawal(now, hash)
 	}
-	answer := &Answer{Withdrawn: c.pendingHashes()}
+	answer := &Answer{Sequence: r.Sequence, Withdrawn: c.pendingHashes()}
 	if r.SetFrom > 0 {
 		answer.Set = c.part(now, r.SetPosition, r.SetFrom)
 	} else {
@@ -96,7 +101,14 @@
 		answer.Set = c.part(now, next, 0)
 		return
 	}
-	if p.Next >= next || config && !c.ready {
+	if p.Next > next || config && !c.ready {
+		return
+	}
+	age := knownAge(now, t)
+	if p.Next == next {
+		if age > 0 {
+			answer.Streams = append(answer.Streams, StreamRecords{Stream: p.Stream, From: next, Next: next, KnownAge: age})
+		}
 		return
 	}
 	records, kept := t.since(p.Next)
@@ -104,13 +116,22 @@
 		answer.Set = c.part(now, next, 0)
 		return
 	}
-	s := StreamRecords{Stream: p.Stream, From: p.Next, Next: next, Records: records}
+	s := StreamRecords{Stream: p.Stream, From: p.Next, Next: next, Records: records, KnownAge: age}
 	if !kept {
 		s.Compact, s.Records = true, c.compact(p.Stream)
 	}
 	answer.Streams = append(answer.Streams, s)
 }
 
+// knownAge returns how old the node's knowledge of a stream is, or 0 when it
+// has none.
+func knownAge(now time.Time, t *track) time.Duration {
+	if t.known.IsZero() {
+		return 0
+	}
+	return max(now.Sub(t.known), 1)
+}
+
 func (c *Core) compact(stream string) []logservice.Record {
 	if m := c.members[stream]; m != nil {
 		return m.compact()
@@ -171,12 +192,24 @@
 	}
 	for _, s := range a.Streams {
 		c.applyRelayed(now, from, s)
+		c.learnKnown(a.Sequence, s)
 	}
 	if a.Set != nil {
 		c.takePart(now, from.Instance, a.Set)
 	}
 }
 
+// learnKnown counts a peer's knowledge from when it was asked, so that an
+// answer that was delayed is not taken for fresh.
+func (c *Core) learnKnown(sequence uint64, s StreamRecords) {
+	t := c.byName[s.Stream]
+	late := sequence == 0 || sequence > c.sequenced || c.sequenced-sequence >= askedKept
+	if t == nil || late || s.KnownAge <= 0 || c.next(s.Stream) < s.Next {
+		return
+	}
+	t.noteKnown(c.asked[sequence%askedKept].Add(-s.KnownAge))
+}
+
 func (c *Core) applyRelayed(now time.Time, from model.Member, s StreamRecords) {
 	t := c.byName[s.Stream]
 	next := c.next(s.Stream)
--- a/policy/configlog/track.go
+++ b/policy/configlog/track.go
@@ -55,6 +55,7 @@
 	now       time.Time
 	started   time.Time // start of the read that is being handled
 	contact   time.Time // start of the latest read that reached the end
+	known     time.Time // the same, or later through a peer
 	silentAt  time.Time // when the stream counts as silent
 	reading   bool
 	readAt    time.Time
@@ -73,7 +74,7 @@
 		Actions: map[string]func(*track){
 			"read_next":    func(t *track) { t.readAt = t.now },
 			"read_later":   func(t *track) { t.readAt = t.now.Add(readRetry) },
-			"note_contact": func(t *track) { t.contact = t.started },
+			"note_contact": (*track).noteContact,
 			"ask_peers":    func(t *track) { t.core.askWanted = true },
 		},
 	})
@@ -121,6 +122,18 @@
 	t.silentAt = earlier(t.silentAt, now.Add(silenceLimit))
 }
 
+func (t *track) noteContact() {
+	t.contact = t.started
+	t.noteKnown(t.started)
+}
+
+// noteKnown notes that every record appended before at is applied.
+func (t *track) noteKnown(at time.Time) {
+	if at.After(t.known) {
+		t.known = at
+	}
+}
+
 // keep remembers a record for peers that do not reach the log.
 func (t *track) keep(r logservice.Record) {
 	t.recent = append(t.recent, r)
--- a/transport/wire/config.go
+++ b/transport/wire/config.go
@@ -13,6 +13,7 @@
 // FromRequest encodes a request for records.
 func FromRequest(r *configlog.Request) *RecordsRequest {
 	out := &RecordsRequest{
+		Sequence:    r.Sequence,
 		WantSet:     r.WantSet,
 		SetPosition: uint64(r.SetPosition),
 		SetFrom:     uint32(r.SetFrom),
@@ -31,6 +32,7 @@
 		return nil, err
 	}
 	out := &configlog.Request{
+		Sequence:    m.GetSequence(),
 		WantSet:     m.GetWantSet(),
 		SetPosition: logservice.Offset(m.GetSetPosition()),
 		SetFrom:     int(m.GetSetFrom()),
@@ -44,7 +46,7 @@
 
 // FromAnswer encodes records and documents for a peer.
 func FromAnswer(a *configlog.Answer) *Records {
-	out := &Records{Withdrawn: fromHashes(a.Withdrawn)}
+	out := &Records{Sequence: a.Sequence, Withdrawn: fromHashes(a.Withdrawn)}
 	for _, s := range a.Streams {
 		out.Streams = append(out.Streams, fromStream(s))
 	}
@@ -60,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &configlog.Answer{Withdrawn: withdrawn}
+	out := &configlog.Answer{Sequence: m.GetSequence(), Withdrawn: withdrawn}
 	for _, s := range m.GetStreams() {
 		out.Streams = append(out.Streams, toStream(s))
 	}
@@ -82,7 +84,9 @@
 }
 
 func fromStream(s configlog.StreamRecords) *StreamRecords {
-	out := &StreamRecords{Stream: s.Stream, From: uint64(s.From), Next: uint64(s.Next), Compact: s.Compact}
+	out := &StreamRecords{
+		Stream: s.Stream, From: uint64(s.From), Next: uint64(s.Next), Compact: s.Compact, KnownAgeNs: int64(s.KnownAge),
+	}
 	for _, r := range s.Records {
 		out.Records = append(out.Records, &LogRecord{
 			Id: r.ID, Offset: uint64(r.Offset), TimeNs: r.Time.UnixNano(), Body: r.Body,
@@ -98,6 +102,7 @@
 		Next:    logservice.Offset(m.GetNext()),
 		Compact: m.GetCompact(),
 	}
+	out.KnownAge = max(time.Duration(m.GetKnownAgeNs()), 0)
 	for _, r := range m.GetRecords() {
 		out.Records = append(out.Records, logservice.Record{
 			ID: r.GetId(), Offset: logservice.Offset(r.GetOffset()), Time: time.Unix(0, r.GetTimeNs()), Body: r.GetBody(),
