Bound pages of the log by bytes and name the end of the stream

Cause: 1,000 records of up to 512 KiB exceed the 64 MiB that a client reads, and a follower would have read the same page for ever. A page now holds 8 MiB and says where the stream ends, so that a cut page is not taken for the end.

--- a/logservice/log.go
+++ b/logservice/log.go
@@ -25,6 +25,8 @@
 	MaxRecordBytes = 512 << 10
 	// MaxPage bounds the records of one page.
 	MaxPage = 1000
+	// MaxPageBytes bounds the bodies of one page, besides its first record.
+	MaxPageBytes = 8 << 20
 )
 
 // Offset is the place of a record in its stream. The first is 0.
@@ -42,6 +44,7 @@
 type Page struct {
 	Records   []Record      `json:"records"`
 	Next      Offset        `json:"next"`      // where the next read starts
+	End       Offset        `json:"end"`       // after the newest record; above Next when more follow
 	Oldest    Offset        `json:"oldest"`    // oldest offset still kept
 	Retention time.Duration `json:"retention"` // how long records are kept
 }
--- a/logservice/memlog/memlog.go
+++ b/logservice/memlog/memlog.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -122,11 +123,24 @@
 		limit = logservice.MaxPage
 	}
 	until := min(end, from+logservice.Offset(limit))
-	records := append([]logservice.Record(nil), s.records[from-s.first:until-s.first]...)
-	page := logservice.Page{Records: records, Next: until, Oldest: s.first, Retention: l.retention}
+	records := bounded(s.records[from-s.first : until-s.first])
+	next := from + logservice.Offset(len(records))
+	page := logservice.Page{Records: records, Next: next, End: end, Oldest: s.first, Retention: l.retention}
 	return page, s.grown
 }
 
+// bounded copies the first records whose bodies fit into a page.
+func bounded(records []logservice.Record) []logservice.Record {
+	size := 0
+	for i, r := range records {
+		size += len(r.Body)
+		if i > 0 && size > logservice.MaxPageBytes {
+			return slices.Clone(records[:i])
+		}
+	}
+	return slices.Clone(records)
+}
+
 func (l *Log) expire(s *stream) {
 	limit := l.now().Add(-l.retention)
 	n := 0
--- a/policy/configlog/core.go
+++ b/policy/configlog/core.go
@@ -180,7 +180,7 @@
 	for _, record := range r.Page.Records {
 		c.apply(now, t, record)
 	}
-	if len(r.Page.Records) >= logservice.MaxPage {
+	if r.Page.Next < r.Page.End {
 		t.step(now, eventPageMore)
 	} else {
 		t.step(now, eventPageEnd)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// Guards against an example that operators copy and that is refused.
+func TestExampleIsAccepted(t *testing.T) {
+	n, err := Load("../examples/node.yaml")
+	assert.NilError(t, err)
+	assert.Equal(t, n.DrainTime, DefaultDrainTime)
+}
+
 // FuzzParse guards against settings that crash the reader.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
