--- /dev/null
+++ b/policy/configlog/fleet_test.go
@@ -0,0 +1,201 @@
+package configlog
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/logservice/memlog"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// fleet runs cores in virtual time against one log. Messages between nodes
+// take effect at the next step; a read sees the log as of its step.
+type fleet struct {
+	t     *testing.T
+	now   time.Time
+	log   *memlog.Log
+	nodes []*testNode
+	names map[model.Instance]*testNode
+	rng   *rand.Rand
+	sends int
+
+	streams []string // that new nodes follow
+}
+
+type testNode struct {
+	core   *Core
+	self   model.Member
+	cutOff bool // does not reach the log
+	alone  bool // has no links
+	inbox  []func(now time.Time)
+	latest *model.Snapshot
+	noted  []*Notice
+}
+
+func newFleet(t *testing.T, retention time.Duration) *fleet {
+	f := &fleet{t: t, now: time.Unix(1_700_000_000, 0), names: make(map[model.Instance]*testNode)}
+	f.rng = rand.New(rand.NewPCG(1, 2))
+	f.streams = []string{model.ConfigStream, model.MemberStream("tally"), model.GroupStream("viti")}
+	f.log = memlog.New(func() time.Time { return f.now }, retention)
+	return f
+}
+
+func (f *fleet) add(zone model.Zone) *testNode {
+	name := model.Instance(fmt.Sprintf("node-%d", len(f.nodes)))
+	self := model.Member{NodeID: model.NodeID{Instance: name, Incarnation: 1}, Service: "tally", Zone: zone, Region: "viti"}
+	checker := invariant.New(event.Discard(), func(name, detail string) { f.t.Errorf("%s: %s", name, detail) })
+	n := &testNode{self: self, core: New(self, f.streams, rand.New(rand.NewPCG(uint64(len(f.nodes)), 7)), checker)}
+	f.nodes = append(f.nodes, n)
+	f.names[name] = n
+	return n
+}
+
+func (f *fleet) restart(n *testNode) {
+	checker := invariant.New(event.Discard(), func(name, detail string) { f.t.Errorf("%s: %s", name, detail) })
+	n.self.Incarnation++
+	n.core = New(n.self, f.streams, f.rng, checker)
+	n.inbox, n.latest, n.noted = nil, nil, nil
+}
+
+// run advances the virtual time in steps.
+func (f *fleet) run(d, step time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(step)
+		for _, n := range f.nodes {
+			f.step(n)
+		}
+	}
+}
+
+func (f *fleet) step(n *testNode) {
+	n.core.OnPeers(f.peers(n))
+	inbox := n.inbox
+	n.inbox = nil
+	for _, deliver := range inbox {
+		deliver(f.now)
+	}
+	n.core.Tick(f.now)
+	for _, a := range n.core.Actions() {
+		f.act(n, a)
+	}
+	if s := n.core.Snapshot(); s != nil {
+		n.latest = s
+	}
+}
+
+func (f *fleet) peers(n *testNode) []model.Instance {
+	if n.alone {
+		return nil
+	}
+	var out []model.Instance
+	for _, other := range f.nodes {
+		if other != n && !other.alone {
+			out = append(out, other.self.Instance)
+		}
+	}
+	return out
+}
+
+func (f *fleet) act(n *testNode, a Action) {
+	switch a := a.(type) {
+	case *ReadLog:
+		f.read(n, a)
+	case *Append:
+		id := uuid.NewString()
+		switch {
+		case a.Publication != nil:
+			a.Publication.ID = id
+			f.append(n, a.Stream, id, a.Publication)
+		case a.Member != nil:
+			f.append(n, a.Stream, id, a.Member)
+		case a.Group != nil:
+			f.append(n, a.Stream, id, a.Group)
+		}
+	case *Send:
+		f.send(n, a)
+	case *Notice:
+		n.noted = append(n.noted, a)
+	}
+}
+
+func (f *fleet) read(n *testNode, a *ReadLog) {
+	page, err := f.log.Read(context.Background(), a.Stream, a.From, logservice.ReadOptions{})
+	core, started := n.core, f.now
+	n.inbox = append(n.inbox, func(now time.Time) {
+		if err != nil || n.cutOff {
+			core.OnReadFailed(now, a.Stream)
+			return
+		}
+		core.OnRead(now, Read{Stream: a.Stream, From: a.From, Started: started, Page: page})
+	})
+}
+
+func (f *fleet) append(n *testNode, stream, id string, record any) {
+	body, err := json.Marshal(record)
+	assert.NilError(f.t, err)
+	if !n.cutOff {
+		_, _ = f.log.Append(context.Background(), stream, id, body)
+	}
+}
+
+func (f *fleet) send(n *testNode, a *Send) {
+	to := f.names[a.To]
+	if to.alone || n.alone {
+		return
+	}
+	f.sends++
+	from := n.self
+	to.inbox = append(to.inbox, func(now time.Time) {
+		switch {
+		case a.Request != nil:
+			to.core.OnRequest(now, from, a.Request)
+		case a.Answer != nil:
+			to.core.OnAnswer(now, from, a.Answer)
+		default:
+			to.core.OnWithdrawals(now, from, a.Withdrawals)
+		}
+	})
+}
+
+func (f *fleet) publish(p model.Publication) {
+	f.t.Helper()
+	if p.ID == "" {
+		p.ID = uuid.NewString()
+	}
+	body, err := json.Marshal(p)
+	assert.NilError(f.t, err)
+	_, err = f.log.Append(context.Background(), model.ConfigStream, p.ID, body)
+	assert.NilError(f.t, err)
+}
+
+func customer(name string, base uint64, rate float64) model.Amendment {
+	body, _ := json.Marshal(model.CustomerConfig{Name: model.Customer(name), Rate: rate})
+	return model.Amendment{Document: "customer/" + name, Base: base, Body: body}
+}
+
+func zones(names ...string) []model.Amendment {
+	var out []model.Amendment
+	for _, name := range names {
+		out = append(out, model.Amendment{Document: "zone/" + name, Body: json.RawMessage(`{}`)})
+	}
+	return out
+}
+
+func (n *testNode) rate(c model.Customer) float64 {
+	if n.latest == nil || n.latest.Customers[c] == nil {
+		return -1
+	}
+	return n.latest.Customers[c].Rate
+}
+
+const step = 100 * time.Millisecond
