--- a/policy/configlog/random_test.go
+++ b/policy/configlog/random_test.go
@@ -39,6 +39,21 @@
 		n.cutOff, n.alone = false, false
 	}
 	f.run(2*time.Minute, 500*time.Millisecond)
+	checkDocuments(t, f)
+	// A group whose first record was read after a gap is settled by a refresh.
+	f.run(4*time.Minute, time.Second)
+	key := model.GroupKey{Region: "viti", Group: 1}
+	for _, n := range f.nodes {
+		want, got := f.nodes[0].latest.Groups[key], n.latest.Groups[key]
+		assert.Equal(t, len(want) > 0, len(got) > 0)
+		if len(want) > 0 {
+			assert.DeepEqual(t, got[len(got)-1].From, want[len(want)-1].From)
+		}
+	}
+}
+
+func checkDocuments(t *testing.T, f *fleet) {
+	t.Helper()
 	want := f.nodes[0].core.State().Documents()
 	for _, n := range f.nodes {
 		assert.Assert(t, n.latest != nil, "%s has no configuration", n.self.Instance)
@@ -56,7 +71,7 @@
 // sees every record before it expires.
 func randomFault(f *fleet, rng *rand.Rand) {
 	n := f.nodes[1+rng.IntN(len(f.nodes)-1)]
-	switch rng.IntN(8) {
+	switch rng.IntN(9) {
 	case 0:
 		n.cutOff = !n.cutOff
 	case 1:
@@ -67,6 +82,12 @@
 		f.log.SetFaults(memlog.Faults{Down: rng.IntN(3) == 0})
 	case 4:
 		n.core.OnWithdraw(f.now, model.HashKey(fmt.Sprint(rng.IntN(20))), func(Acceptance) {})
+	case 5:
+		r := model.GroupRecord{Region: "viti", Group: 1, Epoch: 1, From: time.Unix(rng.Int64N(1_000_000), 0)}
+		if epochs := n.core.groups[model.GroupStream("viti")].Epochs(model.GroupKey{Region: "viti", Group: 1}); len(epochs) > 0 {
+			r.Epoch = epochs[len(epochs)-1].Epoch + 1
+		}
+		f.append(n, model.GroupStream("viti"), "", r)
 	default:
 		var p model.Publication
 		for range 1 + rng.IntN(3) {
