--- /dev/null
+++ b/core/timers/timers.go
@@ -0,0 +1,98 @@
+// Package timers keeps the next due time of each of many items, so that a
+// duty looks only at those that are due.
+package timers
+
+import (
+	"cmp"
+	"container/heap"
+	"time"
+)
+
+// Queue holds at most one due time for each item. Items with equal times come
+// in the order in which they were set. The zero value is not usable.
+type Queue[T comparable] struct {
+	entries entries[T]
+	index   map[T]*entry[T]
+	order   uint64
+}
+
+type entry[T comparable] struct {
+	item  T
+	at    time.Time
+	order uint64
+	place int
+}
+
+// New returns an empty queue.
+func New[T comparable]() *Queue[T] { return &Queue[T]{index: make(map[T]*entry[T])} }
+
+// Set sets the due time of an item and replaces an earlier one.
+func (q *Queue[T]) Set(item T, at time.Time) {
+	q.order++
+	if e := q.index[item]; e != nil {
+		e.at, e.order = at, q.order
+		heap.Fix(&q.entries, e.place)
+		return
+	}
+	e := &entry[T]{item: item, at: at, order: q.order}
+	q.index[item] = e
+	heap.Push(&q.entries, e)
+}
+
+// Remove drops the due time of an item, if it has one.
+func (q *Queue[T]) Remove(item T) {
+	if e := q.index[item]; e != nil {
+		heap.Remove(&q.entries, e.place)
+		delete(q.index, item)
+	}
+}
+
+// PopDue removes and returns the item that is due first, if it is due at now.
+func (q *Queue[T]) PopDue(now time.Time) (T, bool) {
+	if len(q.entries) == 0 || q.entries[0].at.After(now) {
+		var zero T
+		return zero, false
+	}
+	e := heap.Pop(&q.entries).(*entry[T])
+	delete(q.index, e.item)
+	return e.item, true
+}
+
+// Next returns the earliest due time, or the zero time when there is none.
+func (q *Queue[T]) Next() time.Time {
+	if len(q.entries) == 0 {
+		return time.Time{}
+	}
+	return q.entries[0].at
+}
+
+// Len returns the number of items.
+func (q *Queue[T]) Len() int { return len(q.entries) }
+
+// entries is the heap; see container/heap.
+type entries[T comparable] []*entry[T]
+
+func (h entries[T]) Len() int { return len(h) }
+
+func (h entries[T]) Less(i, j int) bool {
+	return cmp.Or(h[i].at.Compare(h[j].at), cmp.Compare(h[i].order, h[j].order)) < 0
+}
+
+func (h entries[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+
+func (h *entries[T]) Push(x any) {
+	e := x.(*entry[T])
+	e.place = len(*h)
+	*h = append(*h, e)
+}
+
+func (h *entries[T]) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
--- a/policy/quorum/composer.go
+++ b/policy/quorum/composer.go
@@ -66,6 +66,7 @@
 	snapshot  *model.Snapshot
 	machine   *chart.Machine[*group]
 	groups    map[model.GroupKey]*group
+	order     []*group // in order of their keys
 	proposals []model.GroupRecord
 	newID     func() string
 }
@@ -126,6 +127,7 @@
 		g = &group{core: c, key: key, state: c.machine.Initial(), now: now}
 		g.reset()
 		c.groups[key] = g
+		c.order = append(c.order, g)
 	}
 	g.candidates = ranked(c.snapshot, key)
 	latest := c.directory.Latest(key)
@@ -159,7 +161,7 @@
 
 // OnPaused forgets what was observed before the pause.
 func (c *Composer) OnPaused(now time.Time) {
-	for _, g := range c.groups {
+	for _, g := range c.order {
 		g.reset()
 		g.due = now
 	}
@@ -168,7 +170,7 @@
 // Tick runs the timers that are due and returns the time of the next one.
 func (c *Composer) Tick(now time.Time) time.Time {
 	var next time.Time
-	for _, g := range c.groups {
+	for _, g := range c.order {
 		if !g.due.After(now) {
 			g.step(now, eventDue)
 		}
--- a/policy/record/claim.go
+++ b/policy/record/claim.go
@@ -21,9 +21,8 @@
 	votes     map[model.NodeID]Vote
 	answer    *model.Answer
 	contended int
-	due       time.Time
+	delay     time.Duration
 	deadline  time.Time
-	expires   time.Time
 }
 
 func (cl *claim) holder() Holder { return Holder{Node: cl.core.self, Call: cl.key.call} }
@@ -60,12 +59,12 @@
 		cl.finish(Result{Outcome: TooOld})
 		return
 	}
-	cl.due = now.Add(epochDelay)
+	cl.core.timers.Set(cl, now.Add(epochDelay))
 }
 
 // send asks the members that have not voted yet.
 func (cl *claim) send(now time.Time) {
-	cl.due = now.Add(resendInterval)
+	cl.core.timers.Set(cl, now.Add(resendInterval))
 	for _, m := range cl.record.Members {
 		if _, voted := cl.votes[m.NodeID]; voted {
 			continue
@@ -86,7 +85,7 @@
 		cl.release()
 		cl.finish(Result{Outcome: Replay, Answer: cl.answer})
 	case yes >= majority:
-		cl.grant()
+		cl.grant(now)
 	case size-(len(cl.votes)-yes) < majority:
 		cl.lose(now)
 	}
@@ -102,9 +101,9 @@
 	return n
 }
 
-func (cl *claim) grant() {
+func (cl *claim) grant(now time.Time) {
 	cl.endRound()
-	cl.core.held[cl.key.key] = cl
+	cl.hold(now)
 	cl.core.deliver(cl, Result{Outcome: Granted, Claim: &model.Claim{
 		Customer: cl.key.key.Customer, RequestID: cl.key.key.ID,
 		Group: cl.record.Group, Epoch: cl.record.Epoch,
@@ -112,6 +111,13 @@
 	}})
 }
 
+// hold keeps the claim for as long as the members keep its record.
+func (cl *claim) hold(now time.Time) {
+	cl.forget()
+	cl.core.held[cl.key.key] = cl
+	cl.core.expiry = append(cl.core.expiry, expiringClaim{cl, now.Add(Keep + MaxAhead)})
+}
+
 // lose handles a round that can have no majority. The votes it got are given
 // back. Contenders may have split the votes, and members may not have read
 // the composition yet, so both are tried again.
@@ -124,16 +130,23 @@
 			cl.finish(Result{Outcome: InProgress})
 			return
 		}
-		cl.due = now.Add(time.Duration(cl.core.rng.Int64N(int64(contentionDelay))))
+		cl.core.timers.Set(cl, now.Add(time.Millisecond+time.Duration(cl.core.rng.Int64N(int64(contentionDelay)))))
 	case cl.tally(VoteTooOld) > 0:
 		cl.finish(Result{Outcome: TooOld})
 	case cl.tally(VoteTooFar) > 0:
 		cl.finish(Result{Outcome: TooFarAhead})
 	default:
-		cl.due = now.Add(epochDelay)
+		cl.core.timers.Set(cl, now.Add(cl.backOff()))
 	}
 }
 
+// backOff doubles the delay between rounds without a majority, so that a
+// group that is away is not asked more and more as requests pile up.
+func (cl *claim) backOff() time.Duration {
+	cl.delay = min(max(2*cl.delay, epochDelay), maxEpochDelay)
+	return cl.delay
+}
+
 func (cl *claim) onDue(now time.Time) {
 	if !now.Before(cl.deadline) {
 		cl.expire()
@@ -180,7 +193,8 @@
 
 func (cl *claim) forget() {
 	cl.endRound()
-	delete(cl.core.calls, cl.key)
+	delete(cl.core.pending, cl.key)
+	cl.core.timers.Remove(cl)
 	if cl.core.held[cl.key.key] == cl {
 		delete(cl.core.held, cl.key.key)
 	}
--- a/policy/record/claimant.go
+++ b/policy/record/claimant.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/quorum"
 )
@@ -17,8 +18,10 @@
 	contentionRounds = 3
 	// contentionDelay spreads contenders that split the votes.
 	contentionDelay = 20 * time.Millisecond
-	// epochDelay is the wait for a composition that is on its way.
+	// epochDelay is the first wait for a composition that is on its way.
 	epochDelay = 50 * time.Millisecond
+	// maxEpochDelay bounds the wait between two rounds.
+	maxEpochDelay = 400 * time.Millisecond
 )
 
 // Delivery is a result for one request of the routing duty.
@@ -42,13 +45,20 @@
 	self       model.NodeID
 	rng        *rand.Rand
 	directory  *quorum.Directory
-	calls      map[callKey]*claim
-	held       map[Key]*claim
-	rounds     map[uint64]*claim // by sequence of the round under way
+	pending    map[callKey]*claim // claims that seek a majority
+	held       map[Key]*claim     // claims that have one
+	expiry     []expiringClaim    // held claims in order of expiry
+	rounds     map[uint64]*claim  // by sequence of the round under way
+	timers     *timers.Queue[*claim]
 	sequence   uint64
 	deliveries []Delivery
 }
 
+type expiringClaim struct {
+	claim *claim
+	at    time.Time
+}
+
 type callKey struct {
 	key  Key
 	call model.CallID
@@ -60,9 +70,10 @@
 		self:      self,
 		rng:       rng,
 		directory: quorum.NewDirectory("", nil),
-		calls:     make(map[callKey]*claim),
+		pending:   make(map[callKey]*claim),
 		held:      make(map[Key]*claim),
 		rounds:    make(map[uint64]*claim),
+		timers:    timers.New[*claim](),
 	}
 }
 
@@ -80,13 +91,10 @@
 // attempt. deliver is handed out with the result.
 func (c *Claimant) OnAcquire(now time.Time, r Request, deliver func(Result)) {
 	k := callKey{r.Key, r.Call}
-	cl := c.calls[k]
-	if cl == nil {
-		cl = &claim{core: c, key: k, expires: now.Add(Keep + MaxAhead)}
-	}
+	cl := c.claim(k)
 	cl.deliver, cl.target, cl.attempt = deliver, r.Target, r.Attempt
-	cl.deadline, cl.contended = now.Add(claimTimeout), 0
-	delete(c.held, r.Key)
+	cl.deadline, cl.contended, cl.delay = now.Add(claimTimeout), 0, 0
+	cl.forget()
 	t := model.Time(r.Key.ID)
 	if t.Before(now.Add(-MaxAge)) {
 		cl.finish(Result{Outcome: TooOld})
@@ -96,10 +104,21 @@
 		cl.finish(Result{Outcome: TooFarAhead})
 		return
 	}
-	c.calls[k] = cl
+	c.pending[k] = cl
 	cl.ask(now)
 }
 
+// claim returns the call's claim. Another call with the same id has its own.
+func (c *Claimant) claim(k callKey) *claim {
+	if cl := c.held[k.key]; cl != nil && cl.key == k {
+		return cl
+	}
+	if cl := c.pending[k]; cl != nil {
+		return cl
+	}
+	return &claim{core: c, key: k}
+}
+
 // OnAnswer takes a member's vote. Votes of rounds that are over are ignored:
 // their claims were released.
 func (c *Claimant) OnAnswer(now time.Time, a *ClaimAnswer) {
@@ -145,20 +164,24 @@
 // Tick sends requests again, ends those that found no majority, and returns
 // the time of the next event.
 func (c *Claimant) Tick(now time.Time) time.Time {
-	var next time.Time
-	for k, cl := range c.calls {
-		if c.held[k.key] == cl {
-			if now.After(cl.expires) {
-				cl.forget()
-			}
-			continue
-		}
-		if !cl.due.After(now) {
-			cl.onDue(now)
+	c.expire(now)
+	for {
+		cl, ok := c.timers.PopDue(now)
+		if !ok {
+			return c.timers.Next()
 		}
-		if next.IsZero() || cl.due.Before(next) {
-			next = cl.due
+		cl.onDue(now)
+	}
+}
+
+// expire forgets claims whose records the members drop.
+func (c *Claimant) expire(now time.Time) {
+	n := 0
+	for n < len(c.expiry) && c.expiry[n].at.Before(now) {
+		if cl := c.expiry[n].claim; c.held[cl.key.key] == cl {
+			cl.forget()
 		}
+		n++
 	}
-	return next
+	c.expiry = c.expiry[n:]
 }
--- a/policy/tokenlease/acquirer.go
+++ b/policy/tokenlease/acquirer.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/quorum"
 )
@@ -39,6 +40,7 @@
 	directory  *quorum.Directory
 	customers  map[model.Customer]*demand
 	grantors   map[model.GroupKey]model.Instance
+	timers     *timers.Queue[*demand]
 	sequence   uint64
 	deliveries []Delivery
 }
@@ -69,6 +71,7 @@
 // grants that still live.
 func NewAcquirer(rng *rand.Rand) *Acquirer {
 	return &Acquirer{
+		timers:    timers.New[*demand](),
 		sequence:  rng.Uint64N(1 << 48),
 		directory: quorum.NewDirectory("", nil),
 		customers: make(map[model.Customer]*demand),
@@ -98,6 +101,7 @@
 	if d.sequence == 0 && !d.due.After(now) {
 		c.ask(now, d)
 	}
+	c.plan(now, d)
 }
 
 func (c *Acquirer) demand(customer model.Customer) *demand {
@@ -121,6 +125,7 @@
 	if n := len(d.reports) - maxReports; n > 0 {
 		d.reports = d.reports[n:]
 	}
+	c.plan(now, d)
 }
 
 // OnAnswer takes the answer to a question.
@@ -132,8 +137,13 @@
 	d.sequence = 0
 	if a.NotGrantor {
 		c.onNotGrantor(now, d, from, a)
-		return
+	} else {
+		c.onGrantor(now, d, from, a)
 	}
+	c.plan(now, d)
+}
+
+func (c *Acquirer) onGrantor(now time.Time, d *demand, from model.Instance, a *TokenAnswer) {
 	c.grantors[d.key] = from
 	d.tries, d.foundAt = 0, now
 	if d.term != a.Term {
@@ -208,26 +218,32 @@
 // Tick repeats questions and ends those that found no grantor. It returns the
 // time of the next event.
 func (c *Acquirer) Tick(now time.Time) time.Time {
-	var next time.Time
-	for name, d := range c.customers {
+	for {
+		d, ok := c.timers.PopDue(now)
+		if !ok {
+			return c.timers.Next()
+		}
 		if len(d.reports) > 0 && !d.reportAt.After(now) {
 			c.sendReports(d)
 		}
-		if len(d.waiting) == 0 && d.sequence == 0 && len(d.reports) == 0 && !d.due.After(now) {
-			delete(c.customers, name)
-			continue
-		}
-		if len(d.reports) > 0 && (next.IsZero() || d.reportAt.Before(next)) {
-			next = d.reportAt
-		}
 		if !d.due.After(now) {
 			c.onDue(now, d)
 		}
-		if d.due.After(now) && (next.IsZero() || d.due.Before(next)) {
-			next = d.due
-		}
+		c.plan(now, d)
+	}
+}
+
+// plan sets the next event of a customer, or forgets one without any.
+func (c *Acquirer) plan(now time.Time, d *demand) {
+	switch {
+	case len(d.reports) > 0 && (!d.due.After(now) || d.reportAt.Before(d.due)):
+		c.timers.Set(d, d.reportAt)
+	case d.due.After(now):
+		c.timers.Set(d, d.due)
+	default:
+		c.timers.Remove(d)
+		delete(c.customers, d.customer)
 	}
-	return next
 }
 
 func (c *Acquirer) onDue(now time.Time, d *demand) {
--- a/policy/tokenlease/lease.go
+++ b/policy/tokenlease/lease.go
@@ -1,7 +1,10 @@
 package tokenlease
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/charts"
@@ -170,16 +173,16 @@
 // GiveUp ends all leases, for a pause or a shutdown. Releases let another
 // member become grantor at once.
 func (c *Leases) GiveUp(now time.Time) {
-	for key, l := range c.groups {
+	for _, l := range c.sorted() {
 		l.step(now, eventLost)
-		delete(c.groups, key)
+		delete(c.groups, l.key)
 	}
 }
 
 // Tick runs the timers that are due and returns the time of the next one.
 func (c *Leases) Tick(now time.Time) time.Time {
 	var next time.Time
-	for _, l := range c.groups {
+	for _, l := range c.sorted() {
 		if l.grantor != nil && !now.Before(l.until) {
 			l.step(now, eventLapsed)
 		}
@@ -193,6 +196,11 @@
 	return next
 }
 
+// sorted returns the leases in order of group, so that a run can be repeated.
+func (c *Leases) sorted() []*lease {
+	return slices.SortedFunc(maps.Values(c.groups), func(a, b *lease) int { return cmp.Compare(a.key.Group, b.key.Group) })
+}
+
 // Held returns the number of leases that this node holds.
 func (c *Leases) Held() int {
 	n := 0
