--- /dev/null
+++ b/agent/admission/quarantine.go
@@ -0,0 +1,26 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/agent/quarantine"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/admission"
+)
+
+// Quarantine judges requests that may crash the target. The admission duty
+// owns it and calls it on its thread.
+type Quarantine interface {
+	admission.Quarantine
+	// Ended takes the answer or refusal of a call that passed.
+	Ended(now time.Time, a *model.Answer)
+	OnNews(now time.Time, n quarantine.News)
+	OnSnapshot(s *model.Snapshot)
+	// Flush sends what is new to the other nodes of the service.
+	Flush(now time.Time)
+}
+
+// QuarantineNews carries what another node of the service has found out.
+type QuarantineNews struct{ News quarantine.News }
+
+func (*QuarantineNews) admissionMessage() {}
--- a/agent/quorum/cluster_test.go
+++ b/agent/quorum/cluster_test.go
@@ -260,18 +260,30 @@
 	})
 }
 
-func (p *process) append(r model.GroupRecord) {
-	if p.c.logDown {
-		return
-	}
+// append appends a composition. A sealed one waits while the log is down.
+func (p *process) append(r model.GroupRecord) bool {
+	life := p.life
 	p.c.after(p.c.between(time.Millisecond, 50*time.Millisecond), func() {
-		p.c.log = append(p.c.log, r)
+		if p.c.logDown && r.Sealed && p.life == life {
+			p.append(r)
+			return
+		}
 		key := model.GroupKey{Region: r.Region, Group: r.Group}
-		epochs, ok := quorum.AppendRecord(p.c.epochs[key], r)
-		if ok {
-			p.c.epochs[key] = epochs
+		if !p.c.logDown {
+			p.c.log = append(p.c.log, r)
+			p.c.epochs[key] = appendEpoch(p.c.epochs[key], r)
 		}
+		p.handle(&AppendDone{Key: key})
 	})
+	return true
+}
+
+// appendEpoch applies the log's rule: the first record of the next epoch wins.
+func appendEpoch(epochs []model.GroupRecord, r model.GroupRecord) []model.GroupRecord {
+	if n := len(epochs); n > 0 && r.Epoch != epochs[n-1].Epoch+1 {
+		return epochs
+	}
+	return append(slices.Clip(epochs), r)
 }
 
 // follow reads the log every 100 ms, as long as it is up.
@@ -298,7 +310,7 @@
 	s.Groups = make(map[model.GroupKey][]model.GroupRecord)
 	for _, r := range p.c.log[:p.applied] {
 		key := model.GroupKey{Region: r.Region, Group: r.Group}
-		s.Groups[key], _ = quorum.AppendRecord(s.Groups[key], r)
+		s.Groups[key] = appendEpoch(s.Groups[key], r)
 	}
 	p.handler.Handle(p.c.now, []Message{&SnapshotChanged{Snapshot: &s}})
 }
--- a/agent/quorum/peers.go
+++ b/agent/quorum/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -15,9 +14,6 @@
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
-// appendTimeout bounds one append of a composition.
-const appendTimeout = 5 * time.Second
-
 // Register passes the peers' messages to the duty's ring. When it is full the
 // message is dropped and counted; the sender counts no vote and asks again.
 func Register(d *links.Dispatcher, inbox *ring.Ring[Message], log *event.Log) {
@@ -47,24 +43,6 @@
 	}
 }
 
-// AppendTo returns the duty's way to the log. Each append runs on a goroutine
-// of its own, since appends block; a composition is rare.
-func AppendTo(ctx context.Context, service logservice.Log, log *event.Log) func(model.GroupRecord) {
-	return func(r model.GroupRecord) {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-			defer cancel()
-			body, err := json.Marshal(r)
-			if err == nil {
-				_, err = service.Append(ctx, model.GroupStream(r.Region), r.ID, body)
-			}
-			if err != nil {
-				log.Emit(event.LogUnavailable, "step", "append composition", "error", err)
-			}
-		}()
-	}
-}
-
 // ContactLog is a log service that notes when a stream was last read.
 type ContactLog struct {
 	logservice.Log
