--- a/policy/quorum/composer.go
+++ b/policy/quorum/composer.go
@@ -38,6 +38,9 @@
 	// majorityLostAfter is how long a majority must be lost before an
 	// unsealed composition is made.
 	majorityLostAfter = 30 * time.Second
+	// contactFresh is the age of the log contact up to which a node composes.
+	// Without the log a seal would end the group's service for nothing.
+	contactFresh = 5 * time.Second
 	// UnsealedDelay is how far ahead an unsealed composition starts: the
 	// horizon and a minute for differences between clocks.
 	UnsealedDelay = Horizon + clockAllowance
--- a/policy/quorum/directory.go
+++ b/policy/quorum/directory.go
@@ -110,16 +110,27 @@
 }
 
 // LeaseEpoch returns the composition whose members promise the group's lease
-// at now. An unsealed composition promises nothing before its start, since
-// members of the one before may still vote.
+// at now: the last one before an unsealed composition whose leases may not
+// start yet, since members of the one before it may still promise theirs.
 func (d *Directory) LeaseEpoch(key model.GroupKey, now time.Time) *model.GroupRecord {
+	var found *model.GroupRecord
 	epochs := d.Epochs(key)
-	for i := len(epochs) - 1; i >= 0; i-- {
-		if epochs[i].Sealed || !epochs[i].From.After(now) {
-			return &epochs[i]
+	for i := range epochs {
+		if i > 0 && leaseStart(&epochs[i]).After(now) {
+			break
 		}
+		found = &epochs[i]
 	}
-	return nil
+	return found
+}
+
+// leaseStart returns the time from which a composition may have leases. For a
+// sealed one it is the zero time: the seal ended those of the one before.
+func leaseStart(r *model.GroupRecord) time.Time {
+	if r.Sealed {
+		return time.Time{}
+	}
+	return r.From.Add(LeaseHorizon - Horizon)
 }
 
 // Majority returns the number of votes that decide among n members.
--- a/policy/quorum/group.go
+++ b/policy/quorum/group.go
@@ -103,7 +103,7 @@
 
 // unfit decides whether this node composes the group now.
 func (g *group) unfit() bool {
-	if g.order == notWatching {
+	if g.order == notWatching || g.now.Sub(g.core.votes.Contact()) > contactFresh {
 		return false
 	}
 	delay := time.Duration(min(g.order, maxRank)) * rankDelay
--- a/policy/quorum/votes.go
+++ b/policy/quorum/votes.go
@@ -9,9 +9,14 @@
 )
 
 const (
-	// Horizon bounds how long a voter without contact to the log goes on. An
-	// unsealed composition starts after it.
+	// Horizon bounds how long a voter without contact to the log accepts new
+	// ids. An unsealed composition starts after it.
 	Horizon = 15 * time.Minute
+	// LeaseHorizon bounds how long a voter without contact to the log promises
+	// leases. Outages of the log are more frequent than the loss of two
+	// availability zones at once, so it is longer than the horizon of ids: a
+	// log that is down for less takes no tokens away.
+	LeaseHorizon = time.Hour
 	// clockAllowance is the assumed bound on the difference between the wall
 	// clocks of two instances.
 	clockAllowance = time.Minute
@@ -76,7 +81,7 @@
 
 // OnSuccessor takes the composition after an epoch. The epoch ends where the
 // successor starts; it is dropped keep after that, when no id of it is valid
-// any more. Before an unsealed successor starts, the epoch goes on.
+// any more. Before an unsealed successor may have leases, the epoch's go on.
 func (v *Votes) OnSuccessor(now time.Time, next *model.GroupRecord, keep time.Duration) {
 	k := epochKey{model.GroupKey{Region: next.Region, Group: next.Group}, next.Epoch - 1}
 	m := v.members[k]
@@ -84,10 +89,10 @@
 		return
 	}
 	m.end = next.From
-	if next.Sealed || !now.Before(next.From.Add(-clockAllowance)) {
+	if next.Sealed || !now.Before(leaseStart(next).Add(-clockAllowance)) {
 		m.seal(next.From)
 	}
-	if now.After(next.From.Add(keep)) {
+	if m.standing != StandingMember && now.After(next.From.Add(keep)) {
 		delete(v.members, k)
 	}
 }
@@ -101,18 +106,16 @@
 	if m == nil || m.voter != b.Voter {
 		return StandingNone
 	}
-	if m.standing == StandingMember && v.contactLost(now) {
-		return StandingNone
-	}
 	return m.standing
 }
 
-func (v *Votes) contactLost(now time.Time) bool { return now.Sub(v.contact) > Horizon }
+// Contact returns the time of the latest contact to the log.
+func (v *Votes) Contact() time.Time { return v.contact }
 
 // MayPromise reports whether the addressed voter may promise a lease. A voter
 // waits until promises of the epoch before have lapsed.
 func (v *Votes) MayPromise(now time.Time, b Ballot, lapse time.Duration) bool {
-	if v.Standing(now, b) != StandingMember {
+	if v.Standing(now, b) != StandingMember || now.Sub(v.contact) > LeaseHorizon {
 		return false
 	}
 	m := v.members[epochKey{b.Key, b.Epoch}]
@@ -126,7 +129,7 @@
 	m := v.members[epochKey{b.Key, b.Epoch}]
 	switch standing {
 	case StandingMember:
-		if t.After(v.contact.Add(Horizon)) {
+		if t.After(v.contact.Add(Horizon)) || now.Sub(v.contact) > Horizon {
 			return StandingNone
 		}
 		if !m.end.IsZero() && !t.Before(m.end) {
