Check claims at the target's node

Cause: the target's node ran a claim that arrived twice, and one that named an earlier life of the node, whose memory of hand-overs is lost.

The admission fence passes a claim to record.Seen last, so that a claim that passes counts as handed over until it is refused in the queue or the target takes no connection. A repeated claim gets unknown, in_progress; an outdated attempt or another life of the node gets not-run. model.Claim and the wire carry the target's node.

TestClaimIsHandedOverOnce covers the queue, both lives and later attempts.

--- a/model/call.go
+++ b/model/call.go
@@ -44,6 +44,7 @@
 	Epoch     uint64
 	Attempt   int
 	Holder    NodeID // entry node that claimed
+	Target    NodeID // node of the target to which the request may be handed
 }
 
 // Call is a request after admission at its entry node, as it travels to a
--- /dev/null
+++ b/policy/admission/claim_test.go
@@ -0,0 +1,55 @@
+package admission
+
+import (
+	"testing"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Guards against a second hand-over of a request whose claim arrives twice,
+// and against "not run" for one that was handed over: only a refusal before
+// the hand-over lets a later attempt pass.
+func TestClaimIsHandedOverOnce(t *testing.T) {
+	f := newFixture(t, 1)
+	f.warm()
+	claim := model.Claim{Customer: "c0", RequestID: uuid.Must(uuid.NewV7()), Target: f.core.self.NodeID}
+	arrive := func(attempt int, change func(*model.Claim)) model.CallID {
+		return f.arrive("c0", "filing", func(c *model.Call) {
+			mine := claim
+			mine.Attempt = attempt
+			if change != nil {
+				change(&mine)
+			}
+			c.Claim = &mine
+		})
+	}
+	refusal := func(id model.CallID, reason model.Reason, run model.Run) {
+		t.Helper()
+		assert.Assert(t, f.ended[id] != nil, "call %d has no refusal", id)
+		assert.Equal(t, f.ended[id].Reason, reason)
+		assert.Equal(t, f.ended[id].Run, run)
+	}
+
+	otherLife := arrive(0, func(c *model.Claim) { c.Target.Incarnation++ })
+	refusal(otherLife, model.ReasonClaimDenied, model.NotRun)
+
+	busy := f.arrive("c0", "filing")
+	waiting := arrive(0, nil)
+	f.core.OnCanceled(f.now, waiting)
+	f.collect()
+	refusal(waiting, model.ReasonCanceled, model.NotRun)
+	refusal(arrive(0, nil), model.ReasonClaimDenied, model.NotRun)
+
+	f.finish(busy, ResultGood)
+	first := arrive(1, nil)
+	assert.Assert(t, f.running[first])
+	f.finish(first, ResultRefused)
+	f.warm()
+	second := arrive(2, nil)
+	assert.Assert(t, f.running[second])
+	f.finish(second, ResultGood)
+	refusal(arrive(3, nil), model.ReasonInProgress, model.RunUnknown)
+}
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/record"
 )
 
 // scanInterval bounds how long a waiting call outlives its deadline. A scan
@@ -32,6 +33,7 @@
 	rng        *rand.Rand
 	check      *invariant.Checker
 	quarantine Quarantine
+	seen       *record.Seen
 
 	snapshot *model.Snapshot
 	config   *model.ServiceConfig // of the own service; nil when unknown
@@ -59,6 +61,7 @@
 		rng:        o.Rand,
 		check:      o.Check,
 		quarantine: o.Quarantine,
+		seen:       record.NewSeen(record.MaxSeen),
 		executions: make(map[model.CallID]*execution),
 	}
 	c.machine = newMachine()
@@ -108,6 +111,9 @@
 	if refusal == nil && c.executions[call.ID] != nil {
 		refusal = model.Refusal(call.ID, model.ReasonInProgress, "the call is at the target's node already")
 	}
+	if refusal == nil {
+		refusal = c.fenceClaim(now, call)
+	}
 	if refusal != nil {
 		c.refuse(now, refusal)
 		return
@@ -128,6 +134,9 @@
 		return
 	}
 	running := c.running
+	if o.Result == ResultRefused && e.call.Claim != nil {
+		c.seen.Refuse(e.call.Claim) // the target took no connection
+	}
 	e.step(now, eventFinished)
 	c.observe(now, e, o, running)
 	c.target.onEmptied(now)
--- a/policy/admission/execution.go
+++ b/policy/admission/execution.go
@@ -164,6 +164,9 @@
 }
 
 func (e *execution) refuse(a *model.Answer) {
+	if e.call.Claim != nil {
+		e.core.seen.Refuse(e.call.Claim)
+	}
 	e.core.check.Assert(!e.handedOver, "admission_not_run_is_true", "call %d was handed over", e.call.ID)
 	e.core.check.Assert(!e.answered, "admission_answers_once", "call %d", e.call.ID)
 	e.answered = true
--- a/policy/admission/fence.go
+++ b/policy/admission/fence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/record"
 )
 
 // handOverTime bounds the time between the decision to run a call and its
@@ -25,6 +26,28 @@
 	return c.fence(now, call)
 }
 
+// fenceClaim judges the claim of a non-idempotent request. It runs last, since
+// a claim that passes counts as handed over until it is refused. A claim that
+// names another life of this node may have run there before.
+func (c *Core) fenceClaim(now time.Time, call *model.Call) *model.Answer {
+	if call.Claim == nil {
+		return nil
+	}
+	if call.Claim.Target != c.self.NodeID {
+		return model.Refusal(call.ID, model.ReasonClaimDenied, "the claim names another life of the target's node")
+	}
+	switch c.seen.Check(now, call.Claim) {
+	case record.First:
+		return nil
+	case record.HandedOver:
+		return model.Failure(call.ID, model.ReasonInProgress, "the target's node was handed this request before")
+	case record.Outdated:
+		return model.Refusal(call.ID, model.ReasonClaimDenied, "the claim's attempt was refused before")
+	default:
+		return model.Refusal(call.ID, model.ReasonNodeBusy, "the target's node remembers too many requests")
+	}
+}
+
 // fence judges again, at the target's node, what the entry node judged from
 // a configuration that may be older. It runs on arrival, on each change of
 // the configuration, and just before the hand-over. It returns a refusal or
--- a/policy/record/claim.go
+++ b/policy/record/claim.go
@@ -107,7 +107,7 @@
 	cl.core.deliver(cl, Result{Outcome: Granted, Claim: &model.Claim{
 		Customer: cl.key.key.Customer, RequestID: cl.key.key.ID,
 		Group: cl.record.Group, Epoch: cl.record.Epoch,
-		Attempt: cl.attempt, Holder: cl.core.self,
+		Attempt: cl.attempt, Holder: cl.core.self, Target: cl.target,
 	}})
 }
 
--- a/transport/wire/call.go
+++ b/transport/wire/call.go
@@ -223,6 +223,7 @@
 		Group:     int32(c.Group),
 		Epoch:     c.Epoch,
 		Attempt:   int32(c.Attempt),
+		Target:    FromNodeID(c.Target),
 	}
 }
 
@@ -237,6 +238,7 @@
 		Epoch:     c.GetEpoch(),
 		Attempt:   int(c.GetAttempt()),
 		Holder:    call.Entry,
+		Target:    ToNodeID(c.GetTarget()),
 	}
 }
 
