--- a/agent/node.go
+++ b/agent/node.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
@@ -19,7 +18,7 @@
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
 	"github.com/oleanderworks/oleanderworks/agent/quarantine"
-	quorumduty "github.com/oleanderworks/oleanderworks/agent/quorum"
+	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
@@ -49,15 +48,16 @@
 	settings *settings.Node
 	self     model.Member
 	log      *event.Log
-	service  *quorumduty.ContactLog
+	service  *quorum.ContactLog
 	vars     *expvar.Map
 	checker  *invariant.Checker
 
 	routing   *duty.Duty[routingduty.Message]
+	quorum    *duty.Duty[quorum.Message]
 	admission *duty.Duty[admissionduty.Message]
 	links     *duty.Duty[links.Message]
-	quorum    *duty.Duty[quorumduty.Message]
 
+	quorumVars    *expvar.Map
 	configuration configuration
 
 	endpoint  *peerlink.Endpoint
@@ -76,7 +76,7 @@
 func New(s *settings.Node, log logservice.Log, out hclog.Logger) (*Node, error) {
 	n := &Node{
 		settings: s,
-		service:  quorumduty.NewContactLog(log, model.GroupStream(model.Region(s.Region))),
+		service:  quorum.NewContactLog(log, model.GroupStream(model.Region(s.Region))),
 		log:      event.New(out.Named(s.Instance)),
 		vars:     new(expvar.Map).Init(),
 	}
@@ -116,7 +116,7 @@
 	table := n.newQuarantine(sessions, dispatcher)
 	admissionCore := admission.New(n.self, admission.Options{Rand: newRand(), Check: n.checker, Quarantine: table})
 	n.admission = admissionduty.New(ctx, admissionCore, client, table, n.log)
-	quorumVars := n.buildQuorum(sessions, dispatcher)
+	n.buildQuorum(sessions, dispatcher)
 	var decisions *routingduty.Handler
 	n.routing, decisions = routingduty.New(routing.New(n.self, newRand(), n.checker), n.quorum.Ring(), n.log)
 	server := &local.Server{Admission: n.admission.Ring(), Target: client, Parents: n.routing.Ring()}
@@ -126,30 +126,12 @@
 	n.vars.Set("routing", n.routing.Vars())
 	n.vars.Set("calls", decisions.Vars())
 	n.vars.Set("invariant_breaches", expvar.Func(func() any { return n.checker.Breaches() }))
+	n.vars.Set("quorum", n.quorumVars)
 	n.vars.Set("admission", n.admission.Vars())
 	n.vars.Set("links", n.links.Vars())
-	n.vars.Set("quorum", quorumVars)
 	return nil
 }
 
-// buildQuorum wires the votes, token leases and request records. It returns
-// their metrics.
-func (n *Node) buildQuorum(sessions *links.Handler, dispatcher *links.Dispatcher) *expvar.Map {
-	duty, vars := quorumduty.New(quorumduty.Config{
-		Self:    n.self,
-		Send:    quorumduty.SendOver(sessions, n.log),
-		Append:  n.appendGroup,
-		Contact: n.service.Contact,
-		NewID:   uuid.NewString,
-		Rand:    newRand(),
-		Log:     n.log,
-		Checker: n.checker,
-	})
-	quorumduty.Register(dispatcher, duty.Ring(), n.log)
-	n.quorum = duty
-	return vars
-}
-
 // newQuarantine returns the quarantine table of the admission duty, which
 // talks to the other nodes of the service.
 func (n *Node) newQuarantine(s *links.Handler, d *links.Dispatcher) *quarantine.Table {
--- a/agent/quorum/duty.go
+++ b/agent/quorum/duty.go
@@ -29,9 +29,9 @@
 	// Send passes a message to a peer. It does not block and reports false
 	// when there is no link.
 	Send func(to model.Instance, m quorum.Message) bool
-	// Append appends a composition to the log. It does not block; a record
-	// that does not come back is proposed again.
-	Append func(model.GroupRecord)
+	// Append appends a composition to the log, does not block and reports
+	// whether it had room. AppendDone follows.
+	Append func(model.GroupRecord) bool
 	// Contact returns the time of the latest contact to the log.
 	Contact func() time.Time
 	// NewID makes the ids of log records.
@@ -56,6 +56,7 @@
 	claimant  *record.Claimant
 
 	known     map[model.GroupKey]uint64 // epochs that were logged
+	appending map[model.GroupKey]bool   // compositions on their way to the log
 	refreshAt time.Time
 	local     []quorum.Message // messages of this node to itself
 	metrics   *metrics
@@ -85,6 +86,7 @@
 		store:     record.NewStore(votes),
 		claimant:  record.NewClaimant(c.Self.NodeID, c.Rand),
 		known:     make(map[model.GroupKey]uint64),
+		appending: make(map[model.GroupKey]bool),
 		metrics:   new(metrics),
 	}
 }
@@ -118,6 +120,8 @@
 			return
 		}
 		h.dispatch(now, m.From, m.Message)
+	case *AppendDone:
+		delete(h.appending, m.Key)
 	case *SnapshotChanged:
 		h.onSnapshot(now, m.Snapshot)
 	}
@@ -186,6 +190,7 @@
 	h.promises.Forget()
 	h.votes.Retire(now)
 	h.composer.OnPaused(now)
+	h.acquirer.OnPaused(now)
 	h.metrics.pauses.Add(1)
 	h.flush(now)
 }
