--- a/agent/config.go
+++ b/agent/config.go
@@ -16,7 +16,6 @@
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
-	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
@@ -36,10 +35,12 @@
 	c.appender = appender.New(ctx, n.service, newRand(), n.log)
 	c.seeds = follower.NewSeeds(sessions, n.endpoint, n.settings.Peers, n.log)
 	c.duty, c.follower = follower.New(follower.Config{
+		Context:   ctx,
+		Service:   n.service,
 		Self:      n.self,
 		Streams:   n.streams(),
 		Rand:      newRand(),
-		Checker:   invariant.New(n.log, nil),
+		Checker:   n.checker,
 		Log:       n.log,
 		Peers:     c.seeds,
 		Append:    func(a *appender.Append) bool { return c.appender.Ring().Offer(a) },
@@ -69,12 +70,6 @@
 	c := &n.configuration
 	c.appender.Start(&n.tomb)
 	c.duty.Start(&n.tomb)
-	for _, stream := range n.streams() {
-		n.tomb.Go(func() error {
-			c.follower.Read(ctx, n.service, stream, c.duty.Ring())
-			return nil
-		})
-	}
 	n.tomb.Go(func() error {
 		c.seeds.Run(ctx)
 		return nil
@@ -99,6 +94,12 @@
 	return streams
 }
 
+// groupsKnown returns the time before which every composition of the region's
+// quorum groups is known here, read from the log or through peers.
+func (n *Node) groupsKnown() time.Time {
+	return n.configuration.follower.View().Known(model.GroupStream(n.self.Region))
+}
+
 // announce appends the target to the members of its service.
 func (n *Node) announce() {
 	record := model.MemberRecord{ID: uuid.NewString(), Time: time.Now(), Member: n.self}
--- a/agent/follower/duty.go
+++ b/agent/follower/duty.go
@@ -3,7 +3,9 @@
 package follower
 
 import (
+	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/core/ring"
+	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/configlog"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
@@ -34,6 +37,8 @@
 
 // Config wires the duty to its node.
 type Config struct {
+	Context  context.Context // ends the reads
+	Service  logservice.Log
 	Self     model.Member
 	Streams  []string // followed streams of the log service
 	Rand     *rand.Rand
@@ -52,7 +57,8 @@
 	config    Config
 	log       *event.Log
 	core      *configlog.Core
-	readers   map[string]*ring.Ring[*configlog.ReadLog]
+	inbox     *ring.Ring[Message]
+	readers   map[string]*ring.Ring[*configlog.ReadLog] // by stream
 	snapshots offers[model.Snapshot]
 	contacts  offers[Published]
 	unsent    []*appender.Append
@@ -69,11 +75,10 @@
 		snapshots: newOffers[model.Snapshot](c.Snapshots),
 		contacts:  newOffers[Published](c.Contacts),
 	}
-	for _, stream := range c.Streams {
-		h.readers[stream] = ring.New[*configlog.ReadLog]("read "+stream, 1)
-	}
 	h.view.Store(&View{})
-	return duty.New[Message]("follower", ringCapacity, h), h
+	d := duty.New[Message]("follower", ringCapacity, h)
+	h.inbox = d.Ring()
+	return d, h
 }
 
 // View returns what operators see. It is safe for use by several threads.
@@ -120,7 +125,7 @@
 	case *Withdraw:
 		done := func(a configlog.Acceptance) { m.Reply.Send(a) }
 		if !h.core.OnWithdraw(now, m.Hash, done) {
-			m.Reply.Send(configlog.NotAccepted)
+			m.Reply.Send(configlog.Acceptance{Missing: []model.Region{h.config.Self.Region}})
 		}
 	}
 }
@@ -129,7 +134,7 @@
 	for _, a := range h.core.Actions() {
 		switch a := a.(type) {
 		case *configlog.ReadLog:
-			h.readers[a.Stream].Offer(a)
+			h.reader(a.Stream).Offer(a)
 		case *configlog.Send:
 			h.send(a)
 		case *configlog.Append:
@@ -161,8 +166,7 @@
 	}
 	old := h.view.Load()
 	p := Published{LogContact: h.core.Contact(), Positions: h.core.Positions(), Ready: h.core.Ready()}
-	same := p.LogContact.Equal(old.LogContact) && p.Ready == old.Ready && p.ConfigOffset() == old.ConfigOffset()
-	if s == nil && same {
+	if s == nil && p.Ready == old.Ready && slices.Equal(p.Positions, old.Positions) {
 		return
 	}
 	h.view.Store(&View{Published: p, Snapshot: h.snapshots.current})
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -24,7 +24,7 @@
 		Self:    n.self,
 		Send:    quorum.SendOver(sessions, n.log),
 		Append:  n.appendGroup,
-		Contact: n.service.Contact,
+		Contact: n.groupsKnown,
 		NewID:   uuid.NewString,
 		Rand:    newRand(),
 		Log:     n.log,
--- a/agent/node.go
+++ b/agent/node.go
@@ -48,7 +48,7 @@
 	settings *settings.Node
 	self     model.Member
 	log      *event.Log
-	service  *quorum.ContactLog
+	service  logservice.Log
 	vars     *expvar.Map
 	checker  *invariant.Checker
 
@@ -76,7 +76,7 @@
 func New(s *settings.Node, log logservice.Log, out hclog.Logger) (*Node, error) {
 	n := &Node{
 		settings: s,
-		service:  quorum.NewContactLog(log, model.GroupStream(model.Region(s.Region))),
+		service:  log,
 		log:      event.New(out.Named(s.Instance)),
 		vars:     new(expvar.Map).Init(),
 	}
--- a/policy/configlog/core.go
+++ b/policy/configlog/core.go
@@ -35,6 +35,8 @@
 	peers     []model.Instance
 	askWanted bool
 	askAt     time.Time
+	asked     [askedKept]time.Time // by sequence
+	sequenced uint64
 	incoming  incoming
 	held      []heldSet
 
@@ -62,24 +64,45 @@
 		pending: make(map[model.KeyHash]*withdrawal),
 	}
 	for _, stream := range streams {
-		if c.byName[stream] != nil {
-			continue
-		}
-		t := &track{core: c, stream: stream, state: c.machine.Initial()}
-		c.tracks = append(c.tracks, t)
-		c.byName[stream] = t
-		if stream == model.ConfigStream {
-			continue
-		}
-		if _, ok := memberService(stream); ok {
-			c.members[stream] = NewMembers()
-			continue
-		}
-		c.groups[stream] = NewGroups(self.Instance)
+		c.follow(stream)
 	}
 	return c
 }
 
+// follow adds a stream. It reports false when the stream is followed already.
+func (c *Core) follow(stream string) bool {
+	if c.byName[stream] != nil {
+		return false
+	}
+	t := &track{core: c, stream: stream, state: c.machine.Initial()}
+	c.tracks = append(c.tracks, t)
+	c.byName[stream] = t
+	if stream == model.ConfigStream {
+		return true
+	}
+	if _, ok := memberService(stream); ok {
+		c.members[stream] = NewMembers()
+		return true
+	}
+	c.groups[stream] = NewGroups(c.self.Instance)
+	return true
+}
+
+// followCalls follows the members of the services that this node's target
+// calls. A stream once followed stays, since few calls are ever removed.
+func (c *Core) followCalls(now time.Time) {
+	service := c.builder.Service(c.self.Service)
+	if service == nil {
+		return
+	}
+	for _, callee := range service.Calls {
+		stream := model.MemberStream(callee)
+		if c.follow(stream) {
+			c.byName[stream].silentAt = now.Add(startSilence)
+		}
+	}
+}
+
 // Actions returns the actions since the last call.
 func (c *Core) Actions() []Action {
 	out := c.out
@@ -120,7 +143,7 @@
 func (c *Core) Positions() []Position {
 	out := make([]Position, len(c.tracks))
 	for i, t := range c.tracks {
-		out[i] = Position{Stream: t.stream, Next: c.next(t.stream)}
+		out[i] = Position{Stream: t.stream, Next: c.next(t.stream), Known: t.known}
 	}
 	return out
 }
@@ -157,7 +180,7 @@
 	for _, record := range r.Page.Records {
 		c.apply(now, t, record)
 	}
-	if len(r.Page.Records) >= logservice.MaxPage {
+	if r.Page.Next < r.Page.End {
 		t.step(now, eventPageMore)
 	} else {
 		t.step(now, eventPageEnd)
@@ -169,6 +192,7 @@
 func (c *Core) OnReadFailed(now time.Time, stream string) {
 	if t := c.byName[stream]; t != nil {
 		t.reading = false
+		t.failed(now)
 		t.step(now, eventReadFailed)
 	}
 }
@@ -251,6 +275,7 @@
 
 // rebuild decodes the documents that changed.
 func (c *Core) rebuild(now time.Time) {
+	own := model.DocumentName(model.KindService, string(c.self.Service))
 	for _, name := range c.config.Changed() {
 		doc := c.config.Document(name)
 		if err := c.builder.Set(doc); err != nil {
@@ -258,6 +283,9 @@
 		}
 		c.settleWithdrawal(now, doc)
 		c.dirty = true
+		if name == own {
+			c.followCalls(now)
+		}
 	}
 }
 
