--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -62,6 +63,7 @@
 			}
 		}
 	}
+	maps.DeleteFunc(t.suspect, func(i model.Instance, _ bool) bool { return t.targets[i] == nil })
 }
 
 func (t *table) adopt(known *target, m model.Member, service *model.ServiceConfig) *target {
