--- a/agent/admission/quarantine.go
+++ b/agent/admission/quarantine.go
@@ -5,13 +5,13 @@
 
 	"github.com/oleanderworks/oleanderworks/agent/quarantine"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/admission"
 )
 
 // Quarantine judges requests that may crash the target. The admission duty
 // owns it and calls it on its thread.
 type Quarantine interface {
-	// Check returns a refusal, or nil. A call that passes is reported by Ended.
-	Check(now time.Time, call *model.Call) *model.Answer
+	admission.Quarantine
 	// Ended takes the answer or refusal of a call that passed.
 	Ended(now time.Time, a *model.Answer)
 	OnNews(now time.Time, n quarantine.News)
@@ -24,15 +24,3 @@
 type QuarantineNews struct{ News quarantine.News }
 
 func (*QuarantineNews) admissionMessage() {}
-
-// noQuarantine refuses nothing.
-type noQuarantine struct{}
-
-func (noQuarantine) Check(time.Time, *model.Call) *model.Answer { return nil }
-func (noQuarantine) Ended(time.Time, *model.Answer)             {}
-func (noQuarantine) OnNews(time.Time, quarantine.News)          {}
-func (noQuarantine) OnSnapshot(*model.Snapshot)                 {}
-func (noQuarantine) Flush(time.Time)                            {}
-
-// SetQuarantine sets the quarantine table before the duty starts.
-func (h *Handler) SetQuarantine(q Quarantine) { h.quarantine = q }
--- a/agent/node.go
+++ b/agent/node.go
@@ -107,19 +107,22 @@
 	if err != nil {
 		return err
 	}
-	var admissions *admissionduty.Handler
-	n.admission, admissions = admissionduty.New(admission.New(n.self), n.log)
-	n.quorum = routingduty.NewStandIn()
+	ctx := n.tomb.Context(context.Background())
+	dispatcher := links.NewDispatcher(n.log)
+	n.endpoint = &peerlink.Endpoint{Self: n.self, Control: controlHandler(dispatcher)}
+	var sessions *links.Handler
+	n.links, sessions = links.New(ctx, n.self, link.New(newRand()), n.endpoint, n.log)
+	n.endpoint.Accepted = sessions.Accept
+
 	n.checker = invariant.New(n.log, nil)
+	table := n.newQuarantine(sessions, dispatcher)
+	admissionCore := admission.New(n.self, admission.Options{Rand: newRand(), Check: n.checker, Quarantine: table})
+	n.admission = admissionduty.New(ctx, admissionCore, client, table, n.log)
+	n.quorum = routingduty.NewStandIn()
 	var decisions *routingduty.Handler
 	n.routing, decisions = routingduty.New(routing.New(n.self, newRand(), n.checker), n.quorum.Ring(), n.log)
 	server := &local.Server{Admission: n.admission.Ring(), Target: client, Parents: n.routing.Ring()}
-	dispatcher := links.NewDispatcher(n.log)
-	n.endpoint = &peerlink.Endpoint{Self: n.self, Calls: server.Serve, Control: controlHandler(dispatcher)}
-	var sessions *links.Handler
-	n.links, sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand()), n.endpoint, n.log)
-	n.endpoint.Accepted = sessions.Accept
-	n.wireQuarantine(admissions, sessions, dispatcher)
+	n.endpoint.Calls = server.Serve
 	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: sessions, Local: server.Serve}
 	n.follower = follower.New(n.log, []follower.Subscriber{
 		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
@@ -138,15 +141,15 @@
 	return nil
 }
 
-// wireQuarantine gives the admission duty its quarantine table, which talks to
-// the other nodes of the service.
-func (n *Node) wireQuarantine(h *admissionduty.Handler, s *links.Handler, d *links.Dispatcher) {
+// newQuarantine returns the quarantine table of the admission duty, which
+// talks to the other nodes of the service.
+func (n *Node) newQuarantine(s *links.Handler, d *links.Dispatcher) *quarantine.Table {
 	table := quarantine.New(n.self, s, n.log)
-	h.SetQuarantine(table)
 	n.vars.Set("quarantine", table.Vars())
 	quarantine.Register(d, n.log, func(news quarantine.News) bool {
 		return n.admission.Ring().Offer(&admissionduty.QuarantineNews{News: news})
 	})
+	return table
 }
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/policy/quarantine/core.go
+++ b/policy/quarantine/core.go
@@ -89,20 +89,26 @@
 	return n
 }
 
-// Check judges a call before it is admitted. It returns a refusal or nil; a
-// call that passes must be reported by Ended, whether or not it runs.
+// Check judges a call on its arrival and again before it is handed to the
+// target, since marks may come while it waits. It returns a refusal or nil; a
+// call that passed once must be reported by Ended, whether or not it runs.
 func (c *Core) Check(now time.Time, call *model.Call) *model.Answer {
 	for _, target := range call.LostOn {
 		c.OnMark(now, Mark{Fingerprint: call.Fingerprint, Target: target, At: now})
 	}
 	s := c.find(now, call.Fingerprint)
 	if s == nil {
-		c.calls[call.ID] = admitted{fingerprint: call.Fingerprint}
+		if _, known := c.calls[call.ID]; !known {
+			c.calls[call.ID] = admitted{fingerprint: call.Fingerprint}
+		}
 		return nil
 	}
 	if s.state == stateQuarantined {
 		return refusal(call.ID, model.ReasonQuarantined, "targets were lost while the request ran: "+s.names())
 	}
+	if c.busy && c.alone == call.ID {
+		return nil
+	}
 	if c.busy {
 		a := refusal(call.ID, model.ReasonShed, "another request that may crash targets runs here")
 		a.RetryAfter = busyPause
