Hold back a marked request while one that was marked later runs

Cause: a request that was marked while it ran did not count as a marked call, so that a popular request could start beside it, be lost with it and be taken for the cause. Now the admission duty reports each start, and a marked request waits for such calls. Conclusion: a test shows the case that was quarantined falsely before.

--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -172,6 +172,7 @@
 	case d.Cancel:
 		arrive.CancelRunning()
 	case d.Run:
+		h.quarantine.Started(d.CallID)
 		h.log.Emit(event.CallStarted, "call", d.CallID, "customer", arrive.Call.Customer, "class", arrive.Call.Class)
 		arrive.Reply.Send(Verdict{Until: d.Until})
 	}
--- a/agent/admission/quarantine.go
+++ b/agent/admission/quarantine.go
@@ -12,6 +12,8 @@
 // owns it and calls it on its thread.
 type Quarantine interface {
 	admission.Quarantine
+	// Started reports that a call that passed is handed to the target.
+	Started(id model.CallID)
 	// Ended takes the answer or refusal of a call that passed.
 	Ended(now time.Time, a *model.Answer)
 	OnNews(now time.Time, n quarantine.News)
--- a/agent/quarantine/table.go
+++ b/agent/quarantine/table.go
@@ -63,6 +63,9 @@
 	return refusal
 }
 
+// Started reports that a call that passed the check is handed to the target.
+func (t *Table) Started(id model.CallID) { t.core.Started(id) }
+
 // Ended takes the answer or refusal of a call that passed the check.
 func (t *Table) Ended(now time.Time, a *model.Answer) { t.core.Ended(now, a) }
 
--- a/policy/quarantine/core.go
+++ b/policy/quarantine/core.go
@@ -47,8 +47,9 @@
 	machine *chart.Machine[*suspicion]
 	marks   map[uint64]*suspicion
 	calls   map[model.CallID]admitted
-	alone   model.CallID // the marked call that runs or waits here
-	busy    bool         // alone is set
+	running map[uint64]int // calls at the target, by fingerprint
+	alone   model.CallID   // the marked call that runs or waits here
+	busy    bool           // alone is set
 	out     []Notice
 }
 
@@ -56,6 +57,7 @@
 type admitted struct {
 	fingerprint uint64
 	marked      bool // when it passed the check
+	running     bool
 }
 
 // New returns a core without marks.
@@ -65,6 +67,7 @@
 		machine: markMachine(),
 		marks:   make(map[uint64]*suspicion),
 		calls:   make(map[model.CallID]admitted),
+		running: make(map[uint64]int),
 	}
 }
 
@@ -109,7 +112,7 @@
 	if c.busy && c.alone == call.ID {
 		return nil
 	}
-	if c.busy {
+	if c.busy || c.markedRuns() {
 		a := refusal(call.ID, model.ReasonShed, "another request that may crash targets runs here")
 		a.RetryAfter = busyPause
 		return a
@@ -125,6 +128,38 @@
 	return a
 }
 
+// markedRuns reports whether a call runs here whose request was marked after
+// its start. If the target were lost, that one might be the cause.
+func (c *Core) markedRuns() bool {
+	for fingerprint := range c.marks {
+		if c.running[fingerprint] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Started reports that a call that passed the check is handed to the target.
+func (c *Core) Started(id model.CallID) {
+	call, known := c.calls[id]
+	if !known || call.running {
+		return
+	}
+	call.running = true
+	c.calls[id] = call
+	c.running[call.fingerprint]++
+}
+
+func (c *Core) stopped(call admitted) {
+	if !call.running {
+		return
+	}
+	c.running[call.fingerprint]--
+	if c.running[call.fingerprint] == 0 {
+		delete(c.running, call.fingerprint)
+	}
+}
+
 // Ended takes the answer of a call that passed the check: a refusal by a
 // later check, the target's answer, or the loss of the target.
 func (c *Core) Ended(now time.Time, a *model.Answer) {
@@ -133,6 +168,7 @@
 		return
 	}
 	delete(c.calls, a.ID)
+	c.stopped(call)
 	if c.busy && c.alone == a.ID {
 		c.busy = false
 	}
--- a/policy/quarantine/core_test.go
+++ b/policy/quarantine/core_test.go
@@ -43,6 +43,7 @@
 	s.t.Helper()
 	id, refusal := s.arrive(node, fingerprint, lostOn...)
 	assert.Assert(s.t, refusal == nil, "%+v", refusal)
+	s.nodes[node].Started(id)
 	return id
 }
 
@@ -133,6 +134,20 @@
 	s.wantEverywhere(popular, model.ReasonNone)
 }
 
+// Guards against a false quarantine of a marked request that runs beside one
+// whose mark came after its start: either may be the cause of the next loss.
+func TestMarkedRequestWaitsForOneThatWasMarkedWhileItRan(t *testing.T) {
+	s := newService(t, 3)
+	second := s.admit(1, poison)
+	s.lose(0, s.admit(0, popular), s.admit(0, poison))
+	s.spread()
+	_, refusal := s.arrive(1, popular)
+	assert.Equal(t, refusal.Reason, model.ReasonShed)
+	s.lose(1, second)
+	s.spread()
+	s.wantEverywhere(popular, model.ReasonNone)
+}
+
 // Guards against a false quarantine when two targets are lost at the same
 // time, as with a rack.
 func TestTargetsLostTogetherQuarantineNothing(t *testing.T) {
