--- a/agent/quorum/messages.go
+++ b/agent/quorum/messages.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
 	"github.com/oleanderworks/oleanderworks/policy/record"
 	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
 )
@@ -19,6 +20,14 @@
 	Deliver  func(tokenlease.Result)
 }
 
+// ReportTokens tells the grantor of a customer which tokens were used or are
+// given back. Without it the grantor counts every token as used when its life
+// ends, so that the customer's next tokens come later.
+type ReportTokens struct {
+	Customer model.Customer
+	Reports  []tokenlease.Report
+}
+
 // AcquireClaim asks for the right to hand a non-idempotent request to a
 // target. Attempt counts from 0 and grows when an earlier attempt was
 // certainly not run. Deliver runs on the quorum thread and must not block.
@@ -40,11 +49,19 @@
 // ReleaseClaim gives up a claim that was certainly not handed to a target.
 type ReleaseClaim struct{ Claim *model.Claim }
 
+// PeerMessage is a message of the quorum duty of another node.
+type PeerMessage struct {
+	From    model.Instance
+	Message quorum.Message
+}
+
 // SnapshotChanged carries a new configuration.
 type SnapshotChanged struct{ Snapshot *model.Snapshot }
 
 func (*AcquireTokens) quorumMessage()   {}
+func (*ReportTokens) quorumMessage()    {}
 func (*AcquireClaim) quorumMessage()    {}
 func (*CompleteClaim) quorumMessage()   {}
 func (*ReleaseClaim) quorumMessage()    {}
+func (*PeerMessage) quorumMessage()     {}
 func (*SnapshotChanged) quorumMessage() {}
