Hold tokens in the lease package's balances and report their use

The core now owns tokenlease.Balances, waits as long as the duty does, refuses at once what rate and burst cannot serve, and says 'unknown' for a known re-send of an id until its claim is granted.

--- a/agent/routing/quorum.go
+++ b/agent/routing/quorum.go
@@ -20,6 +20,8 @@
 	switch o := o.(type) {
 	case routing.TokenOrder:
 		h.askTokens(now, o)
+	case routing.ReportOrder:
+		h.post(&quorum.ReportTokens{Customer: o.Customer, Reports: o.Reports})
 	case routing.ClaimOrder:
 		h.askClaim(now, o)
 	case routing.CompleteOrder:
@@ -60,7 +62,8 @@
 }
 
 // post sends a message whose loss is safe: a claim that is not completed or
-// released stays in progress until its record lapses.
+// released stays in progress until its record lapses, and tokens that are not
+// reported count as used until their life ends.
 func (h *Handler) post(m quorum.Message) {
 	if !h.quorum.Offer(m) {
 		h.metrics.dropped.Add(1)
--- a/policy/routing/call.go
+++ b/policy/routing/call.go
@@ -56,6 +56,8 @@
 	claimedAt   time.Time     // when the newest claim was asked for
 	claimed     time.Duration // waiting for claims
 	counted     bool          // in the customer's demand
+	claimOK     bool          // a claim was granted: no earlier send has run
+	ownID       bool          // the node made the request's id
 	outstanding bool          // an attempt is in progress
 	answered    bool
 }
@@ -160,6 +162,7 @@
 	c := r.core
 	r.outstanding = false
 	c.targets.observe(r.now, r.target, a)
+	r.settleToken(a)
 	used := min(max(a.RetriesUsed, 0), r.budget)
 	if lostAnswer(a) {
 		used = r.budget
@@ -185,12 +188,21 @@
 	if r.unknown != nil && a.Run == model.NotRun {
 		a = r.unknown
 	}
+	if a.Run == model.NotRun && a.Refused() && r.sentBefore() {
+		a.Run = model.RunUnknown
+	}
 	r.core.addRetryAfter(r, a)
 	a.RetriesUsed = r.given - r.budget
 	r.markAnswered()
 	r.core.out = append(r.core.out, Decision{CallID: r.id, Answer: a})
 }
 
+// sentBefore reports whether the request may have run under an earlier send of
+// the same id, of which no claim has told yet.
+func (r *call) sentBefore() bool {
+	return r.call != nil && r.call.ClientRetry && !r.call.Idempotent && !r.ownID && !r.claimOK
+}
+
 func (r *call) recordSuccess() { r.markAnswered() }
 
 func (r *call) markAnswered() {
--- a/policy/routing/claim.go
+++ b/policy/routing/claim.go
@@ -28,12 +28,13 @@
 	switch result.Outcome {
 	case record.Granted:
 		r.call.Claim = result.Claim
+		r.claimOK = true
 		return eventClaimGranted
 	case record.Replay:
 		r.answer = replayed(r.id, result.Answer)
 		return eventClaimReplayed
 	default:
-		r.answer = claimRefusal(r.id, result.Outcome)
+		r.answer = r.claimRefusal(result.Outcome)
 		return eventClaimDenied
 	}
 }
@@ -47,17 +48,29 @@
 	return &a
 }
 
-func claimRefusal(id model.CallID, o record.Outcome) *model.Answer {
+func (r *call) claimRefusal(o record.Outcome) *model.Answer {
 	switch o {
 	case record.InProgress:
-		return model.Failure(id, model.ReasonInProgress, "a request with this id is in progress or its answer was lost")
+		return model.Failure(r.id, model.ReasonInProgress, "a request with this id is in progress or its answer was lost")
 	case record.TooOld:
-		return model.Failure(id, model.ReasonIDTooOld, "the record of this id may have been dropped")
+		return model.Failure(r.id, model.ReasonIDTooOld, "the record of this id may have been dropped")
+	case record.TooFarAhead:
+		return r.unlessSentBefore(model.ReasonBadRequest, "header Idempotency-Key: want an id whose time is at most 60 s ahead")
 	default:
-		return model.Refusal(id, model.ReasonClaimDenied, "no majority of the quorum group answered")
+		return r.unlessSentBefore(model.ReasonClaimDenied, "no majority of the quorum group answered")
 	}
 }
 
+// unlessSentBefore returns a refusal that says "not run" only if the node made
+// the id. A caller may have sent its own id before, and that send may have
+// run.
+func (r *call) unlessSentBefore(reason model.Reason, detail string) *model.Answer {
+	if r.ownID {
+		return model.Refusal(r.id, reason, detail)
+	}
+	return model.Failure(r.id, reason, detail)
+}
+
 func (r *call) completeClaim() {
 	if r.call.Claim != nil {
 		r.core.orders = append(r.core.orders, CompleteOrder{Claim: r.call.Claim, Answer: r.answer})
--- a/policy/routing/classify.go
+++ b/policy/routing/classify.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
 )
 
 // classify finds the route, the customer and the parent of a request. It
@@ -33,6 +34,7 @@
 	refusal := c.identify(now, r, req, a)
 	a.Fingerprint = fingerprint(a)
 	r.given = r.budget
+	r.ownID = req.RequestID == uuid.Nil
 	return a, refusal
 }
 
@@ -139,8 +141,10 @@
 	if _, ok := c.snapshot.CustomerOf(r.call.KeyHash); !ok {
 		return model.Refusal(r.id, model.ReasonKeyUnknown, "the key is unknown or withdrawn")
 	}
-	if !r.tokenAtHand() && c.account(r.call.Customer).parked.len() >= maxParked {
-		return model.Refusal(r.id, model.ReasonRateLimited, "too many requests of the customer wait for its rate")
+	if !r.tokenAtHand() && c.account(r.call.Customer).parked.len() >= c.parkedLimit(r.call.Customer) {
+		refusal := model.Refusal(r.id, model.ReasonRateLimited, "as many requests of the customer wait as its rate and burst allow")
+		refusal.RetryAfter = tokenlease.HoldTime
+		return refusal
 	}
 	return nil
 }
--- a/policy/routing/core.go
+++ b/policy/routing/core.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
 )
 
 // DefaultTimeout applies to routes and callers that set none.
@@ -42,7 +43,7 @@
 	Retried
 )
 
-// Order is a request to the quorum duty: TokenOrder, ClaimOrder,
+// Order is a request to the quorum duty: TokenOrder, ReportOrder, ClaimOrder,
 // CompleteOrder or ReleaseOrder.
 type Order interface{ order() }
 
@@ -68,12 +69,19 @@
 	Answer *model.Answer
 }
 
+// ReportOrder tells a grantor which tokens were used or are given back.
+type ReportOrder struct {
+	Customer model.Customer
+	Reports  []tokenlease.Report
+}
+
 // ReleaseOrder gives up a claim that was certainly not handed to a target.
 type ReleaseOrder struct{ Claim *model.Claim }
 
 func (TokenOrder) order()    {}
 func (ClaimOrder) order()    {}
 func (CompleteOrder) order() {}
+func (ReportOrder) order()   {}
 func (ReleaseOrder) order()  {}
 
 // Core holds the calls of one entry node. All methods run on one thread.
@@ -89,6 +97,8 @@
 	targets  *table
 	accounts map[model.Customer]*account
 	waiting  map[model.Customer]*account // those with parked calls
+	balances *tokenlease.Balances
+	reportAt time.Time
 	parents  map[string]*parent
 	seen     seenRequests
 	out      []Decision
@@ -108,6 +118,7 @@
 		targets:  newTable(self.Zone, rng),
 		accounts: make(map[model.Customer]*account),
 		waiting:  make(map[model.Customer]*account),
+		balances: tokenlease.NewBalances(),
 		parents:  make(map[string]*parent),
 	}
 }
@@ -152,8 +163,9 @@
 
 // OnPause drops what may have lapsed while the process was paused.
 func (c *Core) OnPause() {
+	c.balances.Drop()
 	for _, a := range c.accounts {
-		a.balance.clear()
+		a.askedAt = time.Time{}
 	}
 }
 
@@ -162,12 +174,12 @@
 	r := &call{core: c, now: now, began: now, state: c.machine.Initial(), id: req.ID}
 	c.calls[req.ID] = r
 	attempt, refusal := c.classify(now, r, req)
+	r.call = attempt
 	if refusal != nil {
 		r.answer = refusal
 		c.step(r, eventRejected)
 		return
 	}
-	r.call = attempt
 	c.step(r, eventAdmitted)
 }
 
@@ -231,9 +243,9 @@
 
 // Tick runs timers and returns the time of the next one; zero for none.
 func (c *Core) Tick(now time.Time) time.Time {
-	var next time.Time
-	for name, a := range c.waiting {
-		next = earlier(next, c.tickAccount(now, name, a))
+	next := c.report(now)
+	for _, a := range c.waiting {
+		next = earlier(next, c.tickAccount(now, a))
 	}
 	for _, r := range c.claiming {
 		if now.Before(r.call.Deadline) {
--- a/policy/routing/parked.go
+++ b/policy/routing/parked.go
@@ -24,14 +24,6 @@
 	return p.retries[0]
 }
 
-// last returns the call that would get a token after all others.
-func (p *parkedCalls) last() *call {
-	if n := len(p.retries); n > 0 {
-		return p.retries[n-1]
-	}
-	return p.fresh[len(p.fresh)-1]
-}
-
 func (p *parkedCalls) remove(r *call) {
 	p.fresh = without(p.fresh, r)
 	p.retries = without(p.retries, r)
