--- a/agent/chain_test.go
+++ b/agent/chain_test.go
@@ -252,3 +252,48 @@
 	defer b.mu.Unlock()
 	return b.buf.String()
 }
+
+// Guards against a lodgement that runs twice when its caller sends it again
+// to another node.
+func TestResendIsAnsweredFromTheRecord(t *testing.T) {
+	var runs atomic.Int64
+	target := serveTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			_, _ = fmt.Fprintf(w, "credited %d", runs.Add(1))
+		}
+	})
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publishFleet(t, log)
+	nodes := []*Node{
+		startNode(t, log, "registry-1", "registry", target),
+		startNode(t, log, "tally-1", "tally", target),
+	}
+	waitForRoute(t, nodes[0], "/tally/count")
+	waitForRoute(t, nodes[1], "/tally/count")
+	id := uuid.Must(uuid.NewV7()).String()
+	send := func(n *Node) (*http.Response, string) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+n.CallAddress()+"/tally/once", strings.NewReader("42 blanks"))
+		assert.NilError(t, err)
+		req.Header.Set("X-Api-Key", testKey)
+		req.Header.Set("Idempotency-Key", id)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		return resp, string(text)
+	}
+	resp, text := send(nodes[0])
+	assert.Equal(t, text, "credited 1")
+	assert.Equal(t, resp.Header.Get("Oleander-Replayed"), "")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, text := send(nodes[1])
+		if resp.Header.Get("Oleander-Reason") == "in_progress" {
+			return poll.Continue("the answer is on its way to the records")
+		}
+		assert.Equal(t, text, "credited 1")
+		assert.Equal(t, resp.Header.Get("Oleander-Replayed"), "true")
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	assert.Equal(t, runs.Load(), int64(1))
+}
