--- a/policy/routing/call.go
+++ b/policy/routing/call.go
@@ -111,7 +111,7 @@
 }
 
 func (c *Core) remove(r *call) {
-	c.check.Assert(r.answered, "answered_once", "call %x ended without an answer", r.id)
+	r.assert(r.answered, "answered_once", "it ended without an answer")
 	delete(c.calls, r.id)
 	delete(c.claiming, r.id)
 	if r.parent != nil {
@@ -138,10 +138,9 @@
 // which gives back what was not used with the answer.
 func (r *call) sendAttempt() {
 	c := r.core
-	c.check.Assert(r.call.Idempotent || r.unknown == nil, "at_most_once",
-		"call %x is not idempotent and may have run", r.id)
-	c.check.Assert(!r.outstanding, "one_attempt", "call %x has an attempt in progress", r.id)
-	c.check.Assert(r.budget >= 0, "retry_budget", "call %x has budget %d", r.id, r.budget)
+	r.assert(r.call.Idempotent || r.unknown == nil, "at_most_once", "it is not idempotent and may have run")
+	r.assert(!r.outstanding, "one_attempt", "an attempt is in progress")
+	r.assert(r.budget >= 0, "retry_budget", "the budget is negative")
 	attempt := *r.call
 	attempt.RetryBudget = r.budget
 	attempt.LostOn = r.lostOn
@@ -206,6 +205,13 @@
 func (r *call) recordSuccess() { r.markAnswered() }
 
 func (r *call) markAnswered() {
-	r.core.check.Assert(!r.answered, "answered_once", "call %x is answered twice", r.id)
+	r.assert(!r.answered, "answered_once", "it is answered twice")
 	r.answered = true
 }
+
+// assert checks an invariant of the call. It allocates only on a breach.
+func (r *call) assert(ok bool, name, detail string) {
+	if !ok {
+		r.core.check.Assert(false, name, "call %x: %s", r.id, detail)
+	}
+}
