Tell the limit of a target how long a call waited for its sub-calls

Cause: the admission policy subtracts that time from a call's latency, but nobody measured it, so that a slow deep service would have lowered the limits of all services above it. The routing duty knows when sub-calls of a parent are in progress and returns the time with EndParent.

--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -12,6 +12,7 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
 	policy "github.com/oleanderworks/oleanderworks/policy/admission"
+	decisions "github.com/oleanderworks/oleanderworks/policy/routing"
 	"github.com/oleanderworks/oleanderworks/transport/target"
 )
 
@@ -48,24 +49,19 @@
 	if verdict.Answer != nil {
 		return verdict.Answer
 	}
-	answer, used := s.run(running, call, verdict, began)
-	s.finish(answer)
-	if n, err := used.Wait(context.Background()); err == nil {
-		answer.RetriesUsed = n
-	}
+	answer, waited := s.run(running, call, verdict, began)
+	s.finish(answer, waited)
 	return answer
 }
 
 // run hands an admitted call to the target, unless the process was paused
 // since the decision: the fences that the call passed may not hold any more.
-// While it runs, its sub-calls are accepted under an opaque random id. used
-// gets the retries that they took.
-func (s *Server) run(ctx context.Context, call *model.Call, v admission.Verdict, began time.Time) (a *model.Answer, used ring.Reply[int]) {
+// While it runs, its sub-calls are accepted under an opaque random id; waited
+// is the time for which the call waited for them.
+func (s *Server) run(ctx context.Context, call *model.Call, v admission.Verdict, began time.Time) (a *model.Answer, waited time.Duration) {
 	contextID := rand.Text()
-	used = ring.NewReply[int]()
 	if err := s.Parents.Put(ctx, &routing.RegisterParent{ContextID: contextID, Call: call}); err != nil {
-		used.Send(0)
-		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), used
+		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), 0
 	}
 	handed := time.Now()
 	if handed.Before(v.Until) {
@@ -77,18 +73,22 @@
 		ContextID: contextID,
 		Canceled:  ctx.Err() != nil,
 		NodeTime:  handed.Sub(began),
-		Reply:     used,
+		Reply:     ring.NewReply[decisions.Ended](),
 	}
 	if err := s.Parents.Put(context.Background(), end); err != nil {
-		used.Send(0)
+		return a, 0
+	}
+	if ended, err := end.Reply.Wait(context.Background()); err == nil {
+		a.RetriesUsed, waited = ended.RetriesUsed, ended.Waited
 	}
-	return a, used
+	return a, waited
 }
 
 // finish frees the slot. It waits for room in the ring, since a lost message
 // would hold the slot for ever.
-func (s *Server) finish(answer *model.Answer) {
+func (s *Server) finish(answer *model.Answer, waited time.Duration) {
 	outcome := policy.OutcomeOf(answer, target.TakeStart(answer))
+	outcome.Waited = waited
 	done := &admission.Finish{Answer: answer, Outcome: outcome, Reply: ring.NewReply[model.Load]()}
 	if err := s.Admission.Put(context.Background(), done); err != nil {
 		return
--- a/agent/routing/messages.go
+++ b/agent/routing/messages.go
@@ -41,13 +41,13 @@
 	Call      *model.Call
 }
 
-// EndParent reports that the target has ended a call. Reply gets the number
-// of retries that its sub-calls used.
+// EndParent reports that the target has ended a call. Reply gets what its
+// sub-calls used.
 type EndParent struct {
 	ContextID string
 	Canceled  bool          // the caller has gone
 	NodeTime  time.Duration // time in this node, without the target
-	Reply     ring.Reply[int]
+	Reply     ring.Reply[routing.Ended]
 }
 
 // TokensGranted carries the quorum duty's answer to a request for tokens.
--- a/policy/routing/chain_test.go
+++ b/policy/routing/chain_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
@@ -107,7 +108,7 @@
 		answer = model.Failure(attempt.ID, model.ReasonTargetFailed, "")
 	}
 	if n != nil {
-		answer.RetriesUsed = n.OnParentEnded(n.now, context, false)
+		answer.RetriesUsed = n.OnParentEnded(n.now, context, false).RetriesUsed
 		assert.Equal(f.t, n.Parents(), 0)
 	}
 	if f.rng.Float64() < f.lost {
@@ -238,7 +239,10 @@
 	}
 	child := n.begin("/a", fromTarget("running"))
 	n.wantAttempt(child)
-	n.OnParentEnded(n.now, "running", true)
+	n.now = n.now.Add(time.Second)
+	ended := n.OnParentEnded(n.now, "running", true)
+	assert.Equal(t, ended.Waited, time.Second)
+	assert.Equal(t, ended.RetriesUsed, 2, "the sub-call in progress holds them")
 	n.collect()
 	assert.Assert(t, n.decisions[0].Cancel && n.decisions[0].CallID == child)
 
--- a/policy/routing/parent.go
+++ b/policy/routing/parent.go
@@ -15,6 +15,15 @@
 	call     *model.Call
 	budget   int // retries that no sub-call holds
 	children map[model.CallID]*call
+
+	waitingSince time.Time     // when the first of the running sub-calls began
+	waited       time.Duration // with at least one sub-call in progress
+}
+
+// Ended is what a call that ended at the target leaves.
+type Ended struct {
+	RetriesUsed int           // by its sub-calls
+	Waited      time.Duration // with at least one sub-call in progress; no work of the target
 }
 
 // OnParent registers a call that is handed to the target. id is the opaque
@@ -23,22 +32,25 @@
 	c.parents[id] = &parent{call: running, budget: running.RetryBudget}
 }
 
-// OnParentEnded removes a call that has ended and returns how many retries
-// its sub-calls used. What a sub-call in progress still holds counts as used.
-// When the caller has gone, these sub-calls are cancelled.
-func (c *Core) OnParentEnded(now time.Time, id string, canceled bool) (used int) {
+// OnParentEnded removes a call that has ended. Of the retry budget, what a
+// sub-call in progress still holds counts as used. When the caller has gone,
+// these sub-calls are cancelled.
+func (c *Core) OnParentEnded(now time.Time, id string, canceled bool) Ended {
 	p := c.parents[id]
 	if p == nil {
-		return 0
+		return Ended{}
 	}
 	delete(c.parents, id)
-	used = p.call.RetryBudget - p.budget
+	ended := Ended{RetriesUsed: p.call.RetryBudget - p.budget, Waited: p.waited}
+	if len(p.children) > 0 {
+		ended.Waited += now.Sub(p.waitingSince)
+	}
 	if canceled {
 		for child := range p.children {
 			c.OnCanceled(now, child)
 		}
 	}
-	return used
+	return ended
 }
 
 // join gives the sub-call all that is left of its parent's retry budget. Of
@@ -50,6 +62,9 @@
 	if p.children == nil {
 		p.children = make(map[model.CallID]*call)
 	}
+	if len(p.children) == 0 {
+		p.waitingSince = r.now
+	}
 	p.children[r.id] = r
 }
 
@@ -57,6 +72,9 @@
 func (p *parent) leave(r *call) {
 	p.budget += r.budget
 	delete(p.children, r.id)
+	if len(p.children) == 0 {
+		p.waited += r.now.Sub(p.waitingSince)
+	}
 }
 
 // inherit takes what a sub-call has from its parent, so that a target can
