Keep one retry back for a lost answer

Cause: an attempt carried the whole budget, and a lost answer counts as all used; so an idempotent call whose node or link was lost could never be sent again, although nothing had been used. Of two or more, one is kept.

--- a/policy/routing/call.go
+++ b/policy/routing/call.go
@@ -37,14 +37,14 @@
 	state chart.StateID
 	id    model.CallID
 	now   time.Time // time of the event that is being handled
-	began time.Time
 	call  *model.Call
 
 	parent *parent // nil for an outside call
 	target *target // chosen for the next attempt, or in use
 	cause  Cause   // of the next attempt
-	budget int     // retry budget not handed to the target
-	given  int     // retry budget this call started with
+	budget int     // retries that this call may still cause
+	handed int     // of these, what the attempt in progress may use
+	given  int     // budget this call started with
 
 	answer      *model.Answer    // newest refusal, failure or answer
 	unknown     *model.Answer    // failure of an earlier attempt that may have run
@@ -134,15 +134,16 @@
 	return eventTargetChosen
 }
 
-// sendAttempt hands the whole remaining retry budget to the target's node,
-// which gives back what was not used with the answer.
+// sendAttempt hands retries to the target's node, which gives back what was
+// not used with the answer.
 func (r *call) sendAttempt() {
 	c := r.core
 	r.assert(r.call.Idempotent || r.unknown == nil, "at_most_once", "it is not idempotent and may have run")
 	r.assert(!r.outstanding, "one_attempt", "an attempt is in progress")
 	r.assert(r.budget >= 0, "retry_budget", "the budget is negative")
 	attempt := *r.call
-	attempt.RetryBudget = r.budget
+	r.handed = handDown(r.budget)
+	attempt.RetryBudget = r.handed
 	attempt.LostOn = r.lostOn
 	r.outstanding = true
 	r.tried = append(r.tried, r.target)
@@ -162,9 +163,9 @@
 	r.outstanding = false
 	c.targets.observe(r.now, r.target, a)
 	r.settleToken(a)
-	used := min(max(a.RetriesUsed, 0), r.budget)
+	used := min(max(a.RetriesUsed, 0), r.handed)
 	if lostAnswer(a) {
-		used = r.budget
+		used = r.handed
 	}
 	r.budget -= used
 	if a.Run == model.RunUnknown {
--- a/policy/routing/core.go
+++ b/policy/routing/core.go
@@ -171,7 +171,7 @@
 
 // OnRequest starts a call.
 func (c *Core) OnRequest(now time.Time, req *model.Request) {
-	r := &call{core: c, now: now, began: now, state: c.machine.Initial(), id: req.ID}
+	r := &call{core: c, now: now, state: c.machine.Initial(), id: req.ID}
 	c.calls[req.ID] = r
 	attempt, refusal := c.classify(now, r, req)
 	r.call = attempt
--- a/policy/routing/retry.go
+++ b/policy/routing/retry.go
@@ -50,6 +50,16 @@
 	return true
 }
 
+// handDown returns the part of a budget that goes with an attempt. Of two or
+// more, one is kept: what is handed down is gone when the answer is lost, and
+// the call could then not be sent again although the budget was not used.
+func handDown(budget int) int {
+	if budget >= 2 {
+		return budget - 1
+	}
+	return budget
+}
+
 // lostAnswer reports whether the callee's account of its retries is lost, so
 // that all of them count as used. Only an outcome that the target's node
 // itself reported carries that account.
