--- a/agent/config.go
+++ b/agent/config.go
@@ -12,7 +12,7 @@
 	"github.com/oleanderworks/oleanderworks/agent/appender"
 	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
-	quorumduty "github.com/oleanderworks/oleanderworks/agent/quorum"
+	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
@@ -60,7 +60,7 @@
 		func(s *model.Snapshot) bool {
 			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
 		},
-		func(s *model.Snapshot) bool { return n.quorum.Ring().Offer(&quorumduty.SnapshotChanged{Snapshot: s}) },
+		func(s *model.Snapshot) bool { return n.quorum.Ring().Offer(&quorum.SnapshotChanged{Snapshot: s}) },
 		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
 	}
 }
@@ -99,21 +99,6 @@
 	return streams
 }
 
-// appendGroup appends a composition of a quorum group. The duty proposes it
-// again when it does not come back from the log.
-func (n *Node) appendGroup(r model.GroupRecord) {
-	body, err := json.Marshal(r)
-	if err != nil {
-		n.log.Emit(event.RecordMalformed, "error", errors.Wrap(err, "encode composition"))
-		return
-	}
-	n.configuration.appender.Ring().Offer(&appender.Append{
-		Stream: model.GroupStream(r.Region),
-		ID:     r.ID,
-		Body:   body,
-	})
-}
-
 // announce appends the target to the members of its service.
 func (n *Node) announce() {
 	record := model.MemberRecord{ID: uuid.NewString(), Time: time.Now(), Member: n.self}
