--- a/policy/routing/call.go
+++ b/policy/routing/call.go
@@ -37,14 +37,14 @@
 	state chart.StateID
 	id    model.CallID
 	now   time.Time // time of the event that is being handled
-	began time.Time
 	call  *model.Call
 
 	parent *parent // nil for an outside call
 	target *target // chosen for the next attempt, or in use
 	cause  Cause   // of the next attempt
-	budget int     // retry budget not handed to the target
-	given  int     // retry budget this call started with
+	budget int     // retries that this call may still cause
+	handed int     // of these, what the attempt in progress may use
+	given  int     // budget this call started with
 
 	answer      *model.Answer    // newest refusal, failure or answer
 	unknown     *model.Answer    // failure of an earlier attempt that may have run
@@ -56,6 +56,8 @@
 	claimedAt   time.Time     // when the newest claim was asked for
 	claimed     time.Duration // waiting for claims
 	counted     bool          // in the customer's demand
+	claimOK     bool          // a claim was granted: no earlier send has run
+	ownID       bool          // the node made the request's id
 	outstanding bool          // an attempt is in progress
 	answered    bool
 }
@@ -109,7 +111,7 @@
 }
 
 func (c *Core) remove(r *call) {
-	c.check.Assert(r.answered, "answered_once", "call %x ended without an answer", r.id)
+	r.assert(r.answered, "answered_once", "it ended without an answer")
 	delete(c.calls, r.id)
 	delete(c.claiming, r.id)
 	if r.parent != nil {
@@ -132,16 +134,16 @@
 	return eventTargetChosen
 }
 
-// sendAttempt hands the whole remaining retry budget to the target's node,
-// which gives back what was not used with the answer.
+// sendAttempt hands retries to the target's node, which gives back what was
+// not used with the answer.
 func (r *call) sendAttempt() {
 	c := r.core
-	c.check.Assert(r.call.Idempotent || r.unknown == nil, "at_most_once",
-		"call %x is not idempotent and may have run", r.id)
-	c.check.Assert(!r.outstanding, "one_attempt", "call %x has an attempt in progress", r.id)
-	c.check.Assert(r.budget >= 0, "retry_budget", "call %x has budget %d", r.id, r.budget)
+	r.assert(r.call.Idempotent || r.unknown == nil, "at_most_once", "it is not idempotent and may have run")
+	r.assert(!r.outstanding, "one_attempt", "an attempt is in progress")
+	r.assert(r.budget >= 0, "retry_budget", "the budget is negative")
 	attempt := *r.call
-	attempt.RetryBudget = r.budget
+	r.handed = handDown(r.budget)
+	attempt.RetryBudget = r.handed
 	attempt.LostOn = r.lostOn
 	r.outstanding = true
 	r.tried = append(r.tried, r.target)
@@ -160,9 +162,10 @@
 	c := r.core
 	r.outstanding = false
 	c.targets.observe(r.now, r.target, a)
-	used := min(max(a.RetriesUsed, 0), r.budget)
+	r.settleToken(a)
+	used := min(max(a.RetriesUsed, 0), r.handed)
 	if lostAnswer(a) {
-		used = r.budget
+		used = r.handed
 	}
 	r.budget -= used
 	if a.Run == model.RunUnknown {
@@ -185,15 +188,31 @@
 	if r.unknown != nil && a.Run == model.NotRun {
 		a = r.unknown
 	}
+	if a.Run == model.NotRun && a.Refused() && r.sentBefore() {
+		a.Run = model.RunUnknown
+	}
 	r.core.addRetryAfter(r, a)
 	a.RetriesUsed = r.given - r.budget
 	r.markAnswered()
 	r.core.out = append(r.core.out, Decision{CallID: r.id, Answer: a})
 }
 
+// sentBefore reports whether the request may have run under an earlier send of
+// the same id, of which no claim has told yet.
+func (r *call) sentBefore() bool {
+	return r.call != nil && r.call.ClientRetry && !r.call.Idempotent && !r.ownID && !r.claimOK
+}
+
 func (r *call) recordSuccess() { r.markAnswered() }
 
 func (r *call) markAnswered() {
-	r.core.check.Assert(!r.answered, "answered_once", "call %x is answered twice", r.id)
+	r.assert(!r.answered, "answered_once", "it is answered twice")
 	r.answered = true
 }
+
+// assert checks an invariant of the call. It allocates only on a breach.
+func (r *call) assert(ok bool, name, detail string) {
+	if !ok {
+		r.core.check.Assert(false, name, "call %x: %s", r.id, detail)
+	}
+}
