Tell exactly whether a call left the node, and give up silent connections

Cause: the client said "not run" when net/http had not reported the headers as written, which a cancelled write can outlive; the connection limit was a constant; a silent connection held its slot until the deadline.

Connections count their bytes and are sealed before "not run" is said. Their number follows the service's configuration. Tests: a POST with Idempotency-Key and a GET reach a target that closes the connection once each; short, cut and unmeasured answers are never whole.

--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -33,6 +33,9 @@
 type Verdict struct {
 	Answer *model.Answer
 	Until  time.Time // the call must not be handed over later
+	// Silence is the time without a byte after which the connection is given
+	// up, if others progress meanwhile.
+	Silence time.Duration
 }
 
 // Finish reports that a call that was to run has ended. Reply gets the load
@@ -62,16 +65,19 @@
 func (*Cancel) admissionMessage()          {}
 func (*SnapshotChanged) admissionMessage() {}
 
-// Prober tries to open a connection to the target.
-type Prober interface {
+// Target is the transport to the target.
+type Target interface {
+	// Probe tries to open a connection.
 	Probe(ctx context.Context) bool
+	// SetConnections sets the number of connections that the target accepts.
+	SetConnections(n int)
 }
 
 // Handler is the logic of the admission duty.
 type Handler struct {
 	ctx     context.Context
 	core    *admission.Core
-	prober  Prober
+	target  Target
 	log     *event.Log
 	inbox   *ring.Ring[Message]
 	waiting map[model.CallID]*Arrive
@@ -81,8 +87,8 @@
 
 // New returns the duty that runs core. Connection attempts to the target end
 // when ctx ends.
-func New(ctx context.Context, core *admission.Core, prober Prober, log *event.Log) *duty.Duty[Message] {
-	h := &Handler{ctx: ctx, core: core, prober: prober, log: log, waiting: make(map[model.CallID]*Arrive)}
+func New(ctx context.Context, core *admission.Core, target Target, log *event.Log) *duty.Duty[Message] {
+	h := &Handler{ctx: ctx, core: core, target: target, log: log, waiting: make(map[model.CallID]*Arrive)}
 	d := duty.New[Message]("admission", ringCapacity, h)
 	h.inbox = d.Ring()
 	return d
@@ -112,6 +118,9 @@
 		h.drain(now, m)
 	case *SnapshotChanged:
 		h.core.OnSnapshot(now, m.Snapshot)
+		if n := h.core.Connections(); n > 0 {
+			h.target.SetConnections(n)
+		}
 	}
 }
 
@@ -158,7 +167,7 @@
 		arrive.CancelRunning()
 	case d.Run:
 		h.log.Emit(event.CallStarted, "call", d.CallID, "customer", arrive.Call.Customer, "class", arrive.Call.Class)
-		arrive.Reply.Send(Verdict{Until: d.Until})
+		arrive.Reply.Send(Verdict{Until: d.Until, Silence: d.Silence})
 	}
 }
 
@@ -179,7 +188,7 @@
 
 // probe performs one connection attempt outside the duty's thread.
 func (h *Handler) probe() {
-	ok := h.prober.Probe(h.ctx)
+	ok := h.target.Probe(h.ctx)
 	_ = h.inbox.Put(h.ctx, &Probed{OK: ok})
 }
 
--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -56,7 +56,7 @@
 	if !time.Now().Before(v.Until) {
 		return model.Refusal(call.ID, model.ReasonNodeBusy, "the permission to run has expired before the hand-over")
 	}
-	return s.Target.Do(ctx, call, rand.Text())
+	return s.Target.Do(ctx, call, rand.Text(), v.Silence)
 }
 
 // finish frees the slot. It waits for room in the ring, since a lost message
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -20,10 +20,13 @@
 // Run, Cancel and Answer is set.
 type Decision struct {
 	CallID model.CallID
-	Run    bool          // hand the call to the target, at the latest at Until
-	Until  time.Time     // end of the permission to hand the call over
-	Cancel bool          // cancel the call at the target
-	Answer *model.Answer // refusal
+	Run    bool      // hand the call to the target, at the latest at Until
+	Until  time.Time // end of the permission to hand the call over
+	// Silence is the time without a byte after which the connection to the
+	// target is given up, if others progress meanwhile.
+	Silence time.Duration
+	Cancel  bool          // cancel the call at the target
+	Answer  *model.Answer // refusal
 }
 
 // Core holds the calls of one target. All methods run on one thread.
@@ -180,6 +183,15 @@
 	}
 }
 
+// Connections returns the number of connections that the target accepts, or 0
+// when the configuration does not tell.
+func (c *Core) Connections() int {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Connections
+}
+
 // startWaiting hands free slots to waiting calls. The fences are checked here
 // again, since time has passed in the queue.
 func (c *Core) startWaiting(now time.Time) {
--- a/policy/admission/execution.go
+++ b/policy/admission/execution.go
@@ -139,7 +139,9 @@
 	e.started = e.now
 	c.queue.onStart(e)
 	c.pressure.onStart(e.now)
-	c.out = append(c.out, Decision{CallID: e.call.ID, Run: true, Until: e.handOverUntil()})
+	c.out = append(c.out, Decision{
+		CallID: e.call.ID, Run: true, Until: e.handOverUntil(), Silence: c.latency.silence(e.rank),
+	})
 }
 
 func (e *execution) enqueue() { e.core.queue.add(e, e.core.weight(e.call.Customer)) }
--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -13,10 +13,6 @@
 	buckets    = 30
 	// usualWeight is the weight of one answer in the usual service time.
 	usualWeight = 0.05
-	// trialPause is the time between two calls that run although the usual
-	// service time says that they end too late. Without them the node would
-	// not notice that the target has become faster.
-	trialPause = 200 * time.Millisecond
 )
 
 // latency holds service times for each class. Classes differ in their usual
@@ -101,16 +97,3 @@
 
 // forget drops what is known, since a restarted target is another one.
 func (l *latency) forget() { l.byRank = nil }
-
-// feasible reports whether a call can end before its deadline when it takes
-// the usual time. Work that ends late is lost to both sides.
-func (l *latency) feasible(now time.Time, e *execution) bool {
-	if !now.Add(l.class(e.rank).usual).After(e.call.Deadline) {
-		return true
-	}
-	if now.Sub(l.lastTrial) < trialPause {
-		return false
-	}
-	l.lastTrial = now
-	return now.Before(e.call.Deadline)
-}
--- /dev/null
+++ b/transport/target/body.go
@@ -0,0 +1,63 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+var (
+	errTooLarge = errors.New("the target's answer is too large")
+	errNoLength = errors.New("the target's answer has neither a length nor chunks, so that a cut one looks whole")
+)
+
+// watchedBody ends the watch over its connection when it is closed.
+type watchedBody struct {
+	io.ReadCloser
+	stop func()
+	ctx  context.Context
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		err = cause(b.ctx, err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *watchedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.stop()
+	return err
+}
+
+// readBody reads a whole answer. net/http reports an answer that is shorter
+// than its Content-Length, and one that is cut between its chunks.
+func readBody(resp *http.Response) ([]byte, error) {
+	if closeDelimited(resp) {
+		return nil, errNoLength
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxBodyBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > wire.MaxBodyBytes {
+		return nil, errTooLarge
+	}
+	return body, nil
+}
+
+// closeDelimited reports whether only the end of the connection ends the body.
+func closeDelimited(resp *http.Response) bool {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead {
+		return false
+	}
+	return resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified
+}
--- a/transport/target/client.go
+++ b/transport/target/client.go
@@ -7,17 +7,14 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
 const (
@@ -34,6 +31,12 @@
 
 	dialTimeout = time.Second
 	idleTimeout = 30 * time.Second
+	// maxIdle bounds the idle connections; the limit on open ones is the
+	// dialer's.
+	maxIdle = 4096
+	// freshSends is how often a call is sent that has not left the node since
+	// a kept connection turned out to be closed.
+	freshSends = 3
 )
 
 // secretHeaders hold callers' keys and are never passed to a target.
@@ -46,8 +49,9 @@
 
 // Client sends calls to one target.
 type Client struct {
-	base *url.URL
-	http *http.Client
+	base   *url.URL
+	http   *http.Client
+	dialer *dialer
 }
 
 // New returns a client for the target at base with at most connections open
@@ -60,20 +64,25 @@
 	if u.Scheme != "http" || u.Host == "" {
 		return nil, errors.Errorf("target address %q: want http://host:port", base)
 	}
+	c := &Client{base: u, dialer: &dialer{Dialer: net.Dialer{Timeout: dialTimeout}}}
+	c.SetConnections(connections)
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
+		DialContext:         c.dialer.dial,
+		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
-	return &Client{base: u, http: client}, nil
+	c.http = &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	return c, nil
 }
 
+// SetConnections changes the number of connections that the target accepts.
+// It is safe for use by several threads.
+func (c *Client) SetConnections(n int) { c.dialer.limit.Store(int64(n)) }
+
 // Probe reports whether the target takes a connection.
 func (c *Client) Probe(ctx context.Context) bool {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", c.base.Host)
+	conn, err := c.dialer.dial(ctx, "tcp", c.base.Host)
 	if err != nil {
 		return false
 	}
@@ -93,29 +102,40 @@
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Do hands a call to the target and returns the whole answer. contextID goes
-// to the target in ContextHeader.
-func (c *Client) Do(ctx context.Context, call *model.Call, contextID string) *model.Answer {
+// to the target in ContextHeader. A connection without a byte for the time of
+// silence, while others progress, is given up; 0 waits until the deadline.
+func (c *Client) Do(ctx context.Context, call *model.Call, contextID string, silence time.Duration) *model.Answer {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	var written atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { written.Store(true) },
-	})
+	var answer *model.Answer
+	for range freshSends {
+		var stale bool
+		answer, stale = c.try(ctx, call, contextID, silence)
+		if !stale {
+			break
+		}
+	}
+	return answer
+}
+
+// try sends a call once. stale is true when nothing of it left the node
+// because a kept connection had been closed.
+func (c *Client) try(ctx context.Context, call *model.Call, contextID string, silence time.Duration) (answer *model.Answer, stale bool) {
 	req, err := c.request(ctx, call, contextID)
 	if err != nil {
-		return model.Refusal(call.ID, model.ReasonBadRequest, err.Error())
+		return model.Refusal(call.ID, model.ReasonBadRequest, err.Error()), false
 	}
-	resp, err := c.http.Do(req)
+	resp, a, err := c.send(ctx, req, silence)
 	if err != nil {
-		return failure(ctx, call.ID, err, written.Load())
+		handedOver := a.handedOver()
+		stale = !handedOver && a.onReused() && ctx.Err() == nil
+		return failure(ctx, call.ID, err, handedOver), stale
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxBodyBytes+1))
+	body, err := readBody(resp)
 	if err != nil {
-		return failure(ctx, call.ID, err, true)
-	}
-	if len(body) > wire.MaxBodyBytes {
-		return model.Failure(call.ID, model.ReasonTooLarge, "the target's answer is too large")
+		a.handedOver() // closes the connection
+		return cutAnswer(ctx, call.ID, err), false
 	}
 	return &model.Answer{
 		ID:     call.ID,
@@ -123,7 +143,7 @@
 		Status: resp.StatusCode,
 		Header: withoutHopHeaders(resp.Header),
 		Body:   body,
-	}
+	}, false
 }
 
 func (c *Client) request(ctx context.Context, call *model.Call, contextID string) (*http.Request, error) {
@@ -154,16 +174,37 @@
 
 // failure tells apart a call that never left the node from one whose outcome
 // is unknown.
-func failure(ctx context.Context, id model.CallID, err error, written bool) *model.Answer {
-	if !written {
-		a := model.Refusal(id, model.ReasonTargetFailed, err.Error())
-		a.TargetLost = ctx.Err() == nil
-		return a
-	}
-	if ctx.Err() != nil {
-		return model.Failure(id, model.ReasonDeadline, "the target did not answer in time: "+err.Error())
-	}
-	a := model.Failure(id, model.ReasonTargetFailed, err.Error())
+func failure(ctx context.Context, id model.CallID, err error, handedOver bool) *model.Answer {
+	answer := model.Failure
+	if !handedOver {
+		answer = model.Refusal
+	}
+	switch {
+	case errors.Is(err, errConnections):
+		return answer(id, model.ReasonShed, err.Error())
+	case errors.Is(err, errSilent):
+		return answer(id, model.ReasonTargetFailed, err.Error())
+	case errors.Is(ctx.Err(), context.Canceled):
+		return answer(id, model.ReasonCanceled, "the caller has gone")
+	case ctx.Err() != nil:
+		return answer(id, model.ReasonDeadline, "the target did not answer in time: "+err.Error())
+	}
+	a := answer(id, model.ReasonTargetFailed, err.Error())
+	a.TargetLost = true
+	return a
+}
+
+// cutAnswer is the failure of a call whose answer did not arrive whole.
+func cutAnswer(ctx context.Context, id model.CallID, err error) *model.Answer {
+	switch {
+	case errors.Is(err, errTooLarge):
+		return model.Failure(id, model.ReasonTooLarge, err.Error())
+	case errors.Is(err, errNoLength):
+		return model.Failure(id, model.ReasonAnswerCut, err.Error())
+	case ctx.Err() != nil || errors.Is(err, errSilent):
+		return failure(ctx, id, err, true)
+	}
+	a := model.Failure(id, model.ReasonAnswerCut, err.Error())
 	a.TargetLost = true
 	return a
 }
--- /dev/null
+++ b/transport/target/client_test.go
@@ -0,0 +1,247 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// rawTarget serves connections with a function for each request: it gets the
+// number of the request on its connection, from 0, and reports whether to
+// keep the connection.
+func rawTarget(t *testing.T, serve func(c net.Conn, r *http.Request, n int) bool) (url string, requests *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	requests = new(atomic.Int64)
+	var conns sync.Map
+	t.Cleanup(func() {
+		l.Close()
+		conns.Range(func(c, _ any) bool { c.(net.Conn).Close(); return true })
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Store(c, true)
+			go serveRaw(c, requests, serve)
+		}
+	}()
+	return "http://" + l.Addr().String(), requests
+}
+
+func serveRaw(c net.Conn, requests *atomic.Int64, serve func(net.Conn, *http.Request, int) bool) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		requests.Add(1)
+		if !serve(c, r, n) {
+			return
+		}
+	}
+}
+
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func newClient(t *testing.T, url string, connections int) *Client {
+	t.Helper()
+	c, err := New(url, connections)
+	assert.NilError(t, err)
+	return c
+}
+
+func newCall(method, body string) *model.Call {
+	return &model.Call{
+		ID: 1, Method: method, Path: "/x", Body: []byte(body), Header: make(http.Header),
+		RequestID: uuid.Must(uuid.NewV7()), Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+func do(c *Client, call *model.Call) *model.Answer {
+	return c.Do(context.Background(), call, "context", 0)
+}
+
+// Guards against net/http sending a request again by itself when a kept
+// connection breaks: a target that closes it after reading the request must
+// see each request once.
+func TestClosedConnectionIsNotSentAgain(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			url, requests := rawTarget(t, func(c net.Conn, _ *http.Request, n int) bool {
+				return n == 0 && write(c, wholeAnswer)
+			})
+			c := newClient(t, url, 4)
+			assert.Equal(t, do(c, newCall(method, "")).Run, model.Completed)
+			lost := newCall(method, "")
+			lost.Header.Set(RequestIDHeader, lost.RequestID.String())
+			answer := do(c, lost)
+			assert.Equal(t, answer.Run, model.RunUnknown)
+			assert.Equal(t, answer.Reason, model.ReasonTargetFailed)
+			assert.Assert(t, answer.TargetLost)
+			assert.Equal(t, requests.Load(), int64(2))
+		})
+	}
+}
+
+// Guards against cut or wrongly measured answers that are passed on as whole.
+func TestAnswersThatAreNotWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"shorter than its length": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+		"cut between chunks":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+		"cut in a chunk":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nbody",
+		"ended by the connection": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nmaybe cut",
+	} {
+		t.Run(name, func(t *testing.T) {
+			url, _ := rawTarget(t, func(c net.Conn, _ *http.Request, _ int) bool { write(c, text); return false })
+			answer := do(newClient(t, url, 4), newCall(http.MethodGet, ""))
+			assert.Equal(t, answer.Run, model.RunUnknown)
+			assert.Equal(t, answer.Reason, model.ReasonAnswerCut)
+			assert.Equal(t, len(answer.Body), 0)
+		})
+	}
+}
+
+// Guards against a body that is longer than its length and spills into the
+// next call on the connection.
+func TestExtraBytesReachNoOtherCall(t *testing.T) {
+	url, _ := rawTarget(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if r.Header.Get("Extra") != "" {
+			return write(c, wholeAnswer+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+		}
+		return write(c, wholeAnswer)
+	})
+	c := newClient(t, url, 4)
+	spilling := newCall(http.MethodGet, "")
+	spilling.Header.Set("Extra", "1")
+	assert.Equal(t, string(do(c, spilling).Body), "ok")
+	for range 5 {
+		assert.Equal(t, string(do(c, newCall(http.MethodGet, "")).Body), "ok")
+	}
+}
+
+// Guards against a late answer of a cancelled call that reaches the next one.
+func TestConnectionOfCancelledCallIsNotUsedAgain(t *testing.T) {
+	release := make(chan struct{})
+	url, _ := rawTarget(t, func(c net.Conn, r *http.Request, n int) bool {
+		if r.Header.Get("Slow") != "" {
+			<-release
+			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+			return false
+		}
+		return write(c, wholeAnswer)
+	})
+	c := newClient(t, url, 4)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	slow := newCall(http.MethodGet, "")
+	slow.Header.Set("Slow", "1")
+	answer := c.Do(ctx, slow, "context", 0)
+	assert.Equal(t, answer.Reason, model.ReasonCanceled)
+	assert.Equal(t, answer.Run, model.RunUnknown)
+	close(release)
+	for range 5 {
+		assert.Equal(t, string(do(c, newCall(http.MethodGet, "")).Body), "ok")
+	}
+}
+
+// Guards against "unknown" for a call that reached no target, and against
+// "not run" for one that may have.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	l.Close()
+	c := newClient(t, "http://"+address, 4)
+	answer := do(c, newCall(http.MethodPost, "body"))
+	assert.Equal(t, answer.Run, model.NotRun)
+	assert.Assert(t, answer.TargetLost)
+	assert.Assert(t, !c.Probe(context.Background()))
+}
+
+// Guards against more connections than the target accepts.
+func TestConnectionLimit(t *testing.T) {
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-release
+	}))
+	t.Cleanup(server.Close)
+	c := newClient(t, server.URL, 2)
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() { do(c, newCall(http.MethodGet, "")) })
+	}
+	<-arrived
+	<-arrived
+	answer := do(c, newCall(http.MethodGet, ""))
+	assert.Equal(t, answer.Run, model.NotRun)
+	assert.Equal(t, answer.Reason, model.ReasonShed)
+	close(release)
+	wg.Wait()
+	assert.Equal(t, do(c, newCall(http.MethodGet, "")).Run, model.Completed)
+}
+
+// Guards against calls that wait for ever on a connection that something
+// between the two ends lost track of, and against giving up a target that is
+// only slow.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	url, _ := rawTarget(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if r.Header.Get("Silent") != "" {
+			return true
+		}
+		return write(c, wholeAnswer)
+	})
+	c := newClient(t, url, 4)
+	silent := newCall(http.MethodGet, "")
+	silent.Header.Set("Silent", "1")
+	alone := newCall(http.MethodGet, "")
+	alone.Header.Set("Silent", "1")
+	alone.Deadline = time.Now().Add(600 * time.Millisecond)
+	answer := c.Do(context.Background(), alone, "context", 50*time.Millisecond)
+	assert.Equal(t, answer.Reason, model.ReasonDeadline)
+
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				do(c, newCall(http.MethodGet, ""))
+			}
+		}
+	})
+	answer = c.Do(context.Background(), silent, "context", 50*time.Millisecond)
+	close(stop)
+	wg.Wait()
+	assert.Equal(t, answer.Reason, model.ReasonTargetFailed)
+	assert.Equal(t, answer.Run, model.RunUnknown)
+	assert.Assert(t, strings.Contains(answer.Detail, "silent"), answer.Detail)
+	assert.Assert(t, !answer.TargetLost)
+}
