--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -41,8 +41,10 @@
 // Finish reports that a call that was to run has ended. Reply gets the load
 // report that goes with the answer.
 type Finish struct {
-	Outcome admission.Outcome
-	Reply   ring.Reply[model.Load]
+	Answer *model.Answer
+	Start  string        // the target's start marker
+	Waited time.Duration // in which the call waited for its sub-calls
+	Reply  ring.Reply[model.Load]
 }
 
 // Probed reports the result of a connection attempt to the target.
@@ -83,32 +85,43 @@
 	waiting map[model.CallID]*Arrive
 	empty   []ring.Reply[struct{}]
 	drained bool
+
+	quarantine Quarantine
 }
 
 // New returns the duty that runs core. Connection attempts to the target end
 // when ctx ends.
-func New(ctx context.Context, core *admission.Core, target Target, log *event.Log) *duty.Duty[Message] {
-	h := &Handler{ctx: ctx, core: core, target: target, log: log, waiting: make(map[model.CallID]*Arrive)}
+func New(ctx context.Context, core *admission.Core, target Target, log *event.Log) (*duty.Duty[Message], *Handler) {
+	h := &Handler{
+		ctx: ctx, core: core, target: target, log: log,
+		waiting: make(map[model.CallID]*Arrive), quarantine: noQuarantine{},
+	}
 	d := duty.New[Message]("admission", ringCapacity, h)
 	h.inbox = d.Ring()
-	return d
+	return d, h
 }
 
 // Handle implements duty.Handler.
 func (h *Handler) Handle(now time.Time, batch []Message) {
 	for _, m := range batch {
 		h.handle(now, m)
-		h.deliver()
+		h.deliver(now)
 	}
+	h.quarantine.Flush(now)
 }
 
 func (h *Handler) handle(now time.Time, m Message) {
 	switch m := m.(type) {
 	case *Arrive:
 		h.arrive(now, m)
+	case *QuarantineNews:
+		h.quarantine.OnNews(now, m.News)
 	case *Finish:
-		h.core.OnFinished(now, m.Outcome)
-		delete(h.waiting, m.Outcome.CallID)
+		h.quarantine.Ended(now, m.Answer)
+		outcome := admission.OutcomeOf(m.Answer, m.Start)
+		outcome.Waited = m.Waited
+		h.core.OnFinished(now, outcome)
+		delete(h.waiting, m.Answer.ID)
 		m.Reply.Send(h.core.Load())
 	case *Cancel:
 		h.core.OnCanceled(now, m.CallID)
@@ -118,6 +131,7 @@
 		h.drain(now, m)
 	case *SnapshotChanged:
 		h.core.OnSnapshot(now, m.Snapshot)
+		h.quarantine.OnSnapshot(m.Snapshot)
 		if n := h.core.Connections(); n > 0 {
 			h.target.SetConnections(n)
 		}
@@ -132,6 +146,10 @@
 		m.Reply.Send(Verdict{Answer: answer})
 		return
 	}
+	if refusal := h.quarantine.Check(now, m.Call); refusal != nil {
+		m.Reply.Send(Verdict{Answer: refusal})
+		return
+	}
 	h.waiting[m.Call.ID] = m
 	h.core.OnArrival(now, m.Call)
 }
@@ -145,10 +163,10 @@
 	h.core.OnDrain(now)
 }
 
-func (h *Handler) deliver() {
+func (h *Handler) deliver(now time.Time) {
 	for _, d := range h.core.Decisions() {
 		if arrive := h.waiting[d.CallID]; arrive != nil {
-			h.deliverOne(d, arrive)
+			h.deliverOne(now, d, arrive)
 		}
 	}
 	for _, s := range h.core.Signals() {
@@ -156,10 +174,11 @@
 	}
 }
 
-func (h *Handler) deliverOne(d admission.Decision, arrive *Arrive) {
+func (h *Handler) deliverOne(now time.Time, d admission.Decision, arrive *Arrive) {
 	switch {
 	case d.Answer != nil:
 		d.Answer.Load = h.core.Load()
+		h.quarantine.Ended(now, d.Answer)
 		h.log.Emit(event.CallRefused, "call", d.CallID, "reason", d.Answer.Reason)
 		delete(h.waiting, d.CallID)
 		arrive.Reply.Send(Verdict{Answer: d.Answer})
@@ -195,6 +214,6 @@
 // Tick implements duty.Handler.
 func (h *Handler) Tick(now time.Time) time.Time {
 	next := h.core.Tick(now)
-	h.deliver()
+	h.deliver(now)
 	return next
 }
--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -8,9 +8,10 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/agent/admission"
+	duty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	policy "github.com/oleanderworks/oleanderworks/policy/admission"
+	"github.com/oleanderworks/oleanderworks/policy/routing"
 	"github.com/oleanderworks/oleanderworks/transport/target"
 )
 
@@ -18,11 +19,13 @@
 type Server struct {
 	Admission *ring.Ring[admission.Message]
 	Target    *target.Client
+	Parents   *ring.Ring[duty.Message] // takes the calls that may make sub-calls
 }
 
 // Serve runs a call at the target or refuses it. It ends early when ctx ends,
 // which means that the caller has gone.
 func (s *Server) Serve(ctx context.Context, call *model.Call) *model.Answer {
+	began := time.Now()
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
 	arrive := &admission.Arrive{
@@ -45,25 +48,54 @@
 	if verdict.Answer != nil {
 		return verdict.Answer
 	}
-	answer := s.handOver(running, call, verdict)
-	s.finish(answer)
+	answer, end := s.run(running, call, verdict, began)
+	s.finish(answer, end.Waited)
 	return answer
 }
 
-// handOver runs an admitted call at the target, unless the process was paused
-// since the decision: the fences it passed may not hold any more.
-func (s *Server) handOver(ctx context.Context, call *model.Call, v admission.Verdict) *model.Answer {
+// run hands a call to the target. While it runs, its sub-calls are accepted
+// under an opaque random id.
+func (s *Server) run(ctx context.Context, call *model.Call, v admission.Verdict, began time.Time) (*model.Answer, routing.ParentEnd) {
+	contextID := rand.Text()
+	if err := s.Parents.Put(ctx, &duty.RegisterParent{ContextID: contextID, Call: call}); err != nil {
+		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), routing.ParentEnd{}
+	}
+	handed := time.Now()
+	answer := s.handOver(ctx, call, contextID, v)
+	end := &duty.EndParent{
+		ContextID: contextID,
+		Canceled:  ctx.Err() != nil,
+		NodeTime:  handed.Sub(began),
+		Reply:     ring.NewReply[routing.ParentEnd](),
+	}
+	if err := s.Parents.Put(context.Background(), end); err != nil {
+		return answer, routing.ParentEnd{}
+	}
+	ended, err := end.Reply.Wait(context.Background())
+	if err == nil {
+		answer.RetriesUsed = ended.RetriesUsed
+	}
+	return answer, ended
+}
+
+// handOver gives a call to the target, unless the process was paused since
+// the decision: the fences that the call passed may not hold any more.
+func (s *Server) handOver(ctx context.Context, call *model.Call, contextID string, v admission.Verdict) *model.Answer {
 	if !time.Now().Before(v.Until) {
 		return model.Refusal(call.ID, model.ReasonNodeBusy, "the permission to run has expired before the hand-over")
 	}
-	return s.Target.Do(ctx, call, rand.Text(), v.Silence)
+	return s.Target.Do(ctx, call, contextID, v.Silence)
 }
 
 // finish frees the slot. It waits for room in the ring, since a lost message
 // would hold the slot for ever.
-func (s *Server) finish(answer *model.Answer) {
-	outcome := policy.OutcomeOf(answer, target.TakeStart(answer))
-	done := &admission.Finish{Outcome: outcome, Reply: ring.NewReply[model.Load]()}
+func (s *Server) finish(answer *model.Answer, waited time.Duration) {
+	done := &admission.Finish{
+		Answer: answer,
+		Start:  target.TakeStart(answer),
+		Waited: waited,
+		Reply:  ring.NewReply[model.Load](),
+	}
 	if err := s.Admission.Put(context.Background(), done); err != nil {
 		return
 	}
--- a/agent/node.go
+++ b/agent/node.go
@@ -21,6 +21,8 @@
 	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
+	"github.com/oleanderworks/oleanderworks/agent/quarantine"
+	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
@@ -52,8 +54,10 @@
 	log      *event.Log
 	service  logservice.Log
 	vars     *expvar.Map
+	checker  *invariant.Checker
 
 	routing   *duty.Duty[routingduty.Message]
+	quorum    *duty.Duty[quorum.Message]
 	admission *duty.Duty[admissionduty.Message]
 	follower  *duty.Duty[follower.Message]
 	links     *duty.Duty[links.Message]
@@ -103,15 +107,20 @@
 	if err != nil {
 		return err
 	}
-	core := admission.New(n.self, admission.Options{Rand: newRand(), Check: invariant.New(n.log, nil)})
-	n.admission = admissionduty.New(n.tomb.Context(context.Background()), core, client, n.log)
-	n.routing = routingduty.New(routing.New(n.self, newRand()), n.log)
-	server := &local.Server{Admission: n.admission.Ring(), Target: client}
+	n.checker = invariant.New(n.log, nil)
+	core := admission.New(n.self, admission.Options{Rand: newRand(), Check: n.checker})
+	var admissions *admissionduty.Handler
+	n.admission, admissions = admissionduty.New(n.tomb.Context(context.Background()), core, client, n.log)
+	n.quorum = routingduty.NewStandIn()
+	var decisions *routingduty.Handler
+	n.routing, decisions = routingduty.New(routing.New(n.self, newRand(), n.checker), n.quorum.Ring(), n.log)
+	server := &local.Server{Admission: n.admission.Ring(), Target: client, Parents: n.routing.Ring()}
 	dispatcher := links.NewDispatcher(n.log)
 	n.endpoint = &peerlink.Endpoint{Self: n.self, Calls: server.Serve, Control: controlHandler(dispatcher)}
 	var sessions *links.Handler
 	n.links, sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand()), n.endpoint, n.log)
 	n.endpoint.Accepted = sessions.Accept
+	n.wireQuarantine(admissions, sessions, dispatcher)
 	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: sessions, Local: server.Serve}
 	n.follower = follower.New(n.log, []follower.Subscriber{
 		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
@@ -121,12 +130,26 @@
 		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
 	})
 	n.vars.Set("routing", n.routing.Vars())
+	n.vars.Set("calls", decisions.Vars())
+	n.vars.Set("invariant_breaches", expvar.Func(func() any { return n.checker.Breaches() }))
+	n.vars.Set("quorum", n.quorum.Vars())
 	n.vars.Set("admission", n.admission.Vars())
 	n.vars.Set("follower", n.follower.Vars())
 	n.vars.Set("links", n.links.Vars())
 	return nil
 }
 
+// wireQuarantine gives the admission duty its quarantine table, which talks to
+// the other nodes of the service.
+func (n *Node) wireQuarantine(h *admissionduty.Handler, s *links.Handler, d *links.Dispatcher) {
+	table := quarantine.New(n.self, s, n.log)
+	h.SetQuarantine(table)
+	n.vars.Set("quarantine", table.Vars())
+	quarantine.Register(d, n.log, func(news quarantine.News) bool {
+		return n.admission.Ring().Offer(&admissionduty.QuarantineNews{News: news})
+	})
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // controlHandler passes the frames of a control stream to their duties.
@@ -171,6 +194,7 @@
 func (n *Node) Start() {
 	n.admission.Start(&n.tomb)
 	n.routing.Start(&n.tomb)
+	n.quorum.Start(&n.tomb)
 	n.links.Start(&n.tomb)
 	n.follower.Start(&n.tomb)
 	ctx := n.tomb.Context(context.Background())
--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -22,7 +22,7 @@
 
 const testKey = "key-of-herders"
 
-func publish(t *testing.T, log *memlog.Log, documents map[string]any) {
+func publish(t testing.TB, log *memlog.Log, documents map[string]any) {
 	t.Helper()
 	p := model.Publication{ID: uuid.NewString()}
 	for name, doc := range documents {
@@ -36,21 +36,29 @@
 	assert.NilError(t, err)
 }
 
-func startNode(t *testing.T, log *memlog.Log, instance, service, target string) *Node {
+func startNode(t testing.TB, log *memlog.Log, instance, service, target string) *Node {
+	t.Helper()
+	return startLoggingNode(t, log, instance, service, target, hclog.NewNullLogger())
+}
+
+func startLoggingNode(t testing.TB, log *memlog.Log, instance, service, target string, out hclog.Logger) *Node {
 	t.Helper()
 	const loopback = "127.0.0.1:0"
 	n, err := New(&settings.Node{
 		Instance: instance, Service: service, Zone: "suva", Region: "viti", Target: target,
 		CallAddress: loopback, SubAddress: loopback, PeerAddress: loopback, OpsAddress: loopback,
 		Entry: []string{"registry", "tally"}, Insecure: true,
-	}, log, hclog.NewNullLogger())
+	}, log, out)
 	assert.NilError(t, err)
 	n.Start()
-	t.Cleanup(func() { assert.NilError(t, n.Stop()) })
+	t.Cleanup(func() {
+		assert.NilError(t, n.Stop())
+		assert.Equal(t, n.checker.Breaches(), int64(0))
+	})
 	return n
 }
 
-func call(t *testing.T, n *Node, method, path string, body []byte) (*http.Response, string) {
+func call(t testing.TB, n *Node, method, path string, body []byte) (*http.Response, string) {
 	t.Helper()
 	req, err := http.NewRequest(method, "http://"+n.CallAddress()+path, bytes.NewReader(body))
 	assert.NilError(t, err)
--- a/bench/caller.go
+++ b/bench/caller.go
@@ -112,16 +112,14 @@
 func (f *fleet) sendAttempt(r *request) {
 	nodes := f.byService[r.service]
 	entry := nodes[f.rng.IntN(len(nodes))]
-	attempt := r.attempts
-	sent := f.loop.now
 	f.loop.after(f.deployment.clientLatency, func() {
-		entry.submit(r, r.root, 0, attempt, callTimeout, func(a *model.Answer) {
-			f.loop.after(f.deployment.clientLatency, func() { f.onAnswer(r, a, sent) })
+		entry.submit(r, r.root, nil, func(a *model.Answer) {
+			f.loop.after(f.deployment.clientLatency, func() { f.onAnswer(r, a) })
 		})
 	})
 }
 
-func (f *fleet) onAnswer(r *request, a *model.Answer, sent time.Duration) {
+func (f *fleet) onAnswer(r *request, a *model.Answer) {
 	whole := !a.Refused() && a.Status == http.StatusOK
 	if r.attempts == 0 {
 		f.measure.onFirstAnswer(r, whole)
