Drop old calls only from a queue of more than one round of slots

Cause: after a surge, demand is close to what the targets bear for a while. A short standing queue then lost calls after 100 ms that it would have served.

--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -225,8 +225,9 @@
 	c.target.onEmptied(now)
 }
 
-// tooOld reports whether a call has waited for longer than it usually runs,
-// in a queue that does not get shorter.
+// tooOld reports whether a call has waited for longer than it usually runs, in
+// a queue that holds more than one round of all slots and does not get
+// shorter.
 func (c *Core) tooOld(now time.Time, e *execution) bool {
 	customer := e.list.customer
 	if !customer.order.observe(now, now.Sub(customer.oldest().arrived)) {
@@ -235,7 +236,7 @@
 	if c.queue.classes[e.rank].starved(now) && e.call.Depth > 0 {
 		return true
 	}
-	return now.Sub(e.arrived) > max(maxStanding, c.latency.class(e.rank).usual)
+	return c.queue.length > c.slots() && now.Sub(e.arrived) > max(maxStanding, c.latency.class(e.rank).usual)
 }
 
 // recheckWaiting refuses waiting calls that the fences no longer let pass.
