--- /dev/null
+++ b/policy/admission/bench_test.go
@@ -0,0 +1,119 @@
+package admission
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// benchCalls is the number of calls that a benchmark uses in turn. It is
+// above the number of calls that a core holds.
+const benchCalls = 4096
+
+// benchFixture returns a warm core with n customers, and calls of them in
+// turn.
+func benchFixture(b *testing.B, slots, n int) (*fixture, []*model.Call) {
+	f := newFixture(b, slots)
+	for i := range n {
+		f.addCustomer(customerName(i), 1)
+	}
+	f.configure()
+	f.warm()
+	calls := make([]*model.Call, benchCalls)
+	for i := range calls {
+		name := customerName(i % n)
+		calls[i] = &model.Call{
+			Service: testService, Customer: name, KeyHash: keyOf(name), Class: "lookup",
+			Deadline: f.now.Add(time.Hour),
+		}
+	}
+	return f, calls
+}
+
+// BenchmarkAdmission measures one arrival and one finish. "free" has a free
+// slot for each call; in "full" all slots run and each customer's queue holds
+// calls, so that a finish starts the next call and an arrival replaces it.
+func BenchmarkAdmission(b *testing.B) {
+	for _, n := range []int{1, 8, 64, 1000} {
+		b.Run(fmt.Sprintf("free/customers=%d", n), func(b *testing.B) {
+			f, calls := benchFixture(b, 100, n)
+			f.core.check = nil
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				call := calls[i%benchCalls]
+				call.ID = model.CallID(i + 1)
+				f.core.OnArrival(f.now, call)
+				f.core.Decisions()
+				f.core.OnFinished(f.now, Outcome{CallID: call.ID})
+				f.core.Decisions()
+			}
+		})
+		b.Run(fmt.Sprintf("full/customers=%d", n), func(b *testing.B) { benchmarkFull(b, n) })
+	}
+}
+
+func benchmarkFull(b *testing.B, n int) {
+	f, calls := benchFixture(b, 100, n)
+	f.core.check = nil
+	var running []model.CallID
+	next := 0
+	arrive := func() {
+		call := calls[next%benchCalls]
+		next++
+		call.ID = model.CallID(next)
+		f.core.OnArrival(f.now, call)
+	}
+	collect := func() {
+		for _, d := range f.core.Decisions() {
+			if d.Run {
+				running = append(running, d.CallID)
+			}
+		}
+	}
+	for range 10 * 100 {
+		arrive()
+		collect()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.core.OnFinished(f.now, Outcome{CallID: running[0]})
+		running = running[1:]
+		collect()
+		arrive()
+		collect()
+	}
+}
+
+// BenchmarkQueuedMemory measures the memory of a waiting call besides the
+// call itself, which its connection holds.
+func BenchmarkQueuedMemory(b *testing.B) {
+	const waiting = 20_000
+	f, calls := benchFixture(b, waiting, 8)
+	var before, after runtime.MemStats
+	queued := make([]*model.Call, 2*waiting)
+	for i := range queued {
+		call := *calls[i%len(calls)]
+		call.ID = model.CallID(i + 1)
+		queued[i] = &call
+	}
+	for _, call := range queued[:waiting] {
+		f.core.OnArrival(f.now, call)
+		f.core.Decisions()
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for _, call := range queued[waiting:] {
+		f.core.OnArrival(f.now, call)
+		f.core.Decisions()
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for b.Loop() {
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(f.core.queue.length), "B/queued-call")
+	b.ReportMetric(0, "ns/op")
+	runtime.KeepAlive(queued)
+}
--- a/policy/admission/execution.go
+++ b/policy/admission/execution.go
@@ -132,9 +132,8 @@
 func (e *execution) start() {
 	c := e.core
 	c.running++
-	c.check.Assert(c.running <= c.slots(), "admission_within_limit",
-		"%d calls run, limit %d", c.running, c.slots())
-	c.check.Assert(!e.answered && !e.handedOver, "admission_runs_once", "call %d", e.call.ID)
+	e.assert(c.running <= c.slots(), "admission_within_limit")
+	e.assert(!e.answered && !e.handedOver, "admission_runs_once")
 	e.handedOver = true
 	e.started = e.now
 	c.queue.onStart(e)
@@ -166,8 +165,8 @@
 }
 
 func (e *execution) refuse(a *model.Answer) {
-	e.core.check.Assert(!e.handedOver, "admission_not_run_is_true", "call %d was handed over", e.call.ID)
-	e.core.check.Assert(!e.answered, "admission_answers_once", "call %d", e.call.ID)
+	e.assert(!e.handedOver, "admission_not_run_is_true")
+	e.assert(!e.answered, "admission_answers_once")
 	e.answered = true
 	e.core.refuse(e.now, a)
 }
@@ -183,7 +182,7 @@
 }
 
 func (e *execution) releaseSlot() {
-	e.core.check.Assert(!e.answered, "admission_answers_once", "call %d", e.call.ID)
+	e.assert(!e.answered, "admission_answers_once")
 	e.answered = true
 	e.core.running--
 	e.core.queue.onEnd(e)
--- a/policy/admission/invariants.go
+++ b/policy/admission/invariants.go
@@ -1,5 +1,17 @@
 package admission
 
+// assert reports a breach of the named property by a call. The arguments of
+// the message are only put together when there is one, since this runs for
+// each call.
+func (e *execution) assert(ok bool, name string) {
+	if ok {
+		return
+	}
+	c := e.core
+	c.check.Assert(false, name, "call %d: handed over %t, answered %t; %d calls run, limit %d",
+		e.call.ID, e.handedOver, e.answered, c.running, c.slots())
+}
+
 // checkInvariants compares the counters with what they count.
 func (c *Core) checkInvariants() {
 	if c.check == nil {
