--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -11,6 +11,7 @@
 
 var (
 	csvPath  = flag.String("policy.csv", "", "write the table of BenchmarkPolicy to this file")
+	plotDir  = flag.String("policy.plots", "", "write one plot for each measure of BenchmarkPolicy to this directory")
 	onlyCase = flag.String("policy.case", "", "comma-separated cases to run; all by default")
 	onlyVar  = flag.String("policy.variant", "", "comma-separated variants to run; all by default")
 )
@@ -46,6 +47,11 @@
 			b.ReportMetric(float64(r.Crashes), "crashes")
 		})
 	}
+	if *plotDir != "" {
+		if err := writePlots(results, *plotDir); err != nil {
+			b.Fatal(err)
+		}
+	}
 	if *csvPath != "" {
 		if err := os.WriteFile(*csvPath, []byte(csvTable(results)), 0o644); err != nil {
 			b.Fatal(err)
--- /dev/null
+++ b/bench/plot.go
@@ -0,0 +1,122 @@
+package bench
+
+import (
+	"image/color"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	plotWidth  = 28 * vg.Centimeter
+	plotHeight = 18 * vg.Centimeter
+	barWidth   = 5 * vg.Millimeter / 2
+)
+
+// colors of the variants, in their order. The first is the full policy.
+var colors = []color.Color{
+	color.RGBA{R: 31, G: 119, B: 180, A: 255},
+	color.RGBA{R: 200, G: 200, B: 200, A: 255},
+	color.RGBA{R: 255, G: 127, B: 14, A: 255},
+	color.RGBA{R: 148, G: 103, B: 189, A: 255},
+}
+
+// figure is one measure as it is drawn.
+type figure struct {
+	file  string
+	label string
+	value func(Result) float64
+}
+
+var figures = []figure{
+	{"policy-goodput.svg", "goodput, % of what targets bear", func(r Result) float64 { return 100 * r.Goodput }},
+	{"policy-recovery.svg", "recovery after the trigger's end, s", func(r Result) float64 { return r.Recovery.Seconds() }},
+	{"policy-worst-customer.svg", "worst-served customer, % of its max-min fair part", func(r Result) float64 { return 100 * r.Worst }},
+	{"policy-wrongful.svg", "refused within their part, % of requests", func(r Result) float64 { return 100 * r.Wrongful }},
+	{"policy-service.svg", "first attempts answered whole, %", func(r Result) float64 { return 100 * r.Service }},
+}
+
+// writePlots draws each measure into an SVG file in dir.
+func writePlots(results []Result, dir string) error {
+	for _, f := range figures {
+		if err := writePlot(results, f, filepath.Join(dir, f.file)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writePlot draws one measure with a panel for each deployment.
+func writePlot(results []Result, f figure, path string) error {
+	deployments := distinct(results, func(r Result) string { return r.Deployment })
+	panels := make([][]*plot.Plot, len(deployments))
+	for i, d := range deployments {
+		p, err := panel(results, f, d)
+		if err != nil {
+			return err
+		}
+		panels[i] = []*plot.Plot{p}
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	tiles := draw.Tiles{Rows: len(panels), Cols: 1, PadY: vg.Centimeter}
+	for i, row := range plot.Align(panels, tiles, draw.New(canvas)) {
+		panels[i][0].Draw(row[0])
+	}
+	out, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "write plot")
+	}
+	defer out.Close()
+	_, err = canvas.WriteTo(out)
+	return errors.Wrap(err, "write plot")
+}
+
+func panel(results []Result, f figure, deployment string) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = deployment
+	p.Y.Label.Text = f.label
+	p.Y.Min = 0
+	p.Legend.Top = true
+	cases := distinct(results, func(r Result) string { return r.Case })
+	names := distinct(results, func(r Result) string { return r.Variant })
+	for i, name := range names {
+		bars, err := plotter.NewBarChart(values(results, f, deployment, name, cases), barWidth)
+		if err != nil {
+			return nil, errors.Wrap(err, "draw bars")
+		}
+		bars.LineStyle.Width = 0
+		bars.Color = colors[i%len(colors)]
+		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(names)-1)/2)
+		p.Add(bars)
+		p.Legend.Add(name, bars)
+	}
+	p.NominalX(cases...)
+	return p, nil
+}
+
+func values(results []Result, f figure, deployment, name string, cases []string) plotter.Values {
+	out := make(plotter.Values, len(cases))
+	for _, r := range results {
+		if r.Deployment == deployment && r.Variant == name {
+			out[slices.Index(cases, r.Case)] = f.value(r)
+		}
+	}
+	return out
+}
+
+func distinct(results []Result, of func(Result) string) []string {
+	var out []string
+	for _, r := range results {
+		if name := of(r); !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
