--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -77,28 +77,31 @@
 
 // Handler is the logic of the admission duty.
 type Handler struct {
-	ctx     context.Context
-	core    *admission.Core
-	target  Target
-	log     *event.Log
-	inbox   *ring.Ring[Message]
-	waiting map[model.CallID]*Arrive
-	empty   []ring.Reply[struct{}]
-	drained bool
-
+	ctx        context.Context
+	core       *admission.Core
+	target     Target
 	quarantine Quarantine
+	log        *event.Log
+	inbox      *ring.Ring[Message]
+	waiting    map[model.CallID]*Arrive
+	empty      []ring.Reply[struct{}]
+	drained    bool
 }
 
 // New returns the duty that runs core. Connection attempts to the target end
-// when ctx ends.
-func New(ctx context.Context, core *admission.Core, target Target, log *event.Log) (*duty.Duty[Message], *Handler) {
+// when ctx ends. The core must judge calls by the same quarantine.
+func New(ctx context.Context, core *admission.Core, target Target, q Quarantine, log *event.Log) *duty.Duty[Message] {
 	h := &Handler{
-		ctx: ctx, core: core, target: target, log: log,
-		waiting: make(map[model.CallID]*Arrive), quarantine: noQuarantine{},
+		ctx:        ctx,
+		core:       core,
+		target:     target,
+		quarantine: q,
+		log:        log,
+		waiting:    make(map[model.CallID]*Arrive),
 	}
 	d := duty.New[Message]("admission", ringCapacity, h)
 	h.inbox = d.Ring()
-	return d, h
+	return d
 }
 
 // Handle implements duty.Handler.
@@ -146,10 +149,6 @@
 		m.Reply.Send(Verdict{Answer: answer})
 		return
 	}
-	if refusal := h.quarantine.Check(now, m.Call); refusal != nil {
-		m.Reply.Send(Verdict{Answer: refusal})
-		return
-	}
 	h.waiting[m.Call.ID] = m
 	h.core.OnArrival(now, m.Call)
 }
--- a/agent/node.go
+++ b/agent/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"math/rand/v2"
 	"net"
@@ -13,16 +12,14 @@
 
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
 	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
 	"github.com/oleanderworks/oleanderworks/agent/entry"
-	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
 	"github.com/oleanderworks/oleanderworks/agent/quarantine"
-	"github.com/oleanderworks/oleanderworks/agent/quorum"
+	quorumduty "github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
@@ -52,15 +49,16 @@
 	settings *settings.Node
 	self     model.Member
 	log      *event.Log
-	service  logservice.Log
+	service  *quorumduty.ContactLog
 	vars     *expvar.Map
 	checker  *invariant.Checker
 
 	routing   *duty.Duty[routingduty.Message]
-	quorum    *duty.Duty[quorum.Message]
 	admission *duty.Duty[admissionduty.Message]
-	follower  *duty.Duty[follower.Message]
 	links     *duty.Duty[links.Message]
+	quorum    *duty.Duty[quorumduty.Message]
+
+	configuration configuration
 
 	endpoint  *peerlink.Endpoint
 	entry     *entry.Entry
@@ -78,7 +76,7 @@
 func New(s *settings.Node, log logservice.Log, out hclog.Logger) (*Node, error) {
 	n := &Node{
 		settings: s,
-		service:  log,
+		service:  quorumduty.NewContactLog(log, model.GroupStream(model.Region(s.Region))),
 		log:      event.New(out.Named(s.Instance)),
 		vars:     new(expvar.Map).Init(),
 	}
@@ -107,47 +105,60 @@
 	if err != nil {
 		return err
 	}
+	ctx := n.tomb.Context(context.Background())
+	dispatcher := links.NewDispatcher(n.log)
+	n.endpoint = &peerlink.Endpoint{Self: n.self, Control: controlHandler(dispatcher)}
+	var sessions *links.Handler
+	n.links, sessions = links.New(ctx, n.self, link.New(newRand()), n.endpoint, n.log)
+	n.endpoint.Accepted = sessions.Accept
+
 	n.checker = invariant.New(n.log, nil)
-	core := admission.New(n.self, admission.Options{Rand: newRand(), Check: n.checker})
-	var admissions *admissionduty.Handler
-	n.admission, admissions = admissionduty.New(n.tomb.Context(context.Background()), core, client, n.log)
-	n.quorum = routingduty.NewStandIn()
+	table := n.newQuarantine(sessions, dispatcher)
+	admissionCore := admission.New(n.self, admission.Options{Rand: newRand(), Check: n.checker, Quarantine: table})
+	n.admission = admissionduty.New(ctx, admissionCore, client, table, n.log)
+	quorumVars := n.buildQuorum(sessions, dispatcher)
 	var decisions *routingduty.Handler
 	n.routing, decisions = routingduty.New(routing.New(n.self, newRand(), n.checker), n.quorum.Ring(), n.log)
 	server := &local.Server{Admission: n.admission.Ring(), Target: client, Parents: n.routing.Ring()}
-	dispatcher := links.NewDispatcher(n.log)
-	n.endpoint = &peerlink.Endpoint{Self: n.self, Calls: server.Serve, Control: controlHandler(dispatcher)}
-	var sessions *links.Handler
-	n.links, sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand()), n.endpoint, n.log)
-	n.endpoint.Accepted = sessions.Accept
-	n.wireQuarantine(admissions, sessions, dispatcher)
+	n.endpoint.Calls = server.Serve
 	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: sessions, Local: server.Serve}
-	n.follower = follower.New(n.log, []follower.Subscriber{
-		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
-		func(s *model.Snapshot) bool {
-			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
-		},
-		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
-	})
+	n.buildConfiguration(sessions, dispatcher)
 	n.vars.Set("routing", n.routing.Vars())
 	n.vars.Set("calls", decisions.Vars())
 	n.vars.Set("invariant_breaches", expvar.Func(func() any { return n.checker.Breaches() }))
-	n.vars.Set("quorum", n.quorum.Vars())
 	n.vars.Set("admission", n.admission.Vars())
-	n.vars.Set("follower", n.follower.Vars())
 	n.vars.Set("links", n.links.Vars())
+	n.vars.Set("quorum", quorumVars)
 	return nil
 }
 
-// wireQuarantine gives the admission duty its quarantine table, which talks to
-// the other nodes of the service.
-func (n *Node) wireQuarantine(h *admissionduty.Handler, s *links.Handler, d *links.Dispatcher) {
+// buildQuorum wires the votes, token leases and request records. It returns
+// their metrics.
+func (n *Node) buildQuorum(sessions *links.Handler, dispatcher *links.Dispatcher) *expvar.Map {
+	duty, vars := quorumduty.New(quorumduty.Config{
+		Self:    n.self,
+		Send:    quorumduty.SendOver(sessions, n.log),
+		Append:  n.appendGroup,
+		Contact: n.service.Contact,
+		NewID:   uuid.NewString,
+		Rand:    newRand(),
+		Log:     n.log,
+		Checker: n.checker,
+	})
+	quorumduty.Register(dispatcher, duty.Ring(), n.log)
+	n.quorum = duty
+	return vars
+}
+
+// newQuarantine returns the quarantine table of the admission duty, which
+// talks to the other nodes of the service.
+func (n *Node) newQuarantine(s *links.Handler, d *links.Dispatcher) *quarantine.Table {
 	table := quarantine.New(n.self, s, n.log)
-	h.SetQuarantine(table)
 	n.vars.Set("quarantine", table.Vars())
 	quarantine.Register(d, n.log, func(news quarantine.News) bool {
 		return n.admission.Ring().Offer(&admissionduty.QuarantineNews{News: news})
 	})
+	return table
 }
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -196,57 +207,16 @@
 	n.routing.Start(&n.tomb)
 	n.quorum.Start(&n.tomb)
 	n.links.Start(&n.tomb)
-	n.follower.Start(&n.tomb)
-	ctx := n.tomb.Context(context.Background())
-	for _, stream := range n.streams() {
-		n.tomb.Go(func() error {
-			follower.Read(ctx, n.service, stream, n.follower.Ring(), n.log)
-			return nil
-		})
-	}
+	n.startConfiguration(n.tomb.Context(context.Background()))
 	n.tomb.Go(func() error { return n.endpoint.Serve(&n.tomb, n.listeners.peer) })
 	n.serveHTTP(n.listeners.call, caller.NewHandler(n.entry.Serve, false))
 	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.entry.Serve, true))
 	n.serveHTTP(n.listeners.ops, n.operatorsHandler())
-	n.tomb.Go(func() error { return n.announce(ctx) })
+	n.announce()
 	n.log.Emit(event.NodeStarted, "instance", n.self.Instance, "service", n.self.Service, "zone", n.self.Zone,
 		"calls", n.CallAddress(), "peers", n.self.PeerAddress, "operators", n.OpsAddress())
 }
 
-// streams lists the streams that the node follows.
-func (n *Node) streams() []string {
-	services := n.settings.Entry
-	if len(services) == 0 {
-		services = []string{n.settings.Service}
-	}
-	streams := []string{model.ConfigStream}
-	for _, s := range services {
-		streams = append(streams, model.MemberStream(model.Service(s)))
-	}
-	return streams
-}
-
-// announce appends the target to the members of its service.
-func (n *Node) announce(ctx context.Context) error {
-	record := model.MemberRecord{ID: uuid.NewString(), Time: time.Now(), Member: n.self}
-	body, err := json.Marshal(record)
-	if err != nil {
-		return errors.Wrap(err, "encode announcement")
-	}
-	for ctx.Err() == nil {
-		_, err := n.service.Append(ctx, model.MemberStream(n.self.Service), record.ID, body)
-		if err == nil {
-			return nil
-		}
-		n.log.Emit(event.LogUnavailable, "step", "announce", "error", err)
-		select {
-		case <-time.After(time.Second):
-		case <-ctx.Done():
-		}
-	}
-	return nil
-}
-
 func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	context.AfterFunc(n.tomb.Context(context.Background()), func() { server.Close() })
--- a/core/event/routing.go
+++ b/core/event/routing.go
@@ -15,8 +15,6 @@
 		"See the reason in the field after; many of them point to a failing target.")
 	CallCanceled = define(204, "call_canceled", hclog.Info,
 		"The caller has gone; the attempt in progress is ended.", "None.")
-	TokensRefused = define(205, "tokens_refused", hclog.Info,
-		"A customer's grantor gave no tokens.", "rate_limited: none; rate_unavailable: check the quorum group.")
 	TargetSuspected = define(206, "target_suspected", hclog.Warn,
 		"A target is excluded from new calls, or admitted again.", "Check the target's node if it repeats.")
 	ContactKnown = define(207, "contact_known", hclog.Warn,
