--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/core/duty"
@@ -86,11 +87,12 @@
 	waiting    map[model.CallID]*Arrive
 	empty      []ring.Reply[struct{}]
 	drained    bool
+	metrics    *metrics
 }
 
-// New returns the duty that runs core. Connection attempts to the target end
+// New returns the duty that runs core, and its metrics. Connection attempts to the target end
 // when ctx ends. The core must judge calls by the same quarantine.
-func New(ctx context.Context, core *admission.Core, target Target, q Quarantine, log *event.Log) *duty.Duty[Message] {
+func New(ctx context.Context, core *admission.Core, target Target, q Quarantine, log *event.Log) (*duty.Duty[Message], *expvar.Map) {
 	h := &Handler{
 		ctx:        ctx,
 		core:       core,
@@ -98,10 +100,11 @@
 		quarantine: q,
 		log:        log,
 		waiting:    make(map[model.CallID]*Arrive),
+		metrics:    newMetrics(core),
 	}
 	d := duty.New[Message]("admission", ringCapacity, h)
 	h.inbox = d.Ring()
-	return d
+	return d, h.metrics.vars
 }
 
 // Handle implements duty.Handler.
@@ -178,12 +181,14 @@
 	case d.Answer != nil:
 		d.Answer.Load = h.core.Load()
 		h.quarantine.Ended(now, d.Answer)
+		h.metrics.onRefusal(d.Answer.Reason)
 		h.log.Emit(event.CallRefused, "call", d.CallID, "reason", d.Answer.Reason)
 		delete(h.waiting, d.CallID)
 		arrive.Reply.Send(Verdict{Answer: d.Answer})
 	case d.Cancel:
 		arrive.CancelRunning()
 	case d.Run:
+		h.metrics.started.Add(1)
 		h.log.Emit(event.CallStarted, "call", d.CallID, "customer", arrive.Call.Customer, "class", arrive.Call.Class)
 		arrive.Reply.Send(Verdict{Until: d.Until, Silence: d.Silence})
 	}
@@ -200,6 +205,7 @@
 		}
 		h.empty = nil
 	default:
+		h.metrics.onSignal(s)
 		h.log.Emit(event.TargetChanged, "from", s.From, "to", s.To, "limit", s.Limit)
 	}
 }
@@ -214,5 +220,6 @@
 func (h *Handler) Tick(now time.Time) time.Time {
 	next := h.core.Tick(now)
 	h.deliver(now)
+	h.metrics.publish(h.core.Load())
 	return next
 }
--- /dev/null
+++ b/agent/admission/duty_test.go
@@ -0,0 +1,130 @@
+package admission
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/agent/quarantine"
+	"github.com/oleanderworks/oleanderworks/core/duty"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/ring"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/admission"
+)
+
+// fakeTarget answers connection attempts.
+type fakeTarget struct {
+	probes      chan bool // results of the attempts, in order
+	connections chan int
+}
+
+func (f *fakeTarget) Probe(context.Context) bool { return <-f.probes }
+func (f *fakeTarget) SetConnections(n int)       { f.connections <- n }
+
+type noQuarantine struct{}
+
+func (noQuarantine) Check(time.Time, *model.Call) *model.Answer { return nil }
+func (noQuarantine) Ended(time.Time, *model.Answer)             {}
+func (noQuarantine) OnNews(time.Time, quarantine.News)          {}
+func (noQuarantine) OnSnapshot(*model.Snapshot)                 {}
+func (noQuarantine) Flush(time.Time)                            {}
+
+// startDuty runs the duty with one slot at the target.
+func startDuty(t *testing.T) (*duty.Duty[Message], *fakeTarget) {
+	t.Helper()
+	var life tomb.Tomb
+	self := model.Member{NodeID: model.NodeID{Instance: "tally-1"}, Service: "tally", Zone: "suva"}
+	core := admission.New(self, admission.Options{Rand: rand.New(rand.NewPCG(1, 2))})
+	target := &fakeTarget{probes: make(chan bool, 8), connections: make(chan int, 8)}
+	d, _ := New(life.Context(context.Background()), core, target, noQuarantine{}, event.Discard())
+	d.Start(&life)
+	t.Cleanup(func() {
+		close(target.probes)
+		life.Kill(nil)
+		assert.NilError(t, life.Wait())
+	})
+	body, err := json.Marshal(model.ServiceConfig{Name: "tally", Slots: 1, Connections: 7})
+	assert.NilError(t, err)
+	snapshot, err := model.NewSnapshot(1, map[string]model.Document{"": {Name: "service/tally", Body: body}})
+	assert.NilError(t, err)
+	assert.Assert(t, d.Ring().Offer(&SnapshotChanged{Snapshot: snapshot}))
+	assert.Equal(t, <-target.connections, 7)
+	return d, target
+}
+
+func arrive(t *testing.T, d *duty.Duty[Message], id model.CallID) *Arrive {
+	t.Helper()
+	a := &Arrive{
+		Call:          &model.Call{ID: id, Service: "tally", Open: true, Deadline: time.Now().Add(time.Minute)},
+		Reply:         ring.NewReply[Verdict](),
+		CancelRunning: func() {},
+	}
+	assert.Assert(t, d.Ring().Offer(a))
+	return a
+}
+
+func wait[T any](t *testing.T, r ring.Reply[T]) T {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	v, err := r.Wait(ctx)
+	assert.NilError(t, err)
+	return v
+}
+
+func finish(t *testing.T, d *duty.Duty[Message], a *model.Answer) {
+	t.Helper()
+	done := &Finish{Answer: a, Reply: ring.NewReply[model.Load]()}
+	assert.Assert(t, d.Ring().Offer(done))
+	wait(t, done.Reply)
+}
+
+// Guards against a shutdown that interrupts a running or waiting call, or that
+// reports empty while one is left.
+func TestDrainLetsCallsEnd(t *testing.T) {
+	d, _ := startDuty(t)
+	running := arrive(t, d, 1)
+	assert.Assert(t, wait(t, running.Reply).Answer == nil)
+	waiting := arrive(t, d, 2)
+	drain := &Drain{Empty: ring.NewReply[struct{}]()}
+	assert.Assert(t, d.Ring().Offer(drain))
+	assert.Equal(t, wait(t, arrive(t, d, 3).Reply).Answer.Reason, model.ReasonTargetLeaving)
+	finish(t, d, &model.Answer{ID: 1, Run: model.Completed, Status: 200})
+	assert.Assert(t, wait(t, waiting.Reply).Answer == nil)
+	select {
+	case <-drain.Empty.Chan():
+		t.Fatal("empty was reported while a call runs")
+	default:
+	}
+	finish(t, d, &model.Answer{ID: 2, Run: model.Completed, Status: 200})
+	wait(t, drain.Empty)
+}
+
+// Guards against a lost target that is never tried again, and against a probe
+// on the duty's thread.
+func TestLostTargetIsProbed(t *testing.T) {
+	d, target := startDuty(t)
+	assert.Assert(t, wait(t, arrive(t, d, 1).Reply).Answer == nil)
+	refused := model.Refusal(1, model.ReasonTargetFailed, "connection refused")
+	refused.TargetLost = true
+	finish(t, d, refused)
+	answer := wait(t, arrive(t, d, 2).Reply).Answer
+	assert.Equal(t, answer.Run, model.NotRun)
+	assert.Equal(t, answer.Reason, model.ReasonTargetFailed)
+
+	target.probes <- false
+	target.probes <- true
+	for id := model.CallID(3); ; id++ {
+		if wait(t, arrive(t, d, id).Reply).Answer == nil {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+		assert.Assert(t, id < 400, "no trial call was admitted")
+	}
+}
--- a/agent/node.go
+++ b/agent/node.go
@@ -115,7 +115,8 @@
 	n.checker = invariant.New(n.log, nil)
 	table := n.newQuarantine(sessions, dispatcher)
 	admissionCore := admission.New(n.self, admission.Options{Rand: newRand(), Check: n.checker, Quarantine: table})
-	n.admission = admissionduty.New(ctx, admissionCore, client, table, n.log)
+	var targetVars *expvar.Map
+	n.admission, targetVars = admissionduty.New(ctx, admissionCore, client, table, n.log)
 	quorumVars := n.buildQuorum(sessions, dispatcher)
 	var decisions *routingduty.Handler
 	n.routing, decisions = routingduty.New(routing.New(n.self, newRand(), n.checker), n.quorum.Ring(), n.log)
@@ -127,6 +128,7 @@
 	n.vars.Set("calls", decisions.Vars())
 	n.vars.Set("invariant_breaches", expvar.Func(func() any { return n.checker.Breaches() }))
 	n.vars.Set("admission", n.admission.Vars())
+	n.vars.Set("target", targetVars)
 	n.vars.Set("links", n.links.Vars())
 	n.vars.Set("quorum", quorumVars)
 	return nil
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -183,6 +183,9 @@
 	}
 }
 
+// State returns the name of the target's state in its chart.
+func (c *Core) State() string { return c.target.machine.StateName(c.target.state) }
+
 // Connections returns the number of connections that the target accepts, or 0
 // when the configuration does not tell.
 func (c *Core) Connections() int {
--- a/policy/admission/harness_test.go
+++ b/policy/admission/harness_test.go
@@ -144,7 +144,7 @@
 	f.signals = append(f.signals, f.core.Signals()...)
 }
 
-func (f *fixture) state() string { return f.core.target.machine.StateName(f.core.target.state) }
+func (f *fixture) state() string { return f.core.State() }
 
 // serve lets the target answer all running calls after d, with new calls from
 // the first customer to fill the limit, until the time is over.
