--- a/policy/admission/coldstart.go
+++ b/policy/admission/coldstart.go
@@ -64,14 +64,20 @@
 }
 
 // observeLate books a call without an answer in time as one that took until
-// then. A deadline that was short of the usual time says nothing about the
-// target.
+// then, or as a failure while there is nothing to compare with. A deadline
+// that was short of the usual time says nothing about the target.
 func (c *Core) observeLate(now time.Time, e *execution, o Outcome, inFlight int) {
 	elapsed := now.Sub(e.started)
-	if elapsed < 2*c.latency.class(e.rank).usual {
+	class := c.latency.class(e.rank)
+	if elapsed < 2*class.usual {
 		return
 	}
-	c.observeGood(now, e, o, inFlight)
+	if class.baseline(now) > 0 {
+		c.observeGood(now, e, o, inFlight)
+		return
+	}
+	class.usual = moved(class.usual, elapsed)
+	c.addSample(now, e, 0, 0, true, inFlight)
 }
 
 // observeGood books the time of a call.
--- a/policy/admission/coldstart_test.go
+++ b/policy/admission/coldstart_test.go
@@ -130,3 +130,34 @@
 	assert.Assert(t, f.core.slots() < 75, "limit %d", f.core.slots())
 	assert.Assert(t, f.core.slots() >= 30, "limit %d", f.core.slots())
 }
+
+// Guards against a customer that lowers the limit again and again by turns of
+// light and heavy requests.
+func TestAlternatingWorkCausesOneCheck(t *testing.T) {
+	f := newColdFixture(t)
+	f.warm()
+	for range 4 {
+		f.serve(3*time.Second, 10*time.Millisecond, ResultGood)
+		f.serve(1500*time.Millisecond, 60*time.Millisecond, ResultGood)
+	}
+	checks := 0
+	for _, s := range f.signals {
+		if s.To == "checking" {
+			checks++
+		}
+	}
+	assert.Equal(t, checks, 1)
+}
+
+// Guards against a late trial call that counts as a good answer.
+func TestLateTrialCallDoesNotEndTrial(t *testing.T) {
+	f := newColdFixture(t)
+	f.warm()
+	f.finish(f.arrive(customerName(0), "lookup"), ResultRefused)
+	f.advance(100 * time.Millisecond)
+	f.core.OnProbe(f.now, true)
+	trial := f.arrive(customerName(0), "lookup")
+	f.advance(time.Second)
+	f.finish(trial, ResultLate)
+	assert.Equal(t, f.state(), "trial")
+}
--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -13,6 +13,10 @@
 	buckets    = 30
 	// usualWeight is the weight of one answer in the usual service time.
 	usualWeight = 0.05
+	// adoptTime is how long an adopted baseline is not lowered. Without it, a
+	// customer that alternates between light and heavy requests would cause a
+	// check of the target at each change.
+	adoptTime = 30 * time.Second
 )
 
 // latency holds service times for each class. Classes differ in their usual
@@ -31,6 +35,9 @@
 	opened   time.Time
 	history  [buckets]time.Duration // means of the last buckets; zero when empty
 	position int
+
+	adopted      time.Duration // least baseline until adoptedUntil
+	adoptedUntil time.Time
 }
 
 func (l *latency) class(rank int) *classLatency {
@@ -55,7 +62,7 @@
 	if now.Sub(c.opened) >= bucketTime && c.samples >= minSamples {
 		c.closeBucket(now)
 	}
-	if base := c.baseline(); base > 0 {
+	if base := c.baseline(now); base > 0 {
 		return base
 	}
 	return own
@@ -77,21 +84,25 @@
 }
 
 // baseline is the windowed minimum of the mean service time: what a call
-// takes when the target is not loaded beyond what it bears.
-func (c *classLatency) baseline() time.Duration {
+// takes when the target is not loaded beyond what it bears. It is 0 when
+// nothing is known.
+func (c *classLatency) baseline(now time.Time) time.Duration {
 	var lowest time.Duration
 	for _, mean := range c.history {
 		if mean > 0 && (lowest == 0 || mean < lowest) {
 			lowest = mean
 		}
 	}
+	if now.Before(c.adoptedUntil) {
+		return max(lowest, c.adopted)
+	}
 	return lowest
 }
 
 // adopt makes the present service times the baseline.
-func (l *latency) adopt() {
+func (l *latency) adopt(now time.Time) {
 	for _, c := range l.byRank {
-		*c = classLatency{usual: c.usual, recent: c.recent, history: [buckets]time.Duration{c.recent}, position: 1}
+		*c = classLatency{usual: c.usual, recent: c.recent, adopted: c.recent, adoptedUntil: now.Add(adoptTime)}
 	}
 }
 
--- a/policy/admission/target.go
+++ b/policy/admission/target.go
@@ -106,7 +106,7 @@
 			"decrease":       func(t *target) { t.core.limit.decrease(&t.judged) },
 			"increase":       func(t *target) { t.core.limit.increase() },
 			"restore":        func(t *target) { t.core.limit.restore() },
-			"adopt_latency":  func(t *target) { t.core.latency.adopt() },
+			"adopt_latency":  func(t *target) { t.core.latency.adopt(t.now) },
 			"forget_latency": func(t *target) { t.core.latency.forget() },
 			"stop":           func(t *target) { t.core.limit.value = 0 },
 			"refuse_waiting": (*target).refuseWaiting,
