--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/core/duty"
@@ -33,14 +34,18 @@
 type Verdict struct {
 	Answer *model.Answer
 	Until  time.Time // the call must not be handed over later
+	// Silence is the time without a byte after which the connection is given
+	// up, if others progress meanwhile.
+	Silence time.Duration
 }
 
 // Finish reports that a call that was to run has ended. Reply gets the load
 // report that goes with the answer.
 type Finish struct {
-	Answer  *model.Answer
-	Outcome admission.Outcome
-	Reply   ring.Reply[model.Load]
+	Answer *model.Answer
+	Start  string        // the target's start marker
+	Waited time.Duration // in which the call waited for its sub-calls
+	Reply  ring.Reply[model.Load]
 }
 
 // Probed reports the result of a connection attempt to the target.
@@ -63,38 +68,43 @@
 func (*Cancel) admissionMessage()          {}
 func (*SnapshotChanged) admissionMessage() {}
 
-// Prober tries to open a connection to the target.
-type Prober interface {
+// Target is the transport to the target.
+type Target interface {
+	// Probe tries to open a connection.
 	Probe(ctx context.Context) bool
+	// SetConnections sets the number of connections that the target accepts.
+	SetConnections(n int)
 }
 
 // Handler is the logic of the admission duty.
 type Handler struct {
 	ctx        context.Context
 	core       *admission.Core
-	prober     Prober
+	target     Target
 	quarantine Quarantine
 	log        *event.Log
 	inbox      *ring.Ring[Message]
 	waiting    map[model.CallID]*Arrive
 	empty      []ring.Reply[struct{}]
 	drained    bool
+	metrics    *metrics
 }
 
-// New returns the duty that runs core. Connection attempts to the target end
+// New returns the duty that runs core, and its metrics. Connection attempts to the target end
 // when ctx ends. The core must judge calls by the same quarantine.
-func New(ctx context.Context, core *admission.Core, prober Prober, q Quarantine, log *event.Log) *duty.Duty[Message] {
+func New(ctx context.Context, core *admission.Core, target Target, q Quarantine, log *event.Log) (*duty.Duty[Message], *expvar.Map) {
 	h := &Handler{
 		ctx:        ctx,
 		core:       core,
-		prober:     prober,
+		target:     target,
 		quarantine: q,
 		log:        log,
 		waiting:    make(map[model.CallID]*Arrive),
+		metrics:    newMetrics(core),
 	}
 	d := duty.New[Message]("admission", ringCapacity, h)
 	h.inbox = d.Ring()
-	return d
+	return d, h.metrics.vars
 }
 
 // Handle implements duty.Handler.
@@ -114,7 +124,9 @@
 		h.quarantine.OnNews(now, m.News)
 	case *Finish:
 		h.quarantine.Ended(now, m.Answer)
-		h.core.OnFinished(now, m.Outcome)
+		outcome := admission.OutcomeOf(m.Answer, m.Start)
+		outcome.Waited = m.Waited
+		h.core.OnFinished(now, outcome)
 		delete(h.waiting, m.Answer.ID)
 		m.Reply.Send(h.core.Load())
 	case *Cancel:
@@ -126,6 +138,9 @@
 	case *SnapshotChanged:
 		h.core.OnSnapshot(now, m.Snapshot)
 		h.quarantine.OnSnapshot(m.Snapshot)
+		if n := h.core.Connections(); n > 0 {
+			h.target.SetConnections(n)
+		}
 	}
 }
 
@@ -166,6 +181,7 @@
 	case d.Answer != nil:
 		d.Answer.Load = h.core.Load()
 		h.quarantine.Ended(now, d.Answer)
+		h.metrics.onRefusal(d.Answer.Reason)
 		h.log.Emit(event.CallRefused, "call", d.CallID, "reason", d.Answer.Reason)
 		delete(h.waiting, d.CallID)
 		arrive.Reply.Send(Verdict{Answer: d.Answer})
@@ -173,8 +189,9 @@
 		arrive.CancelRunning()
 	case d.Run:
 		h.quarantine.Started(d.CallID)
+		h.metrics.started.Add(1)
 		h.log.Emit(event.CallStarted, "call", d.CallID, "customer", arrive.Call.Customer, "class", arrive.Call.Class)
-		arrive.Reply.Send(Verdict{Until: d.Until})
+		arrive.Reply.Send(Verdict{Until: d.Until, Silence: d.Silence})
 	}
 }
 
@@ -189,13 +206,14 @@
 		}
 		h.empty = nil
 	default:
+		h.metrics.onSignal(s)
 		h.log.Emit(event.TargetChanged, "from", s.From, "to", s.To, "limit", s.Limit)
 	}
 }
 
 // probe performs one connection attempt outside the duty's thread.
 func (h *Handler) probe() {
-	ok := h.prober.Probe(h.ctx)
+	ok := h.target.Probe(h.ctx)
 	_ = h.inbox.Put(h.ctx, &Probed{OK: ok})
 }
 
@@ -203,5 +221,6 @@
 func (h *Handler) Tick(now time.Time) time.Time {
 	next := h.core.Tick(now)
 	h.deliver(now)
+	h.metrics.publish(h.core.Load())
 	return next
 }
