--- /dev/null
+++ b/agent/groups.go
@@ -0,0 +1,61 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/oleanderworks/oleanderworks/agent/appender"
+	"github.com/oleanderworks/oleanderworks/agent/links"
+	"github.com/oleanderworks/oleanderworks/agent/quorum"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// unsealedTimeout bounds the append of an unsealed composition. Its start is
+// counted from when it was made, so that it must not be appended late.
+const unsealedTimeout = 5 * time.Second
+
+// buildQuorum wires the quorum duty: votes, token leases and request records.
+func (n *Node) buildQuorum(sessions *links.Handler, dispatcher *links.Dispatcher) {
+	n.quorum, n.quorumVars = quorum.New(quorum.Config{
+		Self:    n.self,
+		Send:    quorum.SendOver(sessions, n.log),
+		Append:  n.appendGroup,
+		Contact: n.groupsKnown,
+		NewID:   uuid.NewString,
+		Rand:    newRand(),
+		Log:     n.log,
+		Checker: n.checker,
+	})
+	quorum.Register(dispatcher, n.quorum.Ring(), n.log)
+}
+
+// appendGroup passes a composition to the appender, which keeps a sealed one
+// until the log is back: the seal holds until then.
+func (n *Node) appendGroup(r model.GroupRecord) bool {
+	body, err := json.Marshal(r)
+	if err != nil {
+		n.log.Emit(event.RecordMalformed, "error", err)
+		return false
+	}
+	done := func(error) {
+		n.quorum.Ring().Offer(&quorum.AppendDone{Key: model.GroupKey{Region: r.Region, Group: r.Group}})
+	}
+	stream := model.GroupStream(r.Region)
+	if r.Sealed {
+		return n.configuration.appender.Ring().Offer(&appender.Append{Stream: stream, ID: r.ID, Body: body, Done: done})
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(n.tomb.Context(context.Background()), unsealedTimeout)
+		defer cancel()
+		_, err := n.service.Append(ctx, stream, r.ID, body)
+		if err != nil {
+			n.log.Emit(event.LogUnavailable, "step", "append", "stream", stream, "error", err)
+		}
+		done(err)
+	}()
+	return true
+}
--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/agent/admission"
-	"github.com/oleanderworks/oleanderworks/agent/routing"
+	duty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	policy "github.com/oleanderworks/oleanderworks/policy/admission"
+	"github.com/oleanderworks/oleanderworks/policy/routing"
 	"github.com/oleanderworks/oleanderworks/transport/target"
 )
 
@@ -19,7 +19,7 @@
 type Server struct {
 	Admission *ring.Ring[admission.Message]
 	Target    *target.Client
-	Parents   *ring.Ring[routing.Message] // takes the calls that may make sub-calls
+	Parents   *ring.Ring[duty.Message] // takes the calls that may make sub-calls
 }
 
 // Serve runs a call at the target or refuses it. It ends early when ctx ends,
@@ -48,48 +48,54 @@
 	if verdict.Answer != nil {
 		return verdict.Answer
 	}
-	answer, used := s.run(running, call, verdict, began)
-	s.finish(answer)
-	if n, err := used.Wait(context.Background()); err == nil {
-		answer.RetriesUsed = n
-	}
+	answer, end := s.run(running, call, verdict, began)
+	s.finish(answer, end.Waited)
 	return answer
 }
 
-// run hands an admitted call to the target, unless the process was paused
-// since the decision: the fences that the call passed may not hold any more.
-// While it runs, its sub-calls are accepted under an opaque random id. used
-// gets the retries that they took.
-func (s *Server) run(ctx context.Context, call *model.Call, v admission.Verdict, began time.Time) (a *model.Answer, used ring.Reply[int]) {
+// run hands a call to the target. While it runs, its sub-calls are accepted
+// under an opaque random id.
+func (s *Server) run(ctx context.Context, call *model.Call, v admission.Verdict, began time.Time) (*model.Answer, routing.Ended) {
 	contextID := rand.Text()
-	used = ring.NewReply[int]()
-	if err := s.Parents.Put(ctx, &routing.RegisterParent{ContextID: contextID, Call: call}); err != nil {
-		used.Send(0)
-		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), used
+	if err := s.Parents.Put(ctx, &duty.RegisterParent{ContextID: contextID, Call: call}); err != nil {
+		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), routing.Ended{}
 	}
 	handed := time.Now()
-	if handed.Before(v.Until) {
-		a = s.Target.Do(ctx, call, contextID)
-	} else {
-		a = model.Refusal(call.ID, model.ReasonNodeBusy, "the permission to run has expired before the handoff")
-	}
-	end := &routing.EndParent{
+	answer := s.handOver(ctx, call, contextID, v)
+	end := &duty.EndParent{
 		ContextID: contextID,
 		Canceled:  ctx.Err() != nil,
 		NodeTime:  handed.Sub(began),
-		Reply:     used,
+		Reply:     ring.NewReply[routing.Ended](),
 	}
 	if err := s.Parents.Put(context.Background(), end); err != nil {
-		used.Send(0)
+		return answer, routing.Ended{}
 	}
-	return a, used
+	ended, err := end.Reply.Wait(context.Background())
+	if err == nil {
+		answer.RetriesUsed = ended.RetriesUsed
+	}
+	return answer, ended
+}
+
+// handOver gives a call to the target, unless the process was paused since
+// the decision: the fences that the call passed may not hold any more.
+func (s *Server) handOver(ctx context.Context, call *model.Call, contextID string, v admission.Verdict) *model.Answer {
+	if !time.Now().Before(v.Until) {
+		return model.Refusal(call.ID, model.ReasonNodeBusy, "the permission to run has expired before the handoff")
+	}
+	return s.Target.Do(ctx, call, contextID, v.Silence)
 }
 
 // finish frees the slot. It waits for room in the ring, since a lost message
 // would hold the slot for ever.
-func (s *Server) finish(answer *model.Answer) {
-	outcome := policy.OutcomeOf(answer, target.TakeStart(answer))
-	done := &admission.Finish{Answer: answer, Outcome: outcome, Reply: ring.NewReply[model.Load]()}
+func (s *Server) finish(answer *model.Answer, waited time.Duration) {
+	done := &admission.Finish{
+		Answer: answer,
+		Start:  target.TakeStart(answer),
+		Waited: waited,
+		Reply:  ring.NewReply[model.Load](),
+	}
 	if err := s.Admission.Put(context.Background(), done); err != nil {
 		return
 	}
--- a/agent/quorum/dispatch.go
+++ b/agent/quorum/dispatch.go
@@ -108,8 +108,7 @@
 		}
 	}
 	for _, r := range h.composer.Proposals() {
-		h.logProposed(&r)
-		h.config.Append(r)
+		h.propose(r)
 	}
 	for _, c := range h.leases.Changes() {
 		d := event.LeaseClosed
@@ -121,6 +120,17 @@
 	h.deliver()
 }
 
+// propose appends a composition, one at a time for each group: while the log
+// is away, the first one waits for it.
+func (h *Handler) propose(r model.GroupRecord) {
+	key := model.GroupKey{Region: r.Region, Group: r.Group}
+	if h.appending[key] {
+		return
+	}
+	h.logProposed(&r)
+	h.appending[key] = h.config.Append(r)
+}
+
 func (h *Handler) collect() {
 	outboxes := []*quorum.Outbox{&h.composer.Outbox, &h.leases.Outbox, &h.acquirer.Outbox, &h.claimant.Outbox}
 	for _, o := range outboxes {
@@ -145,7 +155,6 @@
 	for _, d := range h.acquirer.Deliveries() {
 		if d.Result.Reason != model.ReasonNone {
 			h.metrics.refused.Add(1)
-			h.config.Log.Emit(event.TokensRefused, "customer", d.Result.Customer, "reason", d.Result.Reason)
 		}
 		d.Deliver(d.Result)
 	}
--- a/agent/quorum/messages.go
+++ b/agent/quorum/messages.go
@@ -55,6 +55,9 @@
 	Message quorum.Message
 }
 
+// AppendDone reports that the append of a group's composition has ended.
+type AppendDone struct{ Key model.GroupKey }
+
 // SnapshotChanged carries a new configuration.
 type SnapshotChanged struct{ Snapshot *model.Snapshot }
 
@@ -64,4 +67,5 @@
 func (*CompleteClaim) quorumMessage()   {}
 func (*ReleaseClaim) quorumMessage()    {}
 func (*PeerMessage) quorumMessage()     {}
+func (*AppendDone) quorumMessage()      {}
 func (*SnapshotChanged) quorumMessage() {}
--- a/agent/quorum/peers.go
+++ b/agent/quorum/peers.go
@@ -1,14 +1,9 @@
 package quorum
 
 import (
-	"context"
-	"sync/atomic"
-	"time"
-
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/ring"
-	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/quorum"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
@@ -42,31 +37,3 @@
 		return h.Send(to, kind, frame)
 	}
 }
-
-// ContactLog is a log service that notes when a stream was last read.
-type ContactLog struct {
-	logservice.Log
-	stream string
-	latest atomic.Pointer[time.Time]
-}
-
-// NewContactLog watches the reads of one stream of log.
-func NewContactLog(log logservice.Log, stream string) *ContactLog {
-	l := &ContactLog{Log: log, stream: stream}
-	l.latest.Store(new(time.Time))
-	return l
-}
-
-// Read implements logservice.Log.
-func (l *ContactLog) Read(ctx context.Context, stream string, from logservice.Offset, opts logservice.ReadOptions) (logservice.Page, error) {
-	page, err := l.Log.Read(ctx, stream, from, opts)
-	if err == nil && stream == l.stream {
-		now := time.Now()
-		l.latest.Store(&now)
-	}
-	return page, err
-}
-
-// Contact returns the time of the latest successful read, or the zero time.
-// It is safe for use by several threads.
-func (l *ContactLog) Contact() time.Time { return *l.latest.Load() }
--- a/core/event/quorum.go
+++ b/core/event/quorum.go
@@ -26,8 +26,6 @@
 		"Look at the ring's metrics; add groups if it repeats.")
 	QuorumUnsent = define(408, "quorum_unsent", hclog.Debug,
 		"A message could not be sent, since there is no link to the peer.", "None; it is repeated.")
-	TokensRefused = define(409, "tokens_refused", hclog.Info,
-		"A customer's request for tokens was refused.", "See the reason in docs/operators/rates.md.")
 	ClaimRefused = define(410, "claim_refused", hclog.Info,
 		"A claim was not granted.", "See the outcome in docs/operators/at-most-once.md.")
 )
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/record"
 )
 
 // scanInterval bounds how long a waiting call outlives its deadline. A scan
@@ -20,10 +21,13 @@
 // Run, Cancel and Answer is set.
 type Decision struct {
 	CallID model.CallID
-	Run    bool          // hand the call to the target, at the latest at Until
-	Until  time.Time     // end of the permission to hand the call over
-	Cancel bool          // cancel the call at the target
-	Answer *model.Answer // refusal
+	Run    bool      // hand the call to the target, at the latest at Until
+	Until  time.Time // end of the permission to hand the call over
+	// Silence is the time without a byte after which the connection to the
+	// target is given up, if others progress meanwhile.
+	Silence time.Duration
+	Cancel  bool          // cancel the call at the target
+	Answer  *model.Answer // refusal
 }
 
 // Core holds the calls of one target. All methods run on one thread.
@@ -32,6 +36,7 @@
 	rng        *rand.Rand
 	check      *invariant.Checker
 	quarantine Quarantine
+	seen       *record.Seen
 
 	snapshot *model.Snapshot
 	config   *model.ServiceConfig // of the own service; nil when unknown
@@ -59,6 +64,7 @@
 		rng:        o.Rand,
 		check:      o.Check,
 		quarantine: o.Quarantine,
+		seen:       record.NewSeen(record.MaxSeen),
 		executions: make(map[model.CallID]*execution),
 	}
 	c.machine = newMachine()
@@ -108,6 +114,9 @@
 	if refusal == nil && c.executions[call.ID] != nil {
 		refusal = model.Refusal(call.ID, model.ReasonInProgress, "the call is at the target's node already")
 	}
+	if refusal == nil {
+		refusal = c.fenceClaim(now, call)
+	}
 	if refusal != nil {
 		c.refuse(now, refusal)
 		return
@@ -128,6 +137,9 @@
 		return
 	}
 	running := c.running
+	if o.Result == ResultRefused && e.call.Claim != nil {
+		c.seen.Refuse(e.call.Claim) // the target took no connection
+	}
 	e.step(now, eventFinished)
 	c.observe(now, e, o, running)
 	c.target.onEmptied(now)
@@ -180,6 +192,18 @@
 	}
 }
 
+// State returns the name of the target's state in its chart.
+func (c *Core) State() string { return c.target.machine.StateName(c.target.state) }
+
+// Connections returns the number of connections that the target accepts, or 0
+// when the configuration does not tell.
+func (c *Core) Connections() int {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Connections
+}
+
 // startWaiting hands free slots to waiting calls. The fences are checked here
 // again, since time has passed in the queue.
 func (c *Core) startWaiting(now time.Time) {
@@ -213,8 +237,9 @@
 	c.target.onEmptied(now)
 }
 
-// tooOld reports whether a call has waited for longer than it usually runs,
-// in a queue that does not get shorter.
+// tooOld reports whether a call has waited for longer than it usually runs, in
+// a queue that holds more than one round of all slots and does not get
+// shorter.
 func (c *Core) tooOld(now time.Time, e *execution) bool {
 	customer := e.list.customer
 	if !customer.order.observe(now, now.Sub(customer.oldest().arrived)) {
@@ -223,7 +248,7 @@
 	if c.queue.classes[e.rank].starved(now) && e.call.Depth > 0 {
 		return true
 	}
-	return now.Sub(e.arrived) > max(maxStanding, c.latency.class(e.rank).usual)
+	return c.queue.length > c.slots() && now.Sub(e.arrived) > max(maxStanding, c.latency.class(e.rank).usual)
 }
 
 // recheckWaiting refuses waiting calls that the fences no longer let pass.
