Test that a call is sent again when its link is lost

Cause: the retry kept back for a lost answer had no test over two nodes. A first form of the test stopped the other node in place of its link: sessions of a stopped node stay open in the process, so that the call waited for its deadline; that is the links duty's matter.

--- a/agent/chain_test.go
+++ b/agent/chain_test.go
@@ -297,3 +297,38 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
 	assert.Equal(t, runs.Load(), int64(1))
 }
+
+// Guards against an idempotent call that fails with the link on which its
+// answer was to come, although another target could have answered.
+func TestCallIsSentAgainWhenItsLinkIsLost(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{}, 1)
+	stuck := serveTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			started <- struct{}{}
+			<-release
+		}
+	})
+	defer close(release)
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publishFleet(t, log)
+	entry := startNode(t, log, "registry-1", "registry", stuck)
+	first := startNode(t, log, "tally-1", "tally", stuck)
+	waitForRoute(t, entry, "/tally/count")
+	answer := make(chan int)
+	go func() {
+		resp, _ := call(t, entry, http.MethodGet, "/tally/wait", nil)
+		answer <- resp.StatusCode
+	}()
+	<-started
+	startNode(t, log, "tally-2", "tally", serveTarget(t, func(http.ResponseWriter, *http.Request) {}))
+	waitForLinks(t, entry, []*Node{entry, first})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if entry.entry.Sessions.Session("tally-2") == nil {
+			return poll.Continue("no link to tally-2")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	entry.entry.Sessions.Session("tally-1").Close()
+	assert.Equal(t, <-answer, http.StatusOK)
+}
