Print the refusal when the benchmark of the added time fails

Cause: with a load of 30 to 40 on 10 cores 3 of 12 runs ended with a refusal that the benchmark did not explain: shed, 'the queue for the target is full', with a single caller and 200 slots. It comes from the admission duty.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -62,10 +62,10 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	_, _ = io.Copy(io.Discard, resp.Body)
+	text, _ := io.ReadAll(resp.Body)
 	resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		b.Fatalf("status %d", resp.StatusCode)
+		b.Fatalf("status %d: %s", resp.StatusCode, text)
 	}
 	_ = h.RecordValue(time.Since(began).Microseconds())
 }
