Keep the slots of a target without a ramp time

Cause: stepUp divided by a ramp time of 0; the limit became NaN, read as -, and the target's node refused every call as shed. Seen as a refusal in 4 of 12 runs of BenchmarkAddedTime on a loaded machine, after target_changed from=checking to=ramping. A test with a ramp time of 0 failed before with that limit.

--- a/policy/admission/coldstart_test.go
+++ b/policy/admission/coldstart_test.go
@@ -161,3 +161,16 @@
 	f.finish(trial, ResultLate)
 	assert.Equal(t, f.state(), "trial")
 }
+
+// Guards against a service without a ramp time whose limit becomes no number
+// on the first step of a ramp, so that all its calls are refused as shed.
+func TestTargetWithoutRampTimeKeepsItsSlots(t *testing.T) {
+	f := newFixture(t, 100)
+	f.warm()
+	f.core.target.now = f.now
+	f.core.target.toFloor()
+	f.core.target.stepUp()
+	assert.Equal(t, f.core.slots(), 100)
+	f.core.target.stepDown()
+	assert.Equal(t, f.core.slots(), 100)
+}
--- a/policy/admission/target.go
+++ b/policy/admission/target.go
@@ -237,6 +237,11 @@
 // doubles on one good window.
 func (t *target) stepUp() {
 	l := &t.core.limit
+	if l.floor() >= l.slots() {
+		// Without a ramp time there is no line to follow.
+		l.set(l.slots())
+		return
+	}
 	part := float64(t.now.Sub(t.rampFrom)) / float64(t.core.config.RampTime.D())
 	line := l.floor() + (l.slots()-l.floor())*part
 	l.set(min(max(line, l.value), 2*l.value))
