Replace silent connections between nodes and measure clock offsets

Cause: a connection that a device between two nodes lost track of stayed in use for ever, and a write on it hung its caller for yamux's 10 s.

Heartbeats pass each second on the control stream, both ways. No received byte for 3 s makes the connection silent: a new one is dialled, the old one is kept for 1 s, then closed, and its calls fail with an answer that says whether they may have run (the end frame decides). Dials are paced: 100 ms doubling to 5 s with jitter, at most 10 a second. Both ends now send a hello, so that a dial to another instance fails. Calls carry the send time; the receiver takes the time on the way from deadline and token life.

--- a/agent/links/duty.go
+++ b/agent/links/duty.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,14 +15,15 @@
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/link"
 	"github.com/oleanderworks/oleanderworks/transport/peerlink"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
 // ringCapacity bounds the waiting messages; a dropped one is asked again at
 // the next tick.
 const ringCapacity = 1024
 
-// Message is what the links duty takes: *SnapshotChanged, *Dialed, *Accepted
-// or *Closed.
+// Message is what the links duty takes: *SnapshotChanged, *Dialed, *Accepted,
+// *Closed, *Heartbeat or *SelfReport.
 type Message interface{ linksMessage() }
 
 // SnapshotChanged carries a new configuration.
@@ -40,14 +42,39 @@
 // Closed reports the end of a session.
 type Closed struct{ Session *peerlink.Session }
 
+// Heartbeat carries a heartbeat that arrived on a session.
+type Heartbeat struct {
+	Session *peerlink.Session
+	Frame   *wire.Heartbeat
+}
+
+// SelfReport is what the node tells its peers in heartbeats. Contact is the
+// time at which it last had contact at first hand; zero for never.
+type SelfReport struct {
+	Load    model.Load
+	Contact time.Time
+}
+
 func (*SnapshotChanged) linksMessage() {}
 func (*Dialed) linksMessage()          {}
 func (*Accepted) linksMessage()        {}
 func (*Closed) linksMessage()          {}
+func (*Heartbeat) linksMessage()       {}
+func (*SelfReport) linksMessage()      {}
 
 // Table is an immutable view of the open sessions.
 type Table map[model.Instance]*peerlink.Session
 
+// Observer takes what the links duty learns about peers. Its functions run on
+// the duty's thread and must not block.
+type Observer struct {
+	// Heard reports a heartbeat. contactAge is negative when the peer never
+	// had contact.
+	Heard func(from model.Member, load model.Load, contactAge time.Duration)
+	// Silent reports a connection without progress.
+	Silent func(peer model.Member)
+}
+
 // Handler is the logic of the links duty.
 type Handler struct {
 	ctx      context.Context
@@ -56,7 +83,12 @@
 	endpoint *peerlink.Endpoint
 	log      *event.Log
 	inbox    *ring.Ring[Message]
-	sessions Table // opened by this node
+	observer Observer
+	report   SelfReport
+	lastID   link.SessionID
+	ids      map[*peerlink.Session]link.SessionID
+	byID     map[link.SessionID]*peerlink.Session
+	sessions Table // in use for new calls
 	inbound  Table // opened by peers
 
 	sessionsView atomic.Pointer[Table]
@@ -64,8 +96,9 @@
 }
 
 // New returns the duty and its handler. Dials end when ctx ends.
-func New(ctx context.Context, self model.Member, core *link.Core, endpoint *peerlink.Endpoint, log *event.Log) (*duty.Duty[Message], *Handler) {
-	h := &Handler{ctx: ctx, self: self, core: core, endpoint: endpoint, log: log,
+func New(ctx context.Context, self model.Member, core *link.Core, endpoint *peerlink.Endpoint, observer Observer, log *event.Log) (*duty.Duty[Message], *Handler) {
+	h := &Handler{ctx: ctx, self: self, core: core, endpoint: endpoint, observer: observer, log: log,
+		ids: make(map[*peerlink.Session]link.SessionID), byID: make(map[link.SessionID]*peerlink.Session),
 		sessions: make(Table), inbound: make(Table)}
 	h.publish()
 	d := duty.New[Message]("links", ringCapacity, h)
@@ -81,6 +114,10 @@
 // safe for use by several threads.
 func (h *Handler) Inbound(i model.Instance) *peerlink.Session { return (*h.inboundView.Load())[i] }
 
+// Sessions returns the sessions in use for new calls and those that peers
+// opened. It is safe for use by several threads.
+func (h *Handler) Sessions() (out, in Table) { return *h.sessionsView.Load(), *h.inboundView.Load() }
+
 // Accept takes a session that a peer opened. It is safe for use by several
 // threads.
 func (h *Handler) Accept(s *peerlink.Session) {
@@ -97,11 +134,17 @@
 
 // Tick implements duty.Handler.
 func (h *Handler) Tick(now time.Time) time.Time {
+	for s, id := range h.ids {
+		h.core.OnProgress(now, id, s.Received(), s.Calls())
+	}
 	next := h.core.Tick(now)
 	h.act()
 	return next
 }
 
+// Paused implements duty.PauseObserver.
+func (h *Handler) Paused(now time.Time, _ time.Duration) { h.core.OnPaused(now) }
+
 func (h *Handler) handle(now time.Time, m Message) {
 	switch m := m.(type) {
 	case *SnapshotChanged:
@@ -109,14 +152,30 @@
 	case *Dialed:
 		h.onDialed(now, m)
 	case *Accepted:
-		h.inbound[m.Session.Peer().Instance] = m.Session
-		h.publish()
-		go h.watch(m.Session)
+		h.onAccepted(now, m.Session)
 	case *Closed:
 		h.onClosed(now, m.Session)
+	case *Heartbeat:
+		h.onHeartbeat(now, m)
+	case *SelfReport:
+		h.report = *m
 	}
 }
 
+func (h *Handler) add(s *peerlink.Session) link.SessionID {
+	h.lastID++
+	h.ids[s] = h.lastID
+	h.byID[h.lastID] = s
+	go h.watch(s)
+	return h.lastID
+}
+
+func (h *Handler) onAccepted(now time.Time, s *peerlink.Session) {
+	h.core.OnAccepted(now, h.add(s))
+	h.inbound[s.Peer().Instance] = s
+	h.publish()
+}
+
 func (h *Handler) onClosed(now time.Time, s *peerlink.Session) {
 	peer := s.Peer()
 	h.log.Emit(event.LinkClosed, "peer", peer.Instance)
@@ -125,46 +184,110 @@
 	}
 	if h.sessions[peer.Instance] == s {
 		delete(h.sessions, peer.Instance)
-		h.core.OnClosed(now, peer.NodeID)
 	}
+	id := h.ids[s]
+	delete(h.ids, s)
+	delete(h.byID, id)
+	h.core.OnEnded(now, id)
 	h.publish()
 }
 
 func (h *Handler) onDialed(now time.Time, m *Dialed) {
 	if m.Err != nil {
 		h.log.Emit(event.DialFailed, "peer", m.Peer.Instance, "error", m.Err)
-		h.core.OnDialFailed(now, m.Peer.NodeID)
+		h.core.OnDialFailed(now, m.Peer.Instance)
 		return
 	}
 	h.log.Emit(event.LinkUp, "peer", m.Peer.Instance, "address", m.Peer.PeerAddress)
-	h.sessions[m.Peer.Instance] = m.Session
-	h.publish()
-	h.core.OnConnected(now, m.Peer.NodeID)
-	go h.watch(m.Session)
+	h.core.OnConnected(now, m.Peer.Instance, h.add(m.Session))
+}
+
+func (h *Handler) onHeartbeat(now time.Time, m *Heartbeat) {
+	id, f := h.ids[m.Session], m.Frame
+	h.core.OnHeartbeat(now, id, link.Heartbeat{
+		Sequence:     f.GetSequence(),
+		Sent:         time.Duration(f.GetSentNs()),
+		EchoSequence: f.GetEchoSequence(),
+		EchoSent:     time.Duration(f.GetEchoSentNs()),
+		EchoHeld:     time.Duration(f.GetEchoHeldNs()),
+	})
+	if o, ok := h.core.Offset(now, id); ok {
+		m.Session.SetOffset(o.Value, o.Bound)
+	}
+	h.observer.Heard(m.Session.Peer(), wire.ToLoad(f.GetLoad()), time.Duration(f.GetContactAgeNs()))
 }
 
-// wanted lists the members of the snapshot besides this node.
+// wanted lists the members of the followed services and of the newest quorum
+// groups besides this node.
 func (h *Handler) wanted(s *model.Snapshot) []model.Member {
-	var out []model.Member
+	found := make(map[model.Instance]model.Member)
+	for _, epochs := range s.Groups {
+		for _, m := range epochs[len(epochs)-1].Members {
+			found[m.Instance] = m
+		}
+	}
 	for _, members := range s.Members {
 		for _, m := range members {
-			if m.Instance != h.self.Instance {
-				out = append(out, m)
-			}
+			found[m.Instance] = m
 		}
 	}
-	return out
+	delete(found, h.self.Instance)
+	return slices.Collect(maps.Values(found))
 }
 
 func (h *Handler) act() {
 	for _, a := range h.core.Actions() {
-		switch {
-		case a.Dial:
-			go h.dial(a.Peer)
-		case a.Close:
-			h.close(a.Peer)
+		h.do(a)
+	}
+}
+
+func (h *Handler) do(a link.Action) {
+	s := h.byID[a.Session]
+	switch a.Kind {
+	case link.Dial:
+		go h.dial(a.Peer)
+	case link.Use:
+		h.use(a.Peer.Instance, s)
+	case link.Close:
+		if s != nil {
+			go s.Close() // waits for the session's goroutines
+		}
+	case link.Beat:
+		if s != nil {
+			s.Send(h.heartbeat(a.Heartbeat))
 		}
+	case link.Quiet:
+		if s != nil {
+			h.log.Emit(event.LinkSilent, "peer", s.Peer().Instance)
+			h.observer.Silent(s.Peer())
+		}
+	}
+}
+
+// use makes s the session for new calls to an instance; nil for none.
+func (h *Handler) use(i model.Instance, s *peerlink.Session) {
+	if s == nil {
+		delete(h.sessions, i)
+	} else {
+		h.sessions[i] = s
 	}
+	h.publish()
+}
+
+func (h *Handler) heartbeat(b link.Heartbeat) *wire.ControlFrame {
+	age := int64(-1)
+	if !h.report.Contact.IsZero() {
+		age = int64(time.Since(h.report.Contact))
+	}
+	return &wire.ControlFrame{Kind: &wire.ControlFrame_Heartbeat{Heartbeat: &wire.Heartbeat{
+		Sequence:     b.Sequence,
+		SentNs:       int64(b.Sent),
+		EchoSequence: b.EchoSequence,
+		EchoSentNs:   int64(b.EchoSent),
+		EchoHeldNs:   int64(b.EchoHeld),
+		Load:         wire.FromLoad(h.report.Load),
+		ContactAgeNs: age,
+	}}}
 }
 
 func (h *Handler) dial(peer model.Member) {
@@ -177,12 +300,6 @@
 	_ = h.inbox.Put(h.ctx, &Closed{Session: s})
 }
 
-func (h *Handler) close(peer model.Member) {
-	if s := h.sessions[peer.Instance]; s != nil {
-		s.Close()
-	}
-}
-
 // publish makes the current tables visible to other threads.
 func (h *Handler) publish() {
 	sessions, inbound := maps.Clone(h.sessions), maps.Clone(h.inbound)
--- a/agent/links/send.go
+++ b/agent/links/send.go
@@ -39,6 +39,19 @@
 	h(s.Peer(), p.GetBody())
 }
 
+// Control returns the handler of control frames: heartbeats go to the links
+// duty, payloads through d.
+func (h *Handler) Control(d *Dispatcher) peerlink.ControlHandler {
+	return func(s *peerlink.Session, f *wire.ControlFrame) {
+		switch k := f.Kind.(type) {
+		case *wire.ControlFrame_Heartbeat:
+			h.inbox.Offer(&Heartbeat{Session: s, Frame: k.Heartbeat})
+		case *wire.ControlFrame_Payload:
+			d.Dispatch(s, k.Payload)
+		}
+	}
+}
+
 // Send queues a payload for a peer, on the link that this node opened or on
 // the one that the peer opened. It reports false when there is no link or its
 // queue is full; the payload is then dropped. It is safe for use by several
--- a/agent/node.go
+++ b/agent/node.go
@@ -34,7 +34,6 @@
 	"github.com/oleanderworks/oleanderworks/transport/caller"
 	"github.com/oleanderworks/oleanderworks/transport/peerlink"
 	"github.com/oleanderworks/oleanderworks/transport/target"
-	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
 const (
@@ -58,6 +57,7 @@
 	links     *duty.Duty[links.Message]
 
 	endpoint  *peerlink.Endpoint
+	sessions  *links.Handler
 	entry     *entry.Entry
 	listeners listeners
 	tomb      tomb.Tomb
@@ -106,11 +106,16 @@
 	n.routing = routingduty.New(routing.New(n.self, newRand()), n.log)
 	server := &local.Server{Admission: n.admission.Ring(), Target: client}
 	dispatcher := links.NewDispatcher(n.log)
-	n.endpoint = &peerlink.Endpoint{Self: n.self, Calls: server.Serve, Control: controlHandler(dispatcher)}
-	var sessions *links.Handler
-	n.links, sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand()), n.endpoint, n.log)
-	n.endpoint.Accepted = sessions.Accept
-	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: sessions, Local: server.Serve}
+	start := time.Now()
+	n.endpoint = &peerlink.Endpoint{Self: func() model.Member { return n.self }, Calls: server.Serve, Start: start}
+	observer := links.Observer{
+		Heard:  func(model.Member, model.Load, time.Duration) {},
+		Silent: func(model.Member) {},
+	}
+	n.links, n.sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand(), start), n.endpoint, observer, n.log)
+	n.endpoint.Accepted = n.sessions.Accept
+	n.endpoint.Control = n.sessions.Control(dispatcher)
+	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: n.sessions, Local: server.Serve}
 	n.follower = follower.New(n.log, []follower.Subscriber{
 		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
 		func(s *model.Snapshot) bool {
@@ -127,15 +132,6 @@
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// controlHandler passes the frames of a control stream to their duties.
-func controlHandler(d *links.Dispatcher) peerlink.ControlHandler {
-	return func(s *peerlink.Session, f *wire.ControlFrame) {
-		if p := f.GetPayload(); p != nil {
-			d.Dispatch(s, p)
-		}
-	}
-}
-
 func (n *Node) listen() error {
 	addresses := []struct {
 		address string
--- /dev/null
+++ b/agent/relay_test.go
@@ -0,0 +1,106 @@
+package agent
+
+import (
+	"net"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// relay passes TCP connections on to an address. Silence makes the open ones
+// drop all bytes while new ones work, as a device does that lost track of
+// its connections.
+type relay struct {
+	listener net.Listener
+	to       string
+	mu       sync.Mutex
+	pipes    []*pipe
+}
+
+type pipe struct {
+	mu     sync.Mutex
+	silent bool
+}
+
+func newRelay(t *testing.T, to string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &relay{listener: l, to: to}
+	t.Cleanup(func() { l.Close() })
+	go r.serve()
+	return r
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+func (r *relay) serve() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.to)
+		if err != nil {
+			in.Close()
+			continue
+		}
+		p := new(pipe)
+		r.mu.Lock()
+		r.pipes = append(r.pipes, p)
+		r.mu.Unlock()
+		go p.copy(in, out)
+		go p.copy(out, in)
+	}
+}
+
+func (p *pipe) copy(from, to net.Conn) {
+	defer to.Close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if p.isSilent() {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (p *pipe) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent
+}
+
+// silence drops the bytes of all open connections from now on and returns
+// their number.
+func (r *relay) silence() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pipes {
+		p.mu.Lock()
+		p.silent = true
+		p.mu.Unlock()
+	}
+	return len(r.pipes)
+}
+
+func (r *relay) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.pipes)
+}
+
+// closeInbound ends the sessions that peers opened, so that they dial again.
+func (n *Node) closeInbound() {
+	_, in := n.sessions.Sessions()
+	for _, s := range in {
+		s.Close()
+	}
+}
--- a/core/event/link.go
+++ b/core/event/link.go
@@ -10,6 +10,8 @@
 		"A connection to a peer has ended.", "None, unless it repeats.")
 	DialFailed = define(702, "dial_failed", hclog.Warn,
 		"A peer could not be reached.", "Check the peer's address and its node.")
+	LinkSilent = define(704, "link_silent", hclog.Warn,
+		"A connection to a peer has delivered no byte for 3 s and is replaced.", "Look for a device between the nodes that loses connections.")
 	PayloadUnknown = define(703, "payload_unknown", hclog.Warn,
 		"A control payload could not be encoded or has an unknown kind.", "Check that the peers run the same version.")
 )
--- /dev/null
+++ b/policy/link/peer.go
@@ -0,0 +1,85 @@
+package link
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/charts"
+	"github.com/oleanderworks/oleanderworks/core/chart"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Events of the peer_link chart, in the chart's order.
+const (
+	eventDialDue chart.EventID = iota
+	eventConnected
+	eventDialFailed
+	eventLost
+	eventSilent
+	eventRestored
+	eventUnwanted
+)
+
+const stateWaiting = "waiting"
+
+// peer is the link to one node.
+type peer struct {
+	core    *Core
+	now     time.Time
+	state   chart.StateID
+	member  model.Member
+	current SessionID // the newest connection that this node opened
+	dialAt  time.Time
+	backoff time.Duration
+}
+
+func newPeerMachine() *chart.Machine[*peer] {
+	return chart.MustCompile(charts.MustRead("peer_link"), chart.Binding[*peer]{
+		States: []string{stateWaiting, "connecting", "up", "gone"},
+		Events: []string{"dial_due", "connected", "dial_failed", "lost", "silent", "restored", "unwanted"},
+		Guards: map[string]func(*peer) bool{"has_open": (*peer).hasOpen},
+		Actions: map[string]func(*peer){
+			"dial":          func(p *peer) { p.core.emit(Action{Kind: Dial, Peer: p.member}) },
+			"dial_now":      func(p *peer) { p.dialAt = p.now },
+			"reset_backoff": func(p *peer) { p.backoff = minBackoff },
+			"grow_backoff":  (*peer).growBackoff,
+			"use_new":       (*peer).useCurrent,
+			"use_old":       (*peer).useCurrent,
+			"use_none":      func(p *peer) { p.core.emit(Action{Kind: Use, Peer: p.member}) },
+			"close_all":     (*peer).closeAll,
+		},
+	})
+}
+
+func (p *peer) step(now time.Time, e chart.EventID) {
+	p.now = now
+	p.state = p.core.linkMachine.Step(p, p.state, e)
+	if p.core.linkMachine.Final(p.state) {
+		delete(p.core.peers, p.member.Instance)
+	}
+}
+
+func (p *peer) hasOpen() bool {
+	s := p.core.sessions[p.current]
+	return s != nil && s.isOpen()
+}
+
+func (p *peer) useCurrent() {
+	p.core.emit(Action{Kind: Use, Peer: p.member, Session: p.current})
+}
+
+// closeAll ends the link. Calls in progress get their answers first: the
+// connection drains.
+func (p *peer) closeAll() {
+	p.core.emit(Action{Kind: Use, Peer: p.member})
+	if s := p.core.sessions[p.current]; s != nil {
+		s.step(p.now, eventReplaced)
+	}
+}
+
+// growBackoff paces reconnects; the jitter keeps nodes that lost the same
+// peer from dialling it at the same time.
+func (p *peer) growBackoff() {
+	jitter := time.Duration(p.core.rng.Int64N(int64(p.backoff)))
+	p.dialAt = p.now.Add(p.backoff/2 + jitter)
+	p.backoff = min(2*p.backoff, maxBackoff)
+}
--- a/transport/peerlink/endpoint.go
+++ b/transport/peerlink/endpoint.go
@@ -20,27 +20,29 @@
 
 // Endpoint dials peers and accepts their connections.
 type Endpoint struct {
-	Self    model.Member
+	// Self returns the member as which the node speaks now.
+	Self    func() model.Member
 	Calls   CallHandler
 	Control ControlHandler
 	// Accepted is called for each session that a peer opened.
 	Accepted func(s *Session)
+	// Start is the zero of the monotonic clock in calls and heartbeats.
+	Start time.Time
 }
 
-// Dial opens a session to a peer.
+// Dial opens a session to a peer. It fails when another instance answers.
 func (e *Endpoint) Dial(ctx context.Context, peer model.Member) (*Session, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", peer.PeerAddress)
 	if err != nil {
 		return nil, fault.At("dial peer", string(peer.Instance), err)
 	}
-	s, err := newSession(conn, false)
+	s, err := newSession(conn, false, e.Start)
 	if err != nil {
 		conn.Close()
 		return nil, err
 	}
-	s.peer = peer
-	if err := e.openControl(s); err != nil {
+	if err := e.greet(s, peer); err != nil {
 		s.Close()
 		return nil, fault.At("open control stream", string(peer.Instance), err)
 	}
@@ -48,16 +50,39 @@
 	return s, nil
 }
 
-func (e *Endpoint) openControl(s *Session) error {
+// greet exchanges hellos on a session that this node opened.
+func (e *Endpoint) greet(s *Session, peer model.Member) error {
 	stream, err := s.yamux.OpenStream()
 	if err != nil {
 		return err
 	}
 	s.control = stream
-	if err := wire.WriteFrame(stream, hello(e.Self)); err != nil {
+	_ = stream.SetDeadline(time.Now().Add(handshakeTimeout))
+	if err := wire.WriteFrame(stream, hello(e.Self())); err != nil {
 		return err
 	}
-	s.startControl(bufio.NewReader(stream), e.Control)
+	r := bufio.NewReader(stream)
+	if err := s.readHello(r); err != nil {
+		return err
+	}
+	if s.peer.Instance != peer.Instance {
+		return fault.New("check peer", string(peer.Instance), "instance %s answers at %s", s.peer.Instance, peer.PeerAddress)
+	}
+	_ = stream.SetDeadline(time.Time{})
+	s.startControl(r, e.Control)
+	return nil
+}
+
+// readHello reads the peer's first frame and notes who it is.
+func (s *Session) readHello(r *bufio.Reader) error {
+	var f wire.ControlFrame
+	if err := wire.ReadFrame(r, &f); err != nil {
+		return err
+	}
+	if f.GetHello() == nil {
+		return fault.New("read hello", "", "first frame is no hello")
+	}
+	s.peer = fromHello(f.GetHello())
 	return nil
 }
 
@@ -77,28 +102,17 @@
 }
 
 func (e *Endpoint) accept(conn net.Conn) {
-	s, err := newSession(conn, true)
+	s, err := newSession(conn, true, e.Start)
 	if err != nil {
 		conn.Close()
 		return
 	}
 	timeout := time.AfterFunc(handshakeTimeout, s.Close)
-	stream, err := s.yamux.AcceptStream()
-	if err != nil {
-		s.Close()
-		return
-	}
-	r := bufio.NewReader(stream)
-	var f wire.ControlFrame
-	if err := wire.ReadFrame(r, &f); err != nil || f.GetHello() == nil {
+	r, err := e.welcome(s)
+	if err != nil || !timeout.Stop() {
 		s.Close()
 		return
 	}
-	if !timeout.Stop() {
-		return
-	}
-	s.control = stream
-	s.peer = fromHello(f.GetHello())
 	s.startControl(r, e.Control)
 	if e.Accepted != nil {
 		e.Accepted(s)
@@ -106,6 +120,21 @@
 	s.serveCalls(e.Calls)
 }
 
+// welcome exchanges hellos on a session that the peer opened.
+func (e *Endpoint) welcome(s *Session) (*bufio.Reader, error) {
+	stream, err := s.yamux.AcceptStream()
+	if err != nil {
+		return nil, err
+	}
+	s.control = stream
+	r := bufio.NewReader(stream)
+	if err := s.readHello(r); err != nil {
+		return nil, err
+	}
+	s.clock.greeted(time.Now())
+	return r, wire.WriteFrame(stream, hello(e.Self()))
+}
+
 func hello(m model.Member) *wire.ControlFrame {
 	h := &wire.Hello{
 		Node:    wire.FromNodeID(m.NodeID),
--- a/transport/peerlink/session.go
+++ b/transport/peerlink/session.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -24,6 +25,9 @@
 	controlCapacity = 1024
 	// streamCloseTimeout bounds how long a closed stream may stay half open.
 	streamCloseTimeout = 30 * time.Second
+	// writeTimeout bounds how long a frame waits for the connection. It
+	// exceeds the 4 s after which a silent connection is closed.
+	writeTimeout = 5 * time.Second
 )
 
 // ControlHandler takes control frames. It runs on the session's reading
@@ -41,6 +45,8 @@
 	conn    *countingConn
 	control *yamux.Stream
 	out     *ring.Ring[*wire.ControlFrame]
+	clock   clock
+	calls   atomic.Int64
 }
 
 func yamuxConfig() *yamux.Config {
@@ -48,6 +54,7 @@
 	c.EnableKeepAlive = false // silence is found by the project's heartbeats
 	c.AcceptBacklog = acceptBacklog
 	c.StreamCloseTimeout = streamCloseTimeout
+	c.ConnectionWriteTimeout = writeTimeout
 	c.LogOutput = io.Discard
 	return c
 }
@@ -59,6 +66,12 @@
 // number is the sign of life of the connection.
 func (s *Session) Received() int64 { return s.conn.received.Load() }
 
+// Calls returns the number of calls in progress, in both directions.
+func (s *Session) Calls() int { return int(s.calls.Load()) }
+
+// SetOffset tells the session the peer's clock offset and its error bound.
+func (s *Session) SetOffset(value, bound time.Duration) { s.clock.set(value, bound) }
+
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.yamux.CloseChan() }
 
@@ -69,85 +82,6 @@
 // frame is then dropped.
 func (s *Session) Send(f *wire.ControlFrame) bool { return s.out.Offer(f) }
 
-// Call sends a call and waits for its whole answer. It never returns nil: a
-// failure of the session is an answer that says whether the call may have
-// run.
-func (s *Session) Call(ctx context.Context, call *model.Call) *model.Answer {
-	stream, err := s.yamux.OpenStream()
-	if err != nil {
-		detail := fault.At("open call stream", string(s.peer.Instance), err).Error()
-		return model.Refusal(call.ID, model.ReasonPeerUnreachable, detail)
-	}
-	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { abort(stream) })
-	defer stop()
-
-	answer, err := exchange(stream, call)
-	if err != nil {
-		return s.failure(ctx, call.ID, err)
-	}
-	return answer
-}
-
-func exchange(stream *yamux.Stream, call *model.Call) (*model.Answer, error) {
-	w := bufio.NewWriter(stream)
-	if err := wire.WriteCall(w, call, time.Now()); err != nil {
-		return nil, err
-	}
-	if err := w.Flush(); err != nil {
-		return nil, fault.At("send call", "", err)
-	}
-	return wire.ReadAnswer(bufio.NewReader(stream), call.ID)
-}
-
-func (s *Session) failure(ctx context.Context, id model.CallID, err error) *model.Answer {
-	detail := fault.At("call", string(s.peer.Instance), err).Error()
-	if ctx.Err() != nil {
-		return model.Failure(id, model.ReasonDeadline, detail)
-	}
-	return model.Failure(id, model.ReasonAnswerCut, detail)
-}
-
-// abort unblocks pending reads and writes and tells the peer that the caller
-// has gone.
-func abort(stream *yamux.Stream) {
-	_ = stream.SetDeadline(time.Now())
-	_ = stream.Close()
-}
-
-// serveCalls accepts call streams until the session ends.
-func (s *Session) serveCalls(handle CallHandler) {
-	for {
-		stream, err := s.yamux.AcceptStream()
-		if err != nil {
-			return
-		}
-		go serveCall(stream, handle)
-	}
-}
-
-func serveCall(stream *yamux.Stream, handle CallHandler) {
-	defer stream.Close()
-	r := bufio.NewReader(stream)
-	call, err := wire.ReadCall(r, time.Now())
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		// The caller sends nothing more; the read ends when it goes away.
-		_, _ = r.ReadByte()
-		cancel()
-	}()
-	answer := handle(ctx, call)
-	w := bufio.NewWriter(stream)
-	if err := wire.WriteAnswer(w, answer); err != nil {
-		return
-	}
-	_ = w.Flush()
-}
-
 // startControl runs the writer and the reader of the control stream.
 func (s *Session) startControl(r *bufio.Reader, handle ControlHandler) {
 	go s.writeControl()
@@ -186,7 +120,7 @@
 	}
 }
 
-func newSession(conn net.Conn, server bool) (*Session, error) {
+func newSession(conn net.Conn, server bool, start time.Time) (*Session, error) {
 	counting := &countingConn{Conn: conn}
 	open := yamux.Client
 	if server {
@@ -200,5 +134,6 @@
 		yamux: y,
 		conn:  counting,
 		out:   ring.New[*wire.ControlFrame]("control", controlCapacity),
+		clock: clock{start: start},
 	}, nil
 }
--- a/transport/wire/call.go
+++ b/transport/wire/call.go
@@ -13,9 +13,16 @@
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
+// Transit is the time that a message was on the way. Worst includes the
+// error of the clock offset.
+type Transit struct{ Best, Worst time.Duration }
+
 // WriteCall writes a call. Deadline and token life are sent as the time that
-// remains at now, so that the two nodes' clocks need not agree.
-func WriteCall(w io.Writer, c *model.Call, now time.Time) error {
+// remains at now, so that the two nodes' clocks need not agree; sent is now on
+// the sender's monotonic clock. beforeEnd is called before the end frame is
+// written, and its error stops the call: without the end the receiver cannot
+// run it.
+func WriteCall(w io.Writer, c *model.Call, now time.Time, sent time.Duration, beforeEnd func() error) error {
 	head := &CallHead{
 		CallId:      uint64(c.ID),
 		Service:     string(c.Service),
@@ -37,15 +44,19 @@
 		Token:       fromToken(c.Token, now),
 		Claim:       fromClaim(c.Claim),
 		Entry:       FromNodeID(c.Entry),
+		SentNs:      int64(sent),
 	}
 	if err := WriteFrame(w, &CallFrame{Kind: &CallFrame_Call{Call: head}}); err != nil {
 		return err
 	}
-	return writeBody(w, c.Body)
+	return writeBody(w, c.Body, beforeEnd)
 }
 
-// ReadCall reads a call that arrived at now.
-func ReadCall(r *bufio.Reader, now time.Time) (*model.Call, error) {
+// ReadCall reads a call. arrival is called when the head was read and returns
+// the time and how long the head was on the way. The likely time on the way
+// is taken from the deadline, and the longest possible one from the life of
+// the token, since a token must not be used after its life.
+func ReadCall(r *bufio.Reader, arrival func(sent time.Duration) (time.Time, Transit)) (*model.Call, error) {
 	var f CallFrame
 	if err := ReadFrame(r, &f); err != nil {
 		return nil, err
@@ -54,7 +65,8 @@
 	if head == nil {
 		return nil, fault.New("read call", "", "first frame is no call head")
 	}
-	c, err := toCall(head, now)
+	now, transit := arrival(time.Duration(head.GetSentNs()))
+	c, err := toCall(head, now, transit)
 	if err != nil {
 		return nil, fault.At("read call", head.GetEntry().GetInstance(), err)
 	}
@@ -62,7 +74,7 @@
 	return c, fault.At("read call body", head.GetEntry().GetInstance(), err)
 }
 
-func toCall(h *CallHead, now time.Time) (*model.Call, error) {
+func toCall(h *CallHead, now time.Time, transit Transit) (*model.Call, error) {
 	c := &model.Call{
 		ID:          model.CallID(h.GetCallId()),
 		Service:     model.Service(h.GetService()),
@@ -77,9 +89,9 @@
 		ClientRetry: h.GetClientRetry(),
 		RetryBudget: int(h.GetRetryBudget()),
 		Depth:       int(h.GetDepth()),
-		Deadline:    now.Add(time.Duration(h.GetRemainingNs())),
+		Deadline:    now.Add(time.Duration(h.GetRemainingNs()) - transit.Best),
 		Fingerprint: h.GetFingerprint(),
-		Token:       toToken(h.GetToken(), now),
+		Token:       toToken(h.GetToken(), now, transit.Worst),
 		Entry:       ToNodeID(h.GetEntry()),
 	}
 	if len(h.GetKeyHash()) != len(c.KeyHash) {
@@ -113,7 +125,7 @@
 	if err := WriteFrame(w, &CallFrame{Kind: &CallFrame_Answer{Answer: head}}); err != nil {
 		return err
 	}
-	return writeBody(w, a.Body)
+	return writeBody(w, a.Body, func() error { return nil })
 }
 
 // ReadAnswer reads the answer to the call with the given id. An answer to
@@ -174,11 +186,11 @@
 	return &Token{Group: int32(t.Group), Epoch: t.Epoch, LifeNs: int64(t.Expiry.Sub(now))}
 }
 
-func toToken(t *Token, now time.Time) *model.Token {
+func toToken(t *Token, now time.Time, transit time.Duration) *model.Token {
 	if t == nil {
 		return nil
 	}
-	life := time.Duration(t.GetLifeNs())
+	life := time.Duration(t.GetLifeNs()) - transit
 	return &model.Token{
 		Group:  int(t.GetGroup()),
 		Epoch:  t.GetEpoch(),
--- a/transport/wire/codec.go
+++ b/transport/wire/codec.go
@@ -39,8 +39,9 @@
 	return fault.At("read frame", "", err)
 }
 
-// writeBody writes data as chunks and an end frame.
-func writeBody(w io.Writer, data []byte) error {
+// writeBody writes data as chunks and an end frame, and calls beforeEnd
+// between the two. An error of beforeEnd leaves the body without its end.
+func writeBody(w io.Writer, data []byte, beforeEnd func() error) error {
 	sum := xxhash.Sum64(data)
 	total := uint64(len(data))
 	for seq := uint32(0); len(data) > 0; seq++ {
@@ -51,6 +52,9 @@
 		}
 		data = data[n:]
 	}
+	if err := beforeEnd(); err != nil {
+		return err
+	}
 	end := &BodyEnd{Length: total, Checksum: sum}
 	return WriteFrame(w, &CallFrame{Kind: &CallFrame_End{End: end}})
 }
--- a/transport/wire/generate.go
+++ b/transport/wire/generate.go
@@ -3,4 +3,4 @@
 package wire
 
 //go:generate go build -o ../../bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
-//go:generate protoc --plugin=../../bin/protoc-gen-go --go_out=. --go_opt=paths=source_relative wire.proto
+//go:generate protoc --plugin=../../bin/protoc-gen-go --go_out=. --go_opt=paths=source_relative wire.proto membership.proto
