--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -15,8 +15,7 @@
 // not run.
 const ringCapacity = 8192
 
-// Message is what the admission duty takes: *Arrive, *Finish, *Cancel or
-// *SnapshotChanged.
+// Message is what the admission duty takes.
 type Message interface{ admissionMessage() }
 
 // Arrive asks for a call to be run. Reply gets the decision. CancelRunning
@@ -46,6 +45,16 @@
 // SnapshotChanged carries a new configuration.
 type SnapshotChanged struct{ Snapshot *model.Snapshot }
 
+// ContactChanged tells until when the node has contact. Zero means that it
+// has none.
+type ContactChanged struct{ Until time.Time }
+
+// SampleLoad asks for the load report. Deliver runs on the admission thread
+// and must not block.
+type SampleLoad struct{ Deliver func(model.Load) }
+
+func (*ContactChanged) admissionMessage()  {}
+func (*SampleLoad) admissionMessage()      {}
 func (*Arrive) admissionMessage()          {}
 func (*Finish) admissionMessage()          {}
 func (*Cancel) admissionMessage()          {}
@@ -85,6 +94,10 @@
 		h.core.OnCanceled(now, m.CallID)
 	case *SnapshotChanged:
 		h.core.OnSnapshot(m.Snapshot)
+	case *ContactChanged:
+		h.core.OnContact(m.Until)
+	case *SampleLoad:
+		m.Deliver(h.core.Load())
 	}
 }
 
--- a/agent/links/duty.go
+++ b/agent/links/duty.go
@@ -65,15 +65,10 @@
 // Table is an immutable view of the open sessions.
 type Table map[model.Instance]*peerlink.Session
 
-// Observer takes what the links duty learns about peers. Its functions run on
+// Heard takes a heartbeat that a peer sent at the time at, on this node's
+// clock. contactAge is negative when the peer never had contact. It runs on
 // the duty's thread and must not block.
-type Observer struct {
-	// Heard reports a heartbeat. contactAge is negative when the peer never
-	// had contact.
-	Heard func(from model.Member, load model.Load, contactAge time.Duration)
-	// Silent reports a connection without progress.
-	Silent func(peer model.Member)
-}
+type Heard func(from model.Member, at time.Time, load model.Load, contactAge time.Duration)
 
 // Handler is the logic of the links duty.
 type Handler struct {
@@ -83,7 +78,7 @@
 	endpoint *peerlink.Endpoint
 	log      *event.Log
 	inbox    *ring.Ring[Message]
-	observer Observer
+	heard    Heard
 	report   SelfReport
 	lastID   link.SessionID
 	ids      map[*peerlink.Session]link.SessionID
@@ -96,8 +91,8 @@
 }
 
 // New returns the duty and its handler. Dials end when ctx ends.
-func New(ctx context.Context, self model.Member, core *link.Core, endpoint *peerlink.Endpoint, observer Observer, log *event.Log) (*duty.Duty[Message], *Handler) {
-	h := &Handler{ctx: ctx, self: self, core: core, endpoint: endpoint, observer: observer, log: log,
+func New(ctx context.Context, self model.Member, core *link.Core, endpoint *peerlink.Endpoint, heard Heard, log *event.Log) (*duty.Duty[Message], *Handler) {
+	h := &Handler{ctx: ctx, self: self, core: core, endpoint: endpoint, heard: heard, log: log,
 		ids: make(map[*peerlink.Session]link.SessionID), byID: make(map[link.SessionID]*peerlink.Session),
 		sessions: make(Table), inbound: make(Table)}
 	h.publish()
@@ -211,10 +206,15 @@
 		EchoSent:     time.Duration(f.GetEchoSentNs()),
 		EchoHeld:     time.Duration(f.GetEchoHeldNs()),
 	})
+	at := now
 	if o, ok := h.core.Offset(now, id); ok {
 		m.Session.SetOffset(o.Value, o.Bound)
+		// A heartbeat that waited, here or on the way, tells of an earlier
+		// time than its arrival.
+		_, worst := o.Transit(time.Duration(f.GetSentNs()), now.Sub(h.endpoint.Start))
+		at = now.Add(-worst)
 	}
-	h.observer.Heard(m.Session.Peer(), wire.ToLoad(f.GetLoad()), time.Duration(f.GetContactAgeNs()))
+	h.heard(m.Session.Peer(), at, wire.ToLoad(f.GetLoad()), time.Duration(f.GetContactAgeNs()))
 }
 
 // wanted lists the members of the followed services and of the newest quorum
@@ -259,7 +259,6 @@
 	case link.Quiet:
 		if s != nil {
 			h.log.Emit(event.LinkSilent, "peer", s.Peer().Instance)
-			h.observer.Silent(s.Peer())
 		}
 	}
 }
--- a/agent/links/send.go
+++ b/agent/links/send.go
@@ -71,3 +71,17 @@
 	}
 	return s.Send(f)
 }
+
+// Broadcast sends a payload to all linked peers. It is safe for use by
+// several threads.
+func (h *Handler) Broadcast(kind uint32, m proto.Message) {
+	out, in := h.Sessions()
+	for i := range out {
+		h.Send(i, kind, m)
+	}
+	for i := range in {
+		if out[i] == nil {
+			h.Send(i, kind, m)
+		}
+	}
+}
--- /dev/null
+++ b/agent/members.go
@@ -0,0 +1,162 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
+	"github.com/oleanderworks/oleanderworks/agent/links"
+	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
+	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/membership"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+const (
+	// targetPoll separates attempts to connect to a target that does not
+	// answer yet.
+	targetPoll = 100 * time.Millisecond
+	// targetConnect bounds one attempt.
+	targetConnect = time.Second
+	// reachTimeout bounds a dial on behalf of another node.
+	reachTimeout = 2 * time.Second
+)
+
+// buildMembership builds the membership duty and its ways in and out.
+func (n *Node) buildMembership(d *links.Dispatcher) {
+	core := membership.New(*n.self.Load(), newRand())
+	n.membership = membershipduty.New(core, membershipduty.Outputs{
+		Send:      func(to model.Instance, kind uint32, m *wire.Probe) { n.sessions.Send(to, kind, m) },
+		Broadcast: func(kind uint32, m *wire.Suspicion) { n.sessions.Broadcast(kind, m) },
+		Avoid:     n.offerAvoided,
+		Load: func(i model.Instance, l model.Load) {
+			n.routing.Ring().Offer(&routingduty.LoadReport{Instance: i, Load: l})
+		},
+		Contact:    n.offerContact,
+		Report:     n.offerReport,
+		SampleLoad: n.sampleLoad,
+		Append:     func(r *model.MemberRecord) { go n.appendMember(r) },
+		Reach:      func(to model.Instance, id uint64, m model.Member) { go n.reach(to, id, m) },
+		Renamed:    func(m model.Member) { n.self.Store(&m) },
+	}, n.log)
+	d.Register(wire.KindProbe, n.onProbe)
+	d.Register(wire.KindSuspicion, n.onSuspicion)
+}
+
+func (n *Node) offerAvoided(i model.Instance, avoided bool) bool {
+	return n.routing.Ring().Offer(&routingduty.SuspectChanged{Instance: i, Avoided: avoided})
+}
+
+// offerContact may find a ring full: the message is repeated each tick, and
+// contact ends by itself.
+func (n *Node) offerContact(until time.Time) {
+	n.routing.Ring().Offer(&routingduty.ContactChanged{Until: until})
+	n.admission.Ring().Offer(&admissionduty.ContactChanged{Until: until})
+}
+
+func (n *Node) offerReport(l model.Load, firstHand time.Time) {
+	n.links.Ring().Offer(&links.SelfReport{Load: l, Contact: firstHand})
+}
+
+func (n *Node) sampleLoad() {
+	n.admission.Ring().Offer(&admissionduty.SampleLoad{Deliver: func(l model.Load) {
+		n.membership.Ring().Offer(&membershipduty.LoadSampled{Load: l})
+	}})
+}
+
+func (n *Node) onHeard(from model.Member, at time.Time, l model.Load, contactAge time.Duration) {
+	n.membership.Ring().Offer(&membershipduty.Heard{From: from, At: at, Load: l, ContactAge: contactAge})
+}
+
+func (n *Node) onProbe(from model.Member, body []byte) {
+	var p wire.Probe
+	if proto.Unmarshal(body, &p) != nil {
+		return
+	}
+	if p.GetAnswer() {
+		n.membership.Ring().Offer(&membershipduty.ProbeAnswered{ID: p.GetId(), Reached: p.GetReached()})
+		return
+	}
+	peer := model.Member{NodeID: wire.ToNodeID(p.GetPeer()), PeerAddress: p.GetAddress()}
+	n.membership.Ring().Offer(&membershipduty.ProbeAsked{From: from.Instance, ID: p.GetId(), Peer: peer})
+}
+
+func (n *Node) onSuspicion(from model.Member, body []byte) {
+	var s wire.Suspicion
+	if proto.Unmarshal(body, &s) != nil {
+		return
+	}
+	n.membership.Ring().Offer(&membershipduty.Suspected{From: from, Peer: wire.ToNodeID(s.GetPeer()), Lifted: s.GetLifted()})
+}
+
+// reach dials a peer for another node and tells it the result.
+func (n *Node) reach(to model.Instance, id uint64, m model.Member) {
+	ctx, cancel := context.WithTimeout(n.tomb.Context(context.Background()), reachTimeout)
+	defer cancel()
+	err := n.endpoint.Probe(ctx, m)
+	n.sessions.Send(to, wire.KindProbe, &wire.Probe{Id: id, Answer: true, Reached: err == nil})
+}
+
+// appendMember makes one attempt to append a record; the policy repeats it.
+func (n *Node) appendMember(r *model.MemberRecord) {
+	r.ID = uuid.NewString()
+	body, err := json.Marshal(r)
+	if err == nil {
+		ctx := n.tomb.Context(context.Background())
+		_, err = n.service.Append(ctx, model.MemberStream(r.Member.Service), r.ID, body)
+	}
+	done := &membershipduty.Appended{Record: r, Err: errors.Wrap(err, "append member record")}
+	_ = n.membership.Ring().Put(n.tomb.Context(context.Background()), done)
+}
+
+// watchTarget waits until the target accepts a connection.
+func (n *Node) watchTarget(ctx context.Context) {
+	u, err := url.Parse(n.settings.Target)
+	if err != nil {
+		return
+	}
+	dialer := net.Dialer{Timeout: targetConnect}
+	for ctx.Err() == nil {
+		conn, err := dialer.DialContext(ctx, "tcp", u.Host)
+		if err == nil {
+			conn.Close()
+			_ = n.membership.Ring().Put(ctx, &membershipduty.TargetUp{})
+			return
+		}
+		select {
+		case <-time.After(targetPoll):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// observedLog reports successful reads of the configuration to the
+// membership duty, which judges contact by them.
+type observedLog struct {
+	logservice.Log
+	read func(begun time.Time, retention time.Duration)
+}
+
+// Read implements logservice.Log. The time of a read is its begin: the answer
+// is at least that new, also when the process was paused before it looked.
+func (l *observedLog) Read(ctx context.Context, stream string, from logservice.Offset, opts logservice.ReadOptions) (logservice.Page, error) {
+	begun := time.Now()
+	page, err := l.Log.Read(ctx, stream, from, opts)
+	if err == nil && stream == model.ConfigStream {
+		l.read(begun, page.Retention)
+	}
+	return page, err
+}
+
+func (n *Node) onLogRead(begun time.Time, retention time.Duration) {
+	n.membership.Ring().Offer(&membershipduty.LogRead{Begun: begun, Retention: retention})
+}
--- /dev/null
+++ b/agent/members_test.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/logservice/memlog"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/settings"
+)
+
+func newTarget(t *testing.T) string {
+	t.Helper()
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(target.Close)
+	return target.URL
+}
+
+func inZone(zone string) func(*settings.Node) {
+	return func(s *settings.Node) { s.Zone = zone }
+}
+
+func lastRecord(t *testing.T, log *memlog.Log, service model.Service) model.MemberRecord {
+	t.Helper()
+	page, err := log.Read(context.Background(), model.MemberStream(service), 0, logservice.ReadOptions{})
+	assert.NilError(t, err)
+	var r model.MemberRecord
+	assert.NilError(t, json.Unmarshal(page.Records[len(page.Records)-1].Body, &r))
+	return r
+}
+
+// Guards against a node that others removed by mistake and that never comes
+// back.
+func TestRemovedNodeJoinsThroughTheLog(t *testing.T) {
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publish(t, log, testDocuments())
+	n := startNode(t, log, "tally-1", "tally", newTarget(t))
+	waitServed(t, n, "/tally/x")
+	removed := n.member()
+	body, err := json.Marshal(model.MemberRecord{ID: uuid.NewString(), Leave: true, Member: removed, Reporter: "tally-2"})
+	assert.NilError(t, err)
+	_, err = log.Append(context.Background(), model.MemberStream("tally"), "", body)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r := lastRecord(t, log, "tally")
+		if r.Leave || r.Member.Incarnation == removed.Incarnation {
+			return poll.Continue("no new join")
+		}
+		assert.Equal(t, r.Member.NodeID, n.member().NodeID)
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	waitServed(t, n, "/tally/x")
+}
+
+// Guards against keyed requests refused while only the log is away, and
+// against keyed requests served by a node that has neither log nor peers.
+func TestContactThroughPeersAndItsEnd(t *testing.T) {
+	log := memlog.New(time.Now, memlog.DefaultRetention)
+	publish(t, log, testDocuments())
+	a := startNode(t, log, "tally-1", "tally", newTarget(t))
+	b := startNode(t, log, "tally-2", "tally", newTarget(t), inZone("nadi"))
+	waitServed(t, a, "/tally/x")
+	waitServed(t, b, "/tally/x")
+	log.SetFaults(memlog.Faults{Down: true})
+	time.Sleep(7 * time.Second)
+	resp, text := call(t, a, http.MethodPost, "/tally/x", nil)
+	assert.Equal(t, resp.StatusCode, http.StatusOK, text)
+
+	b.tomb.Kill(nil)
+	gone := time.Now()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, _ := call(t, a, http.MethodPost, "/tally/x", nil)
+		if resp.Header.Get("Oleander-Reason") != string(model.ReasonNoContact) {
+			return poll.Continue("still serves")
+		}
+		assert.Equal(t, resp.Header.Get("Oleander-Run"), "not-run")
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+	t.Logf("refused %s after the last peer was lost", time.Since(gone))
+	assert.Assert(t, time.Since(gone) < 7*time.Second)
+}
--- /dev/null
+++ b/agent/membership/duty.go
@@ -0,0 +1,190 @@
+// Package membership runs the membership policy on its own thread.
+package membership
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/core/duty"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/membership"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+const (
+	// ringCapacity bounds the waiting messages. A dropped heartbeat only
+	// delays: silence is judged over three of them.
+	ringCapacity = 1024
+	// samplePeriod separates samples of the own load, which travels in each
+	// heartbeat.
+	samplePeriod = 500 * time.Millisecond
+)
+
+// Outputs are the ways out of the duty. None may block.
+type Outputs struct {
+	// Send queues a payload for a peer; Broadcast for all linked peers.
+	Send      func(to model.Instance, kind uint32, m *wire.Probe)
+	Broadcast func(kind uint32, m *wire.Suspicion)
+	// Avoid tells the routing duty whether a peer gets no new calls. It
+	// reports false when there was no room.
+	Avoid func(i model.Instance, avoided bool) bool
+	// Load passes on a peer's load; a lost one is replaced by the next.
+	Load func(i model.Instance, l model.Load)
+	// Contact tells the other duties how long contact lasts.
+	Contact func(until time.Time)
+	// Report gives the links duty what heartbeats carry.
+	Report func(l model.Load, firstHand time.Time)
+	// SampleLoad asks for a LoadSampled.
+	SampleLoad func()
+	// Append starts the append of a record; an Appended follows.
+	Append func(r *model.MemberRecord)
+	// Reach starts a dial of a peer for another one and answers it.
+	Reach func(to model.Instance, id uint64, peer model.Member)
+	// Renamed makes the node speak as another incarnation.
+	Renamed func(self model.Member)
+}
+
+// Handler is the logic of the membership duty.
+type Handler struct {
+	core      *membership.Core
+	out       Outputs
+	log       *event.Log
+	load      model.Load
+	firstHand time.Time
+	sampledAt time.Time
+	until     time.Time
+	avoided   map[model.Instance]bool // changes that the routing ring had no room for
+	leaveDone func()
+}
+
+// New returns the duty that runs core.
+func New(core *membership.Core, out Outputs, log *event.Log) *duty.Duty[Message] {
+	h := &Handler{core: core, out: out, log: log, avoided: make(map[model.Instance]bool)}
+	return duty.New[Message]("membership", ringCapacity, h)
+}
+
+// Handle implements duty.Handler.
+func (h *Handler) Handle(now time.Time, batch []Message) {
+	for _, m := range batch {
+		h.handle(now, m)
+	}
+	h.act()
+}
+
+// Tick implements duty.Handler.
+func (h *Handler) Tick(now time.Time) time.Time {
+	next := h.core.Tick(now)
+	h.act()
+	h.offerAvoided()
+	h.out.Contact(h.until)
+	if now.Sub(h.sampledAt) >= samplePeriod {
+		h.sampledAt = now
+		h.out.SampleLoad()
+	}
+	return next
+}
+
+// Paused implements duty.PauseObserver.
+func (h *Handler) Paused(now time.Time, gap time.Duration) {
+	h.log.Emit(event.NodePaused, "duty", "membership", "gap", gap)
+	h.core.OnPaused(now)
+	h.act()
+}
+
+func (h *Handler) handle(now time.Time, m Message) {
+	switch m := m.(type) {
+	case *SnapshotChanged:
+		h.core.OnSnapshot(now, m.Snapshot)
+	case *Heard:
+		h.core.OnHeard(now, m.At, m.From, m.ContactAge)
+		h.out.Load(m.From.Instance, m.Load)
+	case *TargetUp:
+		h.core.OnTargetUp(now)
+	case *Appended:
+		h.onAppended(now, m)
+	case *ProbeAsked:
+		h.core.OnProbe(now, m.From, m.ID, m.Peer)
+	case *ProbeAnswered:
+		h.core.OnProbeAnswer(now, m.ID, m.Reached)
+	case *Suspected:
+		h.core.OnSuspicion(now, m.From, m.Peer, m.Lifted)
+	case *SaidGoodbye:
+		h.log.Emit(event.PeerLeaving, "peer", m.From)
+		h.core.OnGoodbye(now, m.From)
+	case *LogRead:
+		h.core.OnLogRead(now, m.Begun, m.Retention)
+	case *LoadSampled:
+		h.load = m.Load
+		h.out.Report(h.load, h.firstHand)
+	case *Leave:
+		h.leaveDone = m.Done
+		h.core.OnLeave(now)
+	}
+}
+
+func (h *Handler) onAppended(now time.Time, m *Appended) {
+	if m.Err != nil {
+		h.log.Emit(event.LogUnavailable, "step", "append member record", "error", m.Err)
+	}
+	h.core.OnAppended(now, m.Record, m.Err == nil)
+}
+
+func (h *Handler) act() {
+	for _, a := range h.core.Actions() {
+		h.do(a)
+	}
+	if h.leaveDone != nil && h.core.Settled() {
+		h.leaveDone()
+		h.leaveDone = nil
+	}
+}
+
+func (h *Handler) do(a membership.Action) {
+	switch a.Kind {
+	case membership.Append:
+		h.append(a.Record)
+	case membership.Avoid:
+		h.avoided[a.Peer.Instance] = a.Avoided
+		h.log.Emit(event.PeerAvoided, "peer", a.Peer.Instance, "avoided", a.Avoided)
+		h.offerAvoided()
+	case membership.Ask:
+		h.out.Send(a.To, wire.KindProbe, &wire.Probe{Id: a.Probe, Peer: wire.FromNodeID(a.Peer.NodeID), Address: a.Peer.PeerAddress})
+	case membership.Answer:
+		h.out.Send(a.To, wire.KindProbe, &wire.Probe{Id: a.Probe, Answer: true, Reached: a.Reached})
+	case membership.Reach:
+		h.out.Reach(a.To, a.Probe, a.Peer)
+	case membership.Report:
+		h.log.Emit(event.PeerSuspect, "peer", a.Peer.Instance)
+		h.out.Broadcast(wire.KindSuspicion, &wire.Suspicion{Peer: wire.FromNodeID(a.Peer.NodeID)})
+	case membership.Lift:
+		h.out.Broadcast(wire.KindSuspicion, &wire.Suspicion{Peer: wire.FromNodeID(a.Peer.NodeID), Lifted: true})
+	case membership.Renamed:
+		h.log.Emit(event.WronglyRemoved, "incarnation", a.Peer.Incarnation)
+		h.out.Renamed(a.Peer)
+	case membership.Contact:
+		h.onContact(a)
+	}
+}
+
+func (h *Handler) append(r *model.MemberRecord) {
+	if r.Reporter != "" {
+		h.log.Emit(event.PeerRemoved, "peer", r.Member.Instance)
+	}
+	h.out.Append(r)
+}
+
+func (h *Handler) onContact(a membership.Action) {
+	h.until = a.Until
+	h.firstHand = a.FirstHand
+	h.out.Contact(a.Until)
+	h.out.Report(h.load, h.firstHand)
+}
+
+// offerAvoided offers the routing duty the changes that it has not taken.
+func (h *Handler) offerAvoided() {
+	for i, avoided := range h.avoided {
+		if h.out.Avoid(i, avoided) {
+			delete(h.avoided, i)
+		}
+	}
+}
--- /dev/null
+++ b/agent/membership/messages.go
@@ -0,0 +1,79 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Message is what the membership duty takes.
+type Message interface{ membershipMessage() }
+
+// SnapshotChanged carries a new configuration.
+type SnapshotChanged struct{ Snapshot *model.Snapshot }
+
+// Heard reports a heartbeat that a peer sent at the time At, on this node's
+// clock. ContactAge is negative when the peer never had contact.
+type Heard struct {
+	From       model.Member
+	At         time.Time
+	Load       model.Load
+	ContactAge time.Duration
+}
+
+// TargetUp reports that the node's target answers.
+type TargetUp struct{}
+
+// Appended reports the end of an append to the log.
+type Appended struct {
+	Record *model.MemberRecord
+	Err    error
+}
+
+// ProbeAsked carries a peer's request to reach Peer.
+type ProbeAsked struct {
+	From model.Instance
+	ID   uint64
+	Peer model.Member
+}
+
+// ProbeAnswered carries the answer to an indirect probe.
+type ProbeAnswered struct {
+	ID      uint64
+	Reached bool
+}
+
+// Suspected carries a peer's report on another one.
+type Suspected struct {
+	From   model.Member
+	Peer   model.NodeID
+	Lifted bool
+}
+
+// SaidGoodbye reports that a peer is leaving.
+type SaidGoodbye struct{ From model.Instance }
+
+// LogRead reports a successful read of the configuration that began at Begun.
+type LogRead struct {
+	Begun     time.Time
+	Retention time.Duration
+}
+
+// LoadSampled carries the load of this node's target.
+type LoadSampled struct{ Load model.Load }
+
+// Leave starts the leave of this node. Done is called on the duty's thread
+// when the log holds the leave; it must not block.
+type Leave struct{ Done func() }
+
+func (*SnapshotChanged) membershipMessage() {}
+func (*Heard) membershipMessage()           {}
+func (*TargetUp) membershipMessage()        {}
+func (*Appended) membershipMessage()        {}
+func (*ProbeAsked) membershipMessage()      {}
+func (*ProbeAnswered) membershipMessage()   {}
+func (*Suspected) membershipMessage()       {}
+func (*SaidGoodbye) membershipMessage()     {}
+func (*LogRead) membershipMessage()         {}
+func (*LoadSampled) membershipMessage()     {}
+func (*Leave) membershipMessage()           {}
--- a/agent/node.go
+++ b/agent/node.go
@@ -4,16 +4,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
 	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
@@ -21,6 +19,7 @@
 	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
+	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
@@ -46,15 +45,16 @@
 // Node is one oleanderworks process beside one target.
 type Node struct {
 	settings *settings.Node
-	self     model.Member
+	self     atomic.Pointer[model.Member] // changes when others removed the node
 	log      *event.Log
 	service  logservice.Log
 	vars     *expvar.Map
 
-	routing   *duty.Duty[routingduty.Message]
-	admission *duty.Duty[admissionduty.Message]
-	follower  *duty.Duty[follower.Message]
-	links     *duty.Duty[links.Message]
+	routing    *duty.Duty[routingduty.Message]
+	admission  *duty.Duty[admissionduty.Message]
+	membership *duty.Duty[membershipduty.Message]
+	follower   *duty.Duty[follower.Message]
+	links      *duty.Duty[links.Message]
 
 	endpoint  *peerlink.Endpoint
 	sessions  *links.Handler
@@ -80,7 +80,7 @@
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	n.self = model.Member{
+	n.self.Store(&model.Member{
 		NodeID: model.NodeID{
 			Instance:    model.Instance(s.Instance),
 			Incarnation: model.Incarnation(rand.Uint64()),
@@ -89,7 +89,7 @@
 		Zone:        model.Zone(s.Zone),
 		Region:      model.Region(s.Region),
 		PeerAddress: n.listeners.peer.Addr().String(),
-	}
+	})
 	if err := n.build(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -102,34 +102,43 @@
 	if err != nil {
 		return err
 	}
-	n.admission = admissionduty.New(admission.New(n.self), n.log)
-	n.routing = routingduty.New(routing.New(n.self, newRand()), n.log)
+	self := *n.self.Load()
+	n.admission = admissionduty.New(admission.New(self), n.log)
+	n.routing = routingduty.New(routing.New(self, newRand()), n.log)
 	server := &local.Server{Admission: n.admission.Ring(), Target: client}
 	dispatcher := links.NewDispatcher(n.log)
 	start := time.Now()
-	n.endpoint = &peerlink.Endpoint{Self: func() model.Member { return n.self }, Calls: server.Serve, Start: start}
-	observer := links.Observer{
-		Heard:  func(model.Member, model.Load, time.Duration) {},
-		Silent: func(model.Member) {},
-	}
-	n.links, n.sessions = links.New(n.tomb.Context(context.Background()), n.self, link.New(newRand(), start), n.endpoint, observer, n.log)
+	n.endpoint = &peerlink.Endpoint{Self: n.member, Calls: server.Serve, Start: start}
+	n.links, n.sessions = links.New(n.tomb.Context(context.Background()), self, link.New(newRand(), start), n.endpoint, n.onHeard, n.log)
 	n.endpoint.Accepted = n.sessions.Accept
 	n.endpoint.Control = n.sessions.Control(dispatcher)
-	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: n.sessions, Local: server.Serve}
+	n.buildMembership(dispatcher)
+	n.entry = &entry.Entry{Self: self, Routing: n.routing.Ring(), Sessions: n.sessions, Local: server.Serve}
 	n.follower = follower.New(n.log, []follower.Subscriber{
 		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
 		func(s *model.Snapshot) bool {
 			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
 		},
+		func(s *model.Snapshot) bool {
+			return n.membership.Ring().Offer(&membershipduty.SnapshotChanged{Snapshot: s})
+		},
 		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
 	})
+	n.setVars()
+	return nil
+}
+
+func (n *Node) setVars() {
 	n.vars.Set("routing", n.routing.Vars())
 	n.vars.Set("admission", n.admission.Vars())
 	n.vars.Set("follower", n.follower.Vars())
 	n.vars.Set("links", n.links.Vars())
-	return nil
+	n.vars.Set("membership", n.membership.Vars())
 }
 
+// member returns the member as which the node speaks now.
+func (n *Node) member() model.Member { return *n.self.Load() }
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (n *Node) listen() error {
@@ -166,11 +175,13 @@
 	n.admission.Start(&n.tomb)
 	n.routing.Start(&n.tomb)
 	n.links.Start(&n.tomb)
+	n.membership.Start(&n.tomb)
 	n.follower.Start(&n.tomb)
 	ctx := n.tomb.Context(context.Background())
+	log := &observedLog{Log: n.service, read: n.onLogRead}
 	for _, stream := range n.streams() {
 		n.tomb.Go(func() error {
-			follower.Read(ctx, n.service, stream, n.follower.Ring(), n.log)
+			follower.Read(ctx, log, stream, n.follower.Ring(), n.log)
 			return nil
 		})
 	}
@@ -178,43 +189,24 @@
 	n.serveHTTP(n.listeners.call, caller.NewHandler(n.entry.Serve, false))
 	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.entry.Serve, true))
 	n.serveHTTP(n.listeners.ops, n.operatorsHandler())
-	n.tomb.Go(func() error { return n.announce(ctx) })
-	n.log.Emit(event.NodeStarted, "instance", n.self.Instance, "service", n.self.Service, "zone", n.self.Zone,
-		"calls", n.CallAddress(), "peers", n.self.PeerAddress, "operators", n.OpsAddress())
+	n.tomb.Go(func() error {
+		n.watchTarget(ctx)
+		return nil
+	})
+	self := n.member()
+	n.log.Emit(event.NodeStarted, "instance", self.Instance, "service", self.Service, "zone", self.Zone,
+		"calls", n.CallAddress(), "peers", self.PeerAddress, "operators", n.OpsAddress())
 }
 
 // streams lists the streams that the node follows.
 func (n *Node) streams() []string {
-	services := n.settings.Entry
-	if len(services) == 0 {
-		services = []string{n.settings.Service}
-	}
-	streams := []string{model.ConfigStream}
-	for _, s := range services {
-		streams = append(streams, model.MemberStream(model.Service(s)))
-	}
-	return streams
-}
-
-// announce appends the target to the members of its service.
-func (n *Node) announce(ctx context.Context) error {
-	record := model.MemberRecord{ID: uuid.NewString(), Time: time.Now(), Member: n.self}
-	body, err := json.Marshal(record)
-	if err != nil {
-		return errors.Wrap(err, "encode announcement")
-	}
-	for ctx.Err() == nil {
-		_, err := n.service.Append(ctx, model.MemberStream(n.self.Service), record.ID, body)
-		if err == nil {
-			return nil
-		}
-		n.log.Emit(event.LogUnavailable, "step", "announce", "error", err)
-		select {
-		case <-time.After(time.Second):
-		case <-ctx.Done():
+	streams := []string{model.ConfigStream, model.MemberStream(model.Service(n.settings.Service))}
+	for _, s := range n.settings.Entry {
+		if s != n.settings.Service {
+			streams = append(streams, model.MemberStream(model.Service(s)))
 		}
 	}
-	return nil
+	return streams
 }
 
 func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
@@ -241,6 +233,6 @@
 func (n *Node) Stop() error {
 	n.tomb.Kill(nil)
 	err := n.tomb.Wait()
-	n.log.Emit(event.NodeStopped, "instance", n.self.Instance)
+	n.log.Emit(event.NodeStopped, "instance", n.settings.Instance)
 	return err
 }
--- a/agent/operators.go
+++ b/agent/operators.go
@@ -32,12 +32,13 @@
 }
 
 func (n *Node) status() Status {
+	self := n.member()
 	return Status{
-		Instance: string(n.self.Instance),
-		Service:  string(n.self.Service),
-		Zone:     string(n.self.Zone),
-		Region:   string(n.self.Region),
+		Instance: string(self.Instance),
+		Service:  string(self.Service),
+		Zone:     string(self.Zone),
+		Region:   string(self.Region),
 		Calls:    n.CallAddress(),
-		Peers:    n.self.PeerAddress,
+		Peers:    self.PeerAddress,
 	}
 }
--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -36,14 +36,18 @@
 	assert.NilError(t, err)
 }
 
-func startNode(t *testing.T, log *memlog.Log, instance, service, target string) *Node {
+func startNode(t *testing.T, log *memlog.Log, instance, service, target string, options ...func(*settings.Node)) *Node {
 	t.Helper()
 	const loopback = "127.0.0.1:0"
-	n, err := New(&settings.Node{
+	s := &settings.Node{
 		Instance: instance, Service: service, Zone: "suva", Region: "viti", Target: target,
 		CallAddress: loopback, SubAddress: loopback, PeerAddress: loopback, OpsAddress: loopback,
 		Entry: []string{"registry", "tally"}, Insecure: true,
-	}, log, hclog.NewNullLogger())
+	}
+	for _, option := range options {
+		option(s)
+	}
+	n, err := New(s, log, hclog.NewNullLogger())
 	assert.NilError(t, err)
 	n.Start()
 	t.Cleanup(func() { assert.NilError(t, n.Stop()) })
--- a/agent/routing/duty.go
+++ b/agent/routing/duty.go
@@ -15,8 +15,7 @@
 // not run.
 const ringCapacity = 8192
 
-// Message is what the routing duty takes: *Begin, *Outcome, *Cancel or
-// *SnapshotChanged.
+// Message is what the routing duty takes.
 type Message interface{ routingMessage() }
 
 // Begin starts a call. Reply gets the first decision.
@@ -38,6 +37,26 @@
 // SnapshotChanged carries a new configuration.
 type SnapshotChanged struct{ Snapshot *model.Snapshot }
 
+// SuspectChanged tells whether a peer is to get no new calls, since it is
+// silent to this node or leaving.
+type SuspectChanged struct {
+	Instance model.Instance
+	Avoided  bool
+}
+
+// LoadReport carries a load report from a peer's heartbeat.
+type LoadReport struct {
+	Instance model.Instance
+	Load     model.Load
+}
+
+// ContactChanged tells until when the node has contact. Zero means that it
+// has none.
+type ContactChanged struct{ Until time.Time }
+
+func (*SuspectChanged) routingMessage()  {}
+func (*LoadReport) routingMessage()      {}
+func (*ContactChanged) routingMessage()  {}
 func (*Begin) routingMessage()           {}
 func (*Outcome) routingMessage()         {}
 func (*Cancel) routingMessage()          {}
@@ -75,6 +94,8 @@
 		h.core.OnCanceled(now, m.CallID)
 	case *SnapshotChanged:
 		h.core.OnSnapshot(m.Snapshot)
+	case *ContactChanged:
+		h.core.OnContact(m.Until)
 	}
 }
 
--- a/agent/silence_test.go
+++ b/agent/silence_test.go
@@ -20,7 +20,7 @@
 // announceAt makes the log say that a node is reached at another address.
 func announceAt(t *testing.T, log *memlog.Log, n *Node, address string) {
 	t.Helper()
-	m := n.self
+	m := n.member()
 	m.PeerAddress = address
 	body, err := json.Marshal(model.MemberRecord{ID: uuid.NewString(), Member: m})
 	assert.NilError(t, err)
@@ -68,7 +68,7 @@
 	publish(t, log, testDocuments())
 	entry := startNode(t, log, "registry-1", "registry", target.URL)
 	tally := startNode(t, log, "tally-1", "tally", target.URL)
-	r := newRelay(t, tally.self.PeerAddress)
+	r := newRelay(t, tally.member().PeerAddress)
 	time.Sleep(100 * time.Millisecond) // the node's own announcement comes first
 	announceAt(t, log, tally, r.address())
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -30,6 +30,7 @@
 	queue      []*execution
 	running    int
 	out        []Decision
+	contact    contact
 }
 
 // New returns a core that knows no configuration yet.
@@ -49,6 +50,9 @@
 // OnSnapshot takes a new configuration into use.
 func (c *Core) OnSnapshot(s *model.Snapshot) { c.snapshot = s }
 
+// OnContact tells until when the node has contact.
+func (c *Core) OnContact(until time.Time) { c.contact = contact{known: true, until: until} }
+
 // OnArrival takes a call that an entry node sent.
 func (c *Core) OnArrival(now time.Time, call *model.Call) {
 	if refusal := c.fence(now, call); refusal != nil {
--- a/policy/admission/fence.go
+++ b/policy/admission/fence.go
@@ -21,6 +21,9 @@
 	if c.snapshot.Targets[c.self.Instance].Out {
 		return model.Refusal(call.ID, model.ReasonTargetOut, "the target is out of service")
 	}
+	if !call.Open && c.contact.lost(now) {
+		return model.Refusal(call.ID, model.ReasonNoContact, "the target's node has no contact with the log or its peers")
+	}
 	if !call.Open {
 		if _, ok := c.snapshot.CustomerOf(call.KeyHash); !ok {
 			return model.Refusal(call.ID, model.ReasonKeyUnknown, "the key is unknown or withdrawn")
--- /dev/null
+++ b/policy/membership/core_test.go
@@ -0,0 +1,162 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func member(instance, zone string) model.Member {
+	return model.Member{
+		NodeID:  model.NodeID{Instance: model.Instance(instance), Incarnation: 1},
+		Service: "tally", Zone: model.Zone(zone),
+	}
+}
+
+func snapshot(members ...model.Member) *model.Snapshot {
+	return &model.Snapshot{Members: map[model.Service][]model.Member{"tally": members}}
+}
+
+// newFleetCore returns the core of the first member, which knows the others.
+func newFleetCore(members ...model.Member) *Core {
+	c := New(members[0], rand.New(rand.NewPCG(1, 2)))
+	c.OnTargetUp(epoch)
+	c.OnSnapshot(epoch, snapshot(members...))
+	c.Actions()
+	return c
+}
+
+func only(actions []Action, k ActionKind) []Action {
+	var out []Action
+	for _, a := range actions {
+		if a.Kind == k {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// run ticks from one time to another. The peers in alive are heard each
+// second, without contact of their own.
+func run(c *Core, from, to time.Time, alive ...model.Member) []Action {
+	var out []Action
+	for now := from; now.Before(to); now = now.Add(tickPeriod) {
+		if now.Sub(from)%time.Second == 0 {
+			for _, m := range alive {
+				c.OnHeard(now, now, m, -1)
+			}
+		}
+		c.Tick(now)
+		out = append(out, c.Actions()...)
+	}
+	return out
+}
+
+var (
+	a = member("tally-a", "suva")
+	b = member("tally-b", "nadi")
+	d = member("tally-d", "lautoka")
+	e = member("tally-e", "suva")
+)
+
+// Guards against new calls to a silent peer, and against a suspicion that
+// asked nobody.
+func TestSilentPeerIsAvoidedAndProbed(t *testing.T) {
+	c := newFleetCore(a, b, d, e)
+	actions := run(c, epoch, epoch.Add(silenceLimit+time.Second), d, e)
+	avoided := only(actions, Avoid)
+	assert.Equal(t, len(avoided), 1)
+	assert.Equal(t, avoided[0].Peer.Instance, b.Instance)
+	assert.Assert(t, avoided[0].Avoided)
+	asked := only(actions, Ask)
+	assert.Equal(t, len(asked), probers)
+	assert.Equal(t, asked[0].To, d.Instance, "another availability zone comes first")
+	assert.Equal(t, len(only(actions, Report)), 0)
+
+	now := epoch.Add(silenceLimit + time.Second)
+	c.OnProbeAnswer(now, asked[0].Probe, false)
+	c.OnProbeAnswer(now, asked[1].Probe, false)
+	assert.Equal(t, len(only(c.Actions(), Report)), 1)
+	c.OnHeard(now, now, b, -1)
+	actions = c.Actions()
+	assert.Equal(t, len(only(actions, Lift)), 1)
+	assert.Assert(t, !only(actions, Avoid)[0].Avoided)
+}
+
+// Guards against a node whose own connection is faulty reporting a healthy
+// peer.
+func TestReachedPeerIsNotSuspect(t *testing.T) {
+	c := newFleetCore(a, b, d, e)
+	now := epoch.Add(silenceLimit + time.Second)
+	asked := only(run(c, epoch, now, d, e), Ask)
+	c.OnProbeAnswer(now, asked[0].Probe, false)
+	c.OnProbeAnswer(now, asked[1].Probe, true)
+	actions := run(c, now, now.Add(probePeriod/2), d, e)
+	assert.Equal(t, len(only(actions, Report)), 0)
+}
+
+// Guards against a removal that rests on one availability zone, and against
+// one before its time.
+func TestRemovalNeedsTwoZones(t *testing.T) {
+	c := newFleetCore(a, b, d, e)
+	now := epoch.Add(80 * time.Second)
+	assert.Equal(t, len(only(run(c, epoch, now, d, e), Append)), 0)
+	c.OnSuspicion(now, e, b.NodeID, false)
+	actions := run(c, now, now.Add(5*time.Second), d, e)
+	assert.Equal(t, len(only(actions, Append)), 0, "e is in the zone of a")
+
+	now = now.Add(5 * time.Second)
+	c.OnSuspicion(now, d, b.NodeID, false)
+	appended := only(run(c, now, now.Add(rankDelay), d, e), Append)
+	assert.Equal(t, len(appended), 1)
+	assert.Equal(t, appended[0].Record.Member.NodeID, b.NodeID)
+	assert.Equal(t, appended[0].Record.Reporter, a.Instance)
+	assert.Assert(t, appended[0].Record.Leave)
+}
+
+// Guards against a removal long after, or long before, 30 s by the first
+// node in rank.
+func TestRemovalTime(t *testing.T) {
+	c := newFleetCore(a, b, d, e)
+	var at time.Time
+	for now := epoch; at.IsZero() && now.Before(epoch.Add(80*time.Second)); now = now.Add(time.Second) {
+		c.OnSuspicion(now, d, b.NodeID, false)
+		if len(only(run(c, now, now.Add(time.Second), d, e), Append)) > 0 {
+			at = now
+		}
+	}
+	delay := at.Sub(epoch)
+	assert.Assert(t, delay >= removalDelay && delay <= silenceLimit+removalDelay+2*rankDelay+time.Second, "%s", delay)
+}
+
+// Guards against a node that stays out after others removed it by mistake,
+// and against its return as the life that was removed.
+func TestRemovedNodeJoinsAgain(t *testing.T) {
+	c := newFleetCore(a, b)
+	c.OnSnapshot(epoch, snapshot(b))
+	actions := c.Actions()
+	record := only(actions, Append)[0].Record
+	assert.Assert(t, !record.Leave)
+	assert.Assert(t, record.Member.Incarnation != a.Incarnation)
+	assert.Equal(t, only(actions, Renamed)[0].Peer.NodeID, record.Member.NodeID)
+	assert.Equal(t, c.Self().NodeID, record.Member.NodeID)
+}
+
+// Guards against announcements of a target that does not answer, and against
+// a lost append.
+func TestJoinWaitsForTargetAndIsRepeated(t *testing.T) {
+	c := New(a, rand.New(rand.NewPCG(1, 2)))
+	assert.Equal(t, len(only(run(c, epoch, epoch.Add(5*time.Second)), Append)), 0)
+	now := epoch.Add(5 * time.Second)
+	c.OnTargetUp(now)
+	assert.Equal(t, len(only(run(c, now, now.Add(2500*time.Millisecond)), Append)), 3)
+	c.OnSnapshot(now, snapshot(a))
+	c.Actions()
+	assert.Equal(t, len(only(run(c, now, now.Add(5*time.Second)), Append)), 0)
+}
--- /dev/null
+++ b/policy/membership/peer.go
@@ -0,0 +1,105 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/charts"
+	"github.com/oleanderworks/oleanderworks/core/chart"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Events of the peer_liveness chart, in the chart's order.
+const (
+	eventHeard chart.EventID = iota
+	eventSilence
+	eventProbeDue
+	eventReached
+	eventUnreached
+	eventReportDue
+	eventRemovalDue
+	eventGoodbye
+	eventUnlisted
+)
+
+const stateAlive = "alive"
+
+// peer is what this node holds of another one.
+type peer struct {
+	core      *Core
+	now       time.Time
+	state     chart.StateID
+	member    model.Member
+	heardAt   time.Time // latest heartbeat, or since when one is expected
+	directAt  time.Time // latest heartbeat; zero for none
+	contactAt time.Time // the peer's latest contact at first hand; zero for none
+	probedAt  time.Time
+	reportAt  time.Time
+	suspectAt time.Time
+	appendAt  time.Time
+	reports   map[model.Instance]report // of other nodes
+}
+
+func newPeerMachine() *chart.Machine[*peer] {
+	return chart.MustCompile(charts.MustRead("peer_liveness"), chart.Binding[*peer]{
+		States: []string{stateAlive, "avoided", "suspect", "leaving", "forgotten"},
+		Events: []string{"heard", "silence", "probe_due", "reached", "unreached", "report_due", "removal_due", "goodbye", "unlisted"},
+		Guards: map[string]func(*peer) bool{"agreed": (*peer).agreed},
+		Actions: map[string]func(*peer){
+			"avoid":        func(p *peer) { p.emit(Action{Kind: Avoid, Avoided: true}) },
+			"accept":       func(p *peer) { p.emit(Action{Kind: Avoid}) },
+			"ask_probes":   (*peer).askProbes,
+			"report":       (*peer).report,
+			"lift":         (*peer).lift,
+			"append_leave": (*peer).appendLeave,
+		},
+	})
+}
+
+func (p *peer) step(now time.Time, e chart.EventID) {
+	p.now = now
+	p.state = p.core.machine.Step(p, p.state, e)
+	if p.core.machine.Final(p.state) {
+		delete(p.core.peers, p.member.Instance)
+	}
+}
+
+func (p *peer) emit(a Action) {
+	a.Peer = p.member
+	p.core.emit(a)
+}
+
+func (p *peer) alive() bool { return p.core.machine.StateName(p.state) == stateAlive }
+
+func (p *peer) tick(now time.Time) {
+	if now.Sub(p.heardAt) >= silenceLimit {
+		p.step(now, eventSilence)
+	}
+	if now.Sub(p.probedAt) >= probePeriod {
+		p.step(now, eventProbeDue)
+	}
+	if now.Sub(p.reportAt) >= reportPeriod {
+		p.step(now, eventReportDue)
+	}
+	if now.Sub(p.heardAt) >= silenceLimit+p.removalDelay() && now.Sub(p.appendAt) >= rankDelay {
+		p.step(now, eventRemovalDue)
+	}
+}
+
+func (p *peer) report() {
+	p.reportAt = p.now
+	if p.suspectAt.IsZero() {
+		p.suspectAt = p.now
+	}
+	p.emit(Action{Kind: Report})
+}
+
+func (p *peer) lift() {
+	p.suspectAt = time.Time{}
+	p.emit(Action{Kind: Lift})
+}
+
+func (p *peer) appendLeave() {
+	p.appendAt = p.now
+	record := &model.MemberRecord{Time: p.now, Leave: true, Member: p.member, Reporter: p.core.self.Instance}
+	p.emit(Action{Kind: Append, Record: record})
+}
--- a/policy/routing/classify.go
+++ b/policy/routing/classify.go
@@ -29,7 +29,7 @@
 	if route.Open && !req.HasKey {
 		return call, nil
 	}
-	return call, c.identify(call, req)
+	return call, c.identify(now, call, req)
 }
 
 func (c *Core) newCall(now time.Time, req *model.Request, route *model.Route) *model.Call {
@@ -52,10 +52,13 @@
 }
 
 // identify sets the customer of a keyed call.
-func (c *Core) identify(call *model.Call, req *model.Request) *model.Answer {
+func (c *Core) identify(now time.Time, call *model.Call, req *model.Request) *model.Answer {
 	if !req.HasKey {
 		return model.Refusal(req.ID, model.ReasonKeyMissing, "the route needs a key")
 	}
+	if c.contact.lost(now) {
+		return model.Refusal(req.ID, model.ReasonNoContact, "the node has no contact with the log or its peers")
+	}
 	hash := model.HashKey(req.Key)
 	customer, ok := c.snapshot.CustomerOf(hash)
 	if !ok {
--- a/policy/routing/core.go
+++ b/policy/routing/core.go
@@ -30,6 +30,7 @@
 	machine  *chart.Machine[*record]
 	calls    map[model.CallID]*record
 	loads    map[model.Instance]*targetLoad
+	contact  contact
 	out      []Decision
 }
 
@@ -55,6 +56,9 @@
 // OnSnapshot takes a new configuration into use.
 func (c *Core) OnSnapshot(s *model.Snapshot) { c.snapshot = s }
 
+// OnContact tells until when the node has contact.
+func (c *Core) OnContact(until time.Time) { c.contact = contact{known: true, until: until} }
+
 // OnRequest starts a call.
 func (c *Core) OnRequest(now time.Time, req *model.Request) {
 	r := &record{core: c, now: now, state: c.machine.Initial(), request: req}
--- a/transport/peerlink/endpoint.go
+++ b/transport/peerlink/endpoint.go
@@ -32,58 +32,80 @@
 
 // Dial opens a session to a peer. It fails when another instance answers.
 func (e *Endpoint) Dial(ctx context.Context, peer model.Member) (*Session, error) {
+	s, r, err := e.connect(ctx, peer, false)
+	if err != nil {
+		return nil, err
+	}
+	s.startControl(r, e.Control)
+	go s.serveCalls(e.Calls)
+	return s, nil
+}
+
+// Probe reports whether this life of a peer answers.
+func (e *Endpoint) Probe(ctx context.Context, peer model.Member) error {
+	s, _, err := e.connect(ctx, peer, true)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if s.peer.Incarnation != peer.Incarnation {
+		return fault.New("probe peer", string(peer.Instance), "another incarnation answers")
+	}
+	return nil
+}
+
+func (e *Endpoint) connect(ctx context.Context, peer model.Member, probe bool) (*Session, *bufio.Reader, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", peer.PeerAddress)
 	if err != nil {
-		return nil, fault.At("dial peer", string(peer.Instance), err)
+		return nil, nil, fault.At("dial peer", string(peer.Instance), err)
 	}
 	s, err := newSession(conn, false, e.Start)
 	if err != nil {
 		conn.Close()
-		return nil, err
+		return nil, nil, err
 	}
-	if err := e.greet(s, peer); err != nil {
+	r, err := e.greet(s, peer, probe)
+	if err != nil {
 		s.Close()
-		return nil, fault.At("open control stream", string(peer.Instance), err)
+		return nil, nil, fault.At("open control stream", string(peer.Instance), err)
 	}
-	go s.serveCalls(e.Calls)
-	return s, nil
+	return s, r, nil
 }
 
 // greet exchanges hellos on a session that this node opened.
-func (e *Endpoint) greet(s *Session, peer model.Member) error {
+func (e *Endpoint) greet(s *Session, peer model.Member, probe bool) (*bufio.Reader, error) {
 	stream, err := s.yamux.OpenStream()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s.control = stream
 	_ = stream.SetDeadline(time.Now().Add(handshakeTimeout))
-	if err := wire.WriteFrame(stream, hello(e.Self())); err != nil {
-		return err
+	if err := wire.WriteFrame(stream, hello(e.Self(), probe)); err != nil {
+		return nil, err
 	}
 	r := bufio.NewReader(stream)
-	if err := s.readHello(r); err != nil {
-		return err
+	if _, err := s.readHello(r); err != nil {
+		return nil, err
 	}
 	if s.peer.Instance != peer.Instance {
-		return fault.New("check peer", string(peer.Instance), "instance %s answers at %s", s.peer.Instance, peer.PeerAddress)
+		return nil, fault.New("check peer", string(peer.Instance), "instance %s answers at %s", s.peer.Instance, peer.PeerAddress)
 	}
-	_ = stream.SetDeadline(time.Time{})
-	s.startControl(r, e.Control)
-	return nil
+	return r, stream.SetDeadline(time.Time{})
 }
 
 // readHello reads the peer's first frame and notes who it is.
-func (s *Session) readHello(r *bufio.Reader) error {
+func (s *Session) readHello(r *bufio.Reader) (*wire.Hello, error) {
 	var f wire.ControlFrame
 	if err := wire.ReadFrame(r, &f); err != nil {
-		return err
+		return nil, err
 	}
-	if f.GetHello() == nil {
-		return fault.New("read hello", "", "first frame is no hello")
+	h := f.GetHello()
+	if h == nil {
+		return nil, fault.New("read hello", "", "first frame is no hello")
 	}
-	s.peer = fromHello(f.GetHello())
-	return nil
+	s.peer = fromHello(h)
+	return h, nil
 }
 
 // Serve accepts sessions on l until t is dying.
@@ -108,11 +130,16 @@
 		return
 	}
 	timeout := time.AfterFunc(handshakeTimeout, s.Close)
-	r, err := e.welcome(s)
+	r, probe, err := e.welcome(s)
 	if err != nil || !timeout.Stop() {
 		s.Close()
 		return
 	}
+	if probe {
+		// The prober closes the session when it has read the hello.
+		time.AfterFunc(handshakeTimeout, s.Close)
+		return
+	}
 	s.startControl(r, e.Control)
 	if e.Accepted != nil {
 		e.Accepted(s)
@@ -120,28 +147,31 @@
 	s.serveCalls(e.Calls)
 }
 
-// welcome exchanges hellos on a session that the peer opened.
-func (e *Endpoint) welcome(s *Session) (*bufio.Reader, error) {
+// welcome exchanges hellos on a session that the peer opened. It reports
+// whether the peer only probes.
+func (e *Endpoint) welcome(s *Session) (*bufio.Reader, bool, error) {
 	stream, err := s.yamux.AcceptStream()
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	s.control = stream
 	r := bufio.NewReader(stream)
-	if err := s.readHello(r); err != nil {
-		return nil, err
+	h, err := s.readHello(r)
+	if err != nil {
+		return nil, false, err
 	}
 	s.clock.greeted(time.Now())
-	return r, wire.WriteFrame(stream, hello(e.Self()))
+	return r, h.GetProbe(), wire.WriteFrame(stream, hello(e.Self(), false))
 }
 
-func hello(m model.Member) *wire.ControlFrame {
+func hello(m model.Member, probe bool) *wire.ControlFrame {
 	h := &wire.Hello{
 		Node:    wire.FromNodeID(m.NodeID),
 		Service: string(m.Service),
 		Zone:    string(m.Zone),
 		Region:  string(m.Region),
 		Address: m.PeerAddress,
+		Probe:   probe,
 	}
 	return &wire.ControlFrame{Kind: &wire.ControlFrame_Hello{Hello: h}}
 }
