Shut a node down without cutting requests

Cause: Stop killed the duties at once and cut every call in progress.

The target's own listener stays open for sub-calls of running calls. The routing policy leaves out targets that are silent or leaving.

--- a/agent/links/send.go
+++ b/agent/links/send.go
@@ -40,12 +40,14 @@
 }
 
 // Control returns the handler of control frames: heartbeats go to the links
-// duty, payloads through d.
-func (h *Handler) Control(d *Dispatcher) peerlink.ControlHandler {
+// duty, payloads through d, goodbyes to goodbye, which must not block.
+func (h *Handler) Control(d *Dispatcher, goodbye func(from model.Instance)) peerlink.ControlHandler {
 	return func(s *peerlink.Session, f *wire.ControlFrame) {
 		switch k := f.Kind.(type) {
 		case *wire.ControlFrame_Heartbeat:
 			h.inbox.Offer(&Heartbeat{Session: s, Frame: k.Heartbeat})
+		case *wire.ControlFrame_Goodbye:
+			goodbye(s.Peer().Instance)
 		case *wire.ControlFrame_Payload:
 			d.Dispatch(s, k.Payload)
 		}
@@ -85,3 +87,15 @@
 		}
 	}
 }
+
+// Goodbye tells all linked peers that this node leaves. It is safe for use by
+// several threads.
+func (h *Handler) Goodbye() {
+	out, in := h.Sessions()
+	f := &wire.ControlFrame{Kind: &wire.ControlFrame_Goodbye{Goodbye: &wire.Goodbye{}}}
+	for _, table := range []Table{out, in} {
+		for _, s := range table {
+			s.Send(f)
+		}
+	}
+}
--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"sync/atomic"
 
 	"github.com/oleanderworks/oleanderworks/agent/admission"
 	"github.com/oleanderworks/oleanderworks/core/ring"
@@ -16,11 +17,16 @@
 type Server struct {
 	Admission *ring.Ring[admission.Message]
 	Target    *target.Client
+	// Leaving refuses new calls while the node shuts down.
+	Leaving atomic.Bool
 }
 
 // Serve runs a call at the target or refuses it. It ends early when ctx ends,
 // which means that the caller has gone.
 func (s *Server) Serve(ctx context.Context, call *model.Call) *model.Answer {
+	if s.Leaving.Load() {
+		return model.Refusal(call.ID, model.ReasonTargetLeaving, "the target's node is shutting down")
+	}
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
 	arrive := &admission.Arrive{
--- a/agent/members.go
+++ b/agent/members.go
@@ -17,6 +17,7 @@
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/drain"
 	"github.com/oleanderworks/oleanderworks/policy/membership"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
@@ -34,7 +35,7 @@
 // buildMembership builds the membership duty and its ways in and out.
 func (n *Node) buildMembership(d *links.Dispatcher) {
 	core := membership.New(*n.self.Load(), newRand())
-	n.membership = membershipduty.New(core, membershipduty.Outputs{
+	n.membership = membershipduty.New(core, drain.New(n.settings.DrainTime), membershipduty.Outputs{
 		Send:      func(to model.Instance, kind uint32, m *wire.Probe) { n.sessions.Send(to, kind, m) },
 		Broadcast: func(kind uint32, m *wire.Suspicion) { n.sessions.Broadcast(kind, m) },
 		Avoid:     n.offerAvoided,
@@ -46,6 +47,8 @@
 		SampleLoad: n.sampleLoad,
 		Append:     func(r *model.MemberRecord) { go n.appendMember(r) },
 		Reach:      func(to model.Instance, id uint64, m model.Member) { go n.reach(to, id, m) },
+		InFlight:   n.inFlight,
+		Shutdown:   n.shutdown,
 		Renamed:    func(m model.Member) { n.self.Store(&m) },
 	}, n.log)
 	d.Register(wire.KindProbe, n.onProbe)
@@ -77,6 +80,10 @@
 	n.membership.Ring().Offer(&membershipduty.Heard{From: from, At: at, Load: l, ContactAge: contactAge})
 }
 
+func (n *Node) onGoodbye(from model.Instance) {
+	n.membership.Ring().Offer(&membershipduty.SaidGoodbye{From: from})
+}
+
 func (n *Node) onProbe(from model.Member, body []byte) {
 	var p wire.Probe
 	if proto.Unmarshal(body, &p) != nil {
--- a/agent/membership/duty.go
+++ b/agent/membership/duty.go
@@ -7,6 +7,7 @@
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/drain"
 	"github.com/oleanderworks/oleanderworks/policy/membership"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
@@ -40,6 +41,10 @@
 	Append func(r *model.MemberRecord)
 	// Reach starts a dial of a peer for another one and answers it.
 	Reach func(to model.Instance, id uint64, peer model.Member)
+	// InFlight returns the number of calls in progress on the node.
+	InFlight func() int
+	// Shutdown carries out a step of the shutdown.
+	Shutdown func(a drain.Action)
 	// Renamed makes the node speak as another incarnation.
 	Renamed func(self model.Member)
 }
@@ -47,6 +52,7 @@
 // Handler is the logic of the membership duty.
 type Handler struct {
 	core      *membership.Core
+	drain     *drain.Core
 	out       Outputs
 	log       *event.Log
 	load      model.Load
@@ -54,12 +60,11 @@
 	sampledAt time.Time
 	until     time.Time
 	avoided   map[model.Instance]bool // changes that the routing ring had no room for
-	leaveDone func()
 }
 
-// New returns the duty that runs core.
-func New(core *membership.Core, out Outputs, log *event.Log) *duty.Duty[Message] {
-	h := &Handler{core: core, out: out, log: log, avoided: make(map[model.Instance]bool)}
+// New returns the duty that runs core and the shutdown.
+func New(core *membership.Core, shutdown *drain.Core, out Outputs, log *event.Log) *duty.Duty[Message] {
+	h := &Handler{core: core, drain: shutdown, out: out, log: log, avoided: make(map[model.Instance]bool)}
 	return duty.New[Message]("membership", ringCapacity, h)
 }
 
@@ -74,6 +79,7 @@
 // Tick implements duty.Handler.
 func (h *Handler) Tick(now time.Time) time.Time {
 	next := h.core.Tick(now)
+	h.drain.Tick(now, h.out.InFlight())
 	h.act()
 	h.offerAvoided()
 	h.out.Contact(h.until)
@@ -115,9 +121,10 @@
 		h.core.OnLogRead(now, m.Begun, m.Retention)
 	case *LoadSampled:
 		h.load = m.Load
+		h.load.Draining = h.load.Draining || !h.drain.Running()
 		h.out.Report(h.load, h.firstHand)
-	case *Leave:
-		h.leaveDone = m.Done
+	case *Stop:
+		h.drain.OnStop(now)
 		h.core.OnLeave(now)
 	}
 }
@@ -133,10 +140,21 @@
 	for _, a := range h.core.Actions() {
 		h.do(a)
 	}
-	if h.leaveDone != nil && h.core.Settled() {
-		h.leaveDone()
-		h.leaveDone = nil
+	if h.core.Settled() {
+		h.drain.OnLeft()
 	}
+	for _, a := range h.drain.Actions() {
+		h.shutdown(a)
+	}
+}
+
+func (h *Handler) shutdown(a drain.Action) {
+	if a == drain.Announce {
+		// The own target is left out like a silent one.
+		h.avoided[h.core.Self().Instance] = true
+		h.offerAvoided()
+	}
+	h.out.Shutdown(a)
 }
 
 func (h *Handler) do(a membership.Action) {
--- a/agent/membership/messages.go
+++ b/agent/membership/messages.go
@@ -62,9 +62,8 @@
 // LoadSampled carries the load of this node's target.
 type LoadSampled struct{ Load model.Load }
 
-// Leave starts the leave of this node. Done is called on the duty's thread
-// when the log holds the leave; it must not block.
-type Leave struct{ Done func() }
+// Stop begins the graceful shutdown of this node.
+type Stop struct{}
 
 func (*SnapshotChanged) membershipMessage() {}
 func (*Heard) membershipMessage()           {}
@@ -76,4 +75,4 @@
 func (*SaidGoodbye) membershipMessage()     {}
 func (*LogRead) membershipMessage()         {}
 func (*LoadSampled) membershipMessage()     {}
-func (*Leave) membershipMessage()           {}
+func (*Stop) membershipMessage()            {}
--- a/agent/node.go
+++ b/agent/node.go
@@ -59,7 +59,10 @@
 	endpoint  *peerlink.Endpoint
 	sessions  *links.Handler
 	entry     *entry.Entry
+	local     *local.Server
+	callers   *http.Server
 	listeners listeners
+	leaving   leaving
 	tomb      tomb.Tomb
 }
 
@@ -76,6 +79,7 @@
 		service:  log,
 		log:      event.New(out.Named(s.Instance)),
 		vars:     new(expvar.Map).Init(),
+		leaving:  leaving{done: make(chan struct{})},
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -105,15 +109,15 @@
 	self := *n.self.Load()
 	n.admission = admissionduty.New(admission.New(self), n.log)
 	n.routing = routingduty.New(routing.New(self, newRand()), n.log)
-	server := &local.Server{Admission: n.admission.Ring(), Target: client}
+	n.local = &local.Server{Admission: n.admission.Ring(), Target: client}
 	dispatcher := links.NewDispatcher(n.log)
 	start := time.Now()
-	n.endpoint = &peerlink.Endpoint{Self: n.member, Calls: server.Serve, Start: start}
+	n.endpoint = &peerlink.Endpoint{Self: n.member, Calls: n.local.Serve, Start: start}
 	n.links, n.sessions = links.New(n.tomb.Context(context.Background()), self, link.New(newRand(), start), n.endpoint, n.onHeard, n.log)
 	n.endpoint.Accepted = n.sessions.Accept
-	n.endpoint.Control = n.sessions.Control(dispatcher)
+	n.endpoint.Control = n.sessions.Control(dispatcher, n.onGoodbye)
 	n.buildMembership(dispatcher)
-	n.entry = &entry.Entry{Self: self, Routing: n.routing.Ring(), Sessions: n.sessions, Local: server.Serve}
+	n.entry = &entry.Entry{Self: self, Routing: n.routing.Ring(), Sessions: n.sessions, Local: n.local.Serve}
 	n.follower = follower.New(n.log, []follower.Subscriber{
 		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
 		func(s *model.Snapshot) bool {
@@ -186,8 +190,8 @@
 		})
 	}
 	n.tomb.Go(func() error { return n.endpoint.Serve(&n.tomb, n.listeners.peer) })
-	n.serveHTTP(n.listeners.call, caller.NewHandler(n.entry.Serve, false))
-	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.entry.Serve, true))
+	n.callers = n.serveHTTP(n.listeners.call, n.closing(caller.NewHandler(n.serve, false)))
+	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.serve, true))
 	n.serveHTTP(n.listeners.ops, n.operatorsHandler())
 	n.tomb.Go(func() error {
 		n.watchTarget(ctx)
@@ -209,17 +213,6 @@
 	return streams
 }
 
-func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	context.AfterFunc(n.tomb.Context(context.Background()), func() { server.Close() })
-	n.tomb.Go(func() error {
-		if err := server.Serve(l); err != http.ErrServerClosed {
-			return fault.At("serve HTTP", l.Addr().String(), err)
-		}
-		return nil
-	})
-}
-
 // CallAddress returns the address for callers, IP:port.
 func (n *Node) CallAddress() string { return n.listeners.call.Addr().String() }
 
@@ -228,11 +221,3 @@
 
 // OpsAddress returns the address for operators, IP:port.
 func (n *Node) OpsAddress() string { return n.listeners.ops.Addr().String() }
-
-// Stop ends the node and waits until its threads have ended.
-func (n *Node) Stop() error {
-	n.tomb.Kill(nil)
-	err := n.tomb.Wait()
-	n.log.Emit(event.NodeStopped, "instance", n.settings.Instance)
-	return err
-}
--- a/agent/routing/duty.go
+++ b/agent/routing/duty.go
@@ -94,6 +94,8 @@
 		h.core.OnCanceled(now, m.CallID)
 	case *SnapshotChanged:
 		h.core.OnSnapshot(m.Snapshot)
+	case *SuspectChanged:
+		h.core.OnSuspect(m.Instance, m.Avoided)
 	case *ContactChanged:
 		h.core.OnContact(m.Until)
 	}
--- a/command/dev/fleet.go
+++ b/command/dev/fleet.go
@@ -145,9 +145,13 @@
 }
 
 func (f *fleet) stop() error {
-	var first error
+	ended := make(chan error, len(f.nodes))
 	for _, n := range f.nodes {
-		if err := n.Stop(); err != nil && first == nil {
+		go func() { ended <- n.Stop() }()
+	}
+	var first error
+	for range f.nodes {
+		if err := <-ended; err != nil && first == nil {
 			first = err
 		}
 	}
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -68,7 +68,7 @@
 		if c.snapshot.Zones[m.Zone].Out || c.snapshot.Targets[m.Instance].Out {
 			continue
 		}
-		if slices.Contains(tried, m.Instance) {
+		if c.avoided[m.Instance] || slices.Contains(tried, m.Instance) {
 			continue
 		}
 		out = append(out, m)
--- a/policy/routing/core.go
+++ b/policy/routing/core.go
@@ -31,6 +31,7 @@
 	calls    map[model.CallID]*record
 	loads    map[model.Instance]*targetLoad
 	contact  contact
+	avoided  map[model.Instance]bool // silent or leaving; gets no new calls
 	out      []Decision
 }
 
@@ -41,6 +42,8 @@
 		rng:   rng,
 		calls: make(map[model.CallID]*record),
 		loads: make(map[model.Instance]*targetLoad),
+
+		avoided: make(map[model.Instance]bool),
 	}
 	c.machine = newMachine()
 	return c
@@ -56,6 +59,14 @@
 // OnSnapshot takes a new configuration into use.
 func (c *Core) OnSnapshot(s *model.Snapshot) { c.snapshot = s }
 
+// OnSuspect tells whether a target's node is silent or leaving.
+func (c *Core) OnSuspect(i model.Instance, avoided bool) {
+	delete(c.avoided, i)
+	if avoided {
+		c.avoided[i] = true
+	}
+}
+
 // OnContact tells until when the node has contact.
 func (c *Core) OnContact(until time.Time) { c.contact = contact{known: true, until: until} }
 
--- a/transport/peerlink/call.go
+++ b/transport/peerlink/call.go
@@ -19,7 +19,7 @@
 // run. It returns when ctx ends, also when a write is stuck on a dead
 // connection.
 func (s *Session) Call(ctx context.Context, call *model.Call) *model.Answer {
-	s.calls.Add(1)
+	s.count(1)
 	a := &attempt{session: s, call: call, answer: make(chan *model.Answer, 1)}
 	go a.run(ctx)
 	select {
@@ -65,7 +65,7 @@
 }
 
 func (a *attempt) run(ctx context.Context) {
-	defer a.session.calls.Add(-1)
+	defer a.session.count(-1)
 	stream, err := a.session.yamux.OpenStream()
 	if err != nil {
 		a.answer <- a.failure(ctx, fault.At("open call stream", "", err))
@@ -130,8 +130,8 @@
 }
 
 func (s *Session) serveCall(stream *yamux.Stream, handle CallHandler) {
-	s.calls.Add(1)
-	defer s.calls.Add(-1)
+	s.count(1)
+	defer s.count(-1)
 	defer stream.Close()
 	r := bufio.NewReader(stream)
 	call, err := wire.ReadCall(r, s.clock.arrival)
--- a/transport/peerlink/endpoint.go
+++ b/transport/peerlink/endpoint.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -28,8 +29,14 @@
 	Accepted func(s *Session)
 	// Start is the zero of the monotonic clock in calls and heartbeats.
 	Start time.Time
+
+	calls atomic.Int64
 }
 
+// InProgress returns the number of calls in progress on all sessions, in both
+// directions.
+func (e *Endpoint) InProgress() int { return int(e.calls.Load()) }
+
 // Dial opens a session to a peer. It fails when another instance answers.
 func (e *Endpoint) Dial(ctx context.Context, peer model.Member) (*Session, error) {
 	s, r, err := e.connect(ctx, peer, false)
@@ -60,7 +67,7 @@
 	if err != nil {
 		return nil, nil, fault.At("dial peer", string(peer.Instance), err)
 	}
-	s, err := newSession(conn, false, e.Start)
+	s, err := newSession(conn, false, e)
 	if err != nil {
 		conn.Close()
 		return nil, nil, err
@@ -124,7 +131,7 @@
 }
 
 func (e *Endpoint) accept(conn net.Conn) {
-	s, err := newSession(conn, true, e.Start)
+	s, err := newSession(conn, true, e)
 	if err != nil {
 		conn.Close()
 		return
--- a/transport/peerlink/session.go
+++ b/transport/peerlink/session.go
@@ -47,6 +47,7 @@
 	out     *ring.Ring[*wire.ControlFrame]
 	clock   clock
 	calls   atomic.Int64
+	total   *atomic.Int64 // calls of all sessions of the endpoint
 }
 
 func yamuxConfig() *yamux.Config {
@@ -69,6 +70,11 @@
 // Calls returns the number of calls in progress, in both directions.
 func (s *Session) Calls() int { return int(s.calls.Load()) }
 
+func (s *Session) count(n int64) {
+	s.calls.Add(n)
+	s.total.Add(n)
+}
+
 // SetOffset tells the session the peer's clock offset and its error bound.
 func (s *Session) SetOffset(value, bound time.Duration) { s.clock.set(value, bound) }
 
@@ -120,7 +126,7 @@
 	}
 }
 
-func newSession(conn net.Conn, server bool, start time.Time) (*Session, error) {
+func newSession(conn net.Conn, server bool, e *Endpoint) (*Session, error) {
 	counting := &countingConn{Conn: conn}
 	open := yamux.Client
 	if server {
@@ -134,6 +140,7 @@
 		yamux: y,
 		conn:  counting,
 		out:   ring.New[*wire.ControlFrame]("control", controlCapacity),
-		clock: clock{start: start},
+		clock: clock{start: e.Start},
+		total: &e.calls,
 	}, nil
 }
