Let a leaving node answer the last requests before it closes

The listener now closes once no connection has waited for 50 ms, the server goes on and refuses what still arrives, and Shutdown comes after 250 ms without a call. A socket filter that drops SYN packets was tried and had no effect on this machine.

--- a/agent/node.go
+++ b/agent/node.go
@@ -56,14 +56,16 @@
 	follower   *duty.Duty[follower.Message]
 	links      *duty.Duty[links.Message]
 
-	endpoint  *peerlink.Endpoint
-	sessions  *links.Handler
-	entry     *entry.Entry
-	local     *local.Server
-	callers   *http.Server
-	listeners listeners
-	leaving   leaving
-	tomb      tomb.Tomb
+	endpoint *peerlink.Endpoint
+	sessions *links.Handler
+	entry    *entry.Entry
+	local    *local.Server
+	callers  *http.Server
+
+	callersListener *caller.Listener
+	listeners       listeners
+	leaving         leaving
+	tomb            tomb.Tomb
 }
 
 // listeners hold the node's addresses. They are open before the node starts,
@@ -107,6 +109,9 @@
 		return err
 	}
 	self := *n.self.Load()
+	if n.callersListener, err = caller.NewListener(n.listeners.call); err != nil {
+		return err
+	}
 	n.admission = admissionduty.New(admission.New(self), n.log)
 	n.routing = routingduty.New(routing.New(self, newRand()), n.log)
 	n.local = &local.Server{Admission: n.admission.Ring(), Target: client}
@@ -190,7 +195,7 @@
 		})
 	}
 	n.tomb.Go(func() error { return n.endpoint.Serve(&n.tomb, n.listeners.peer) })
-	n.callers = n.serveHTTP(n.listeners.call, n.closing(caller.NewHandler(n.serve, false)))
+	n.callers = n.serveHTTP(n.callersListener, n.closing(caller.NewHandler(n.serve, false)))
 	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.serve, true))
 	n.serveHTTP(n.listeners.ops, n.operatorsHandler())
 	n.tomb.Go(func() error {
--- a/agent/shutdown.go
+++ b/agent/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -24,9 +25,9 @@
 
 // leaving is the part of a shutdown that connections' goroutines look at.
 type leaving struct {
-	announced atomic.Bool // answers close their connections
-	refusing  atomic.Bool // new calls are refused
-	callers   atomic.Bool // the callers' connections have ended
+	announced atomic.Bool  // answers close their connections
+	refusing  atomic.Bool  // new calls are refused
+	callers   atomic.Int64 // callers' requests in progress
 	done      chan struct{}
 }
 
@@ -59,31 +60,28 @@
 		n.log.Emit(event.DrainBegun, "in_flight", n.inFlight())
 		n.leaving.refusing.Store(true)
 		n.local.Leaving.Store(true)
-		go n.closeCallers()
+		// The server itself goes on: http.Server.Shutdown drops requests that
+		// it has just read, without an answer.
+		n.callersListener.Stop()
 	case drain.Close:
 		n.log.Emit(event.DrainEnded, "in_flight", n.inFlight())
-		time.AfterFunc(lingerTime, func() { close(n.leaving.done) })
+		go n.closeCallers()
 	}
 }
 
-// closeCallers stops accepting callers and waits for their answers. The
-// target's own listener stays open, since running calls may call on.
+// closeCallers ends the callers' connections, which are idle by now, unless
+// the drain time is over.
 func (n *Node) closeCallers() {
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTime)
+	ctx, cancel := context.WithTimeout(context.Background(), lingerTime)
 	defer cancel()
-	if n.callers.Shutdown(ctx) == nil {
-		n.leaving.callers.Store(true)
-	}
+	_ = n.callers.Shutdown(ctx)
+	<-ctx.Done()
+	close(n.leaving.done)
 }
 
-// inFlight counts the calls in progress with peers, and one more while there
-// are callers' connections with a request.
+// inFlight counts the calls in progress with peers and callers.
 func (n *Node) inFlight() int {
-	calls := n.endpoint.InProgress()
-	if !n.leaving.callers.Load() {
-		calls++
-	}
-	return calls
+	return n.endpoint.InProgress() + int(n.leaving.callers.Load())
 }
 
 // serve answers a request unless the node is leaving.
@@ -94,10 +92,13 @@
 	return n.entry.Serve(ctx, req)
 }
 
-// closing makes answers close their connections once the node is leaving, so
-// that callers go elsewhere before the listener is closed.
+// closing counts callers' requests. Once the node is leaving, it makes answers
+// close their connections, so that callers go elsewhere before the listener
+// is closed.
 func (n *Node) closing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.leaving.callers.Add(1)
+		defer n.leaving.callers.Add(-1)
 		if n.leaving.announced.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -109,7 +110,8 @@
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	context.AfterFunc(n.tomb.Context(context.Background()), func() { server.Close() })
 	n.tomb.Go(func() error {
-		if err := server.Serve(l); err != http.ErrServerClosed {
+		err := server.Serve(l)
+		if err != http.ErrServerClosed && !errors.Is(err, net.ErrClosed) {
 			return fault.At("serve HTTP", l.Addr().String(), err)
 		}
 		return nil
--- a/policy/drain/core.go
+++ b/policy/drain/core.go
@@ -16,6 +16,9 @@
 	// leaveTime bounds the wait for the log. A leave that is lost is made
 	// good by the peers, which were told goodbye.
 	leaveTime = 3 * time.Second
+	// quietTime is how long no call may be in progress before the node
+	// closes: requests that were on their way get their refusal.
+	quietTime = 250 * time.Millisecond
 )
 
 // Events of the shutdown chart, in the chart's order.
@@ -43,6 +46,7 @@
 	now       time.Time
 	drainTime time.Duration
 	stopAt    time.Time
+	busyAt    time.Time // when a call was last seen in progress
 	left      bool
 	out       []Action
 }
@@ -89,7 +93,10 @@
 	if since >= min(announceTime, c.drainTime/2) {
 		c.step(now, eventAnnounceOver)
 	}
-	if inFlight == 0 {
+	if inFlight > 0 {
+		c.busyAt = now
+	}
+	if now.Sub(c.busyAt) >= quietTime {
 		c.step(now, eventIdle)
 	}
 	if since >= c.drainTime {
@@ -104,6 +111,7 @@
 
 func (c *Core) announce() {
 	c.stopAt = c.now
+	c.busyAt = c.now
 	c.out = append(c.out, Announce)
 }
 
