--- a/agent/node.go
+++ b/agent/node.go
@@ -45,6 +45,7 @@
 // Node is one oleanderworks process beside one target.
 type Node struct {
 	settings *settings.Node
+	security *peerlink.Security           // nil for plain TCP
 	self     atomic.Pointer[model.Member] // changes when others removed the node
 	log      *event.Log
 	service  logservice.Log
@@ -76,8 +77,13 @@
 
 // New builds a node and opens its listeners. Start runs it.
 func New(s *settings.Node, log logservice.Log, out hclog.Logger) (*Node, error) {
+	security, err := newSecurity(s)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		settings: s,
+		security: security,
 		service:  log,
 		log:      event.New(out.Named(s.Instance)),
 		vars:     new(expvar.Map).Init(),
@@ -117,7 +123,7 @@
 	n.local = &local.Server{Admission: n.admission.Ring(), Target: client}
 	dispatcher := links.NewDispatcher(n.log)
 	start := time.Now()
-	n.endpoint = &peerlink.Endpoint{Self: n.member, Calls: n.local.Serve, Start: start}
+	n.endpoint = &peerlink.Endpoint{Self: n.member, Calls: n.local.Serve, Start: start, Security: n.security, Refused: n.onPeerRefused}
 	n.links, n.sessions = links.New(n.tomb.Context(context.Background()), self, link.New(newRand(), start), n.endpoint, n.onHeard, n.log)
 	n.endpoint.Accepted = n.sessions.Accept
 	n.endpoint.Control = n.sessions.Control(dispatcher, n.onGoodbye)
@@ -148,6 +154,23 @@
 // member returns the member as which the node speaks now.
 func (n *Node) member() model.Member { return *n.self.Load() }
 
+// newSecurity returns the node's proof of identity. The error says why the
+// node must not start.
+func newSecurity(s *settings.Node) (*peerlink.Security, error) {
+	if err := s.CheckSecurity(); err != nil {
+		return nil, fault.At("check settings", s.Instance, err)
+	}
+	if s.Insecure {
+		return nil, nil
+	}
+	security := &peerlink.Security{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority}
+	return security, fault.At("check certificate", s.Instance, security.Check(model.Instance(s.Instance)))
+}
+
+func (n *Node) onPeerRefused(address string, err error) {
+	n.log.Emit(event.PeerRefused, "address", address, "error", err)
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (n *Node) listen() error {
--- /dev/null
+++ b/settings/security_test.go
@@ -0,0 +1,17 @@
+package settings
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a node that starts with plain TCP by omission.
+func TestSecurityMustBeChosen(t *testing.T) {
+	files := &TLS{Certificate: "cert.pem", Key: "key.pem", Authority: "ca.pem"}
+	assert.NilError(t, (&Node{Insecure: true}).CheckSecurity())
+	assert.NilError(t, (&Node{TLS: files}).CheckSecurity())
+	assert.ErrorContains(t, (&Node{}).CheckSecurity(), "field tls is missing")
+	assert.ErrorContains(t, (&Node{TLS: files, Insecure: true}).CheckSecurity(), "exclude each other")
+	assert.ErrorContains(t, (&Node{TLS: &TLS{Key: "key.pem"}}).CheckSecurity(), "tls.certificate is missing")
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,14 @@
 	DrainTime time.Duration `yaml:"drain_time"` // for running calls at shutdown
 	LogLevel  string        `yaml:"log_level"`  // debug, info, warn or error
 	Insecure  bool          `yaml:"insecure"`   // plain TCP between nodes
+	TLS       *TLS          `yaml:"tls"`        // mutual TLS between nodes
+}
+
+// TLS names the PEM files for mutual TLS between nodes.
+type TLS struct {
+	Certificate string `yaml:"certificate"` // a DNS name in it is the instance
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"` // certificates that peers' chains must end in
 }
 
 // DefaultDrainTime is how long a shutdown waits for running calls.
@@ -74,12 +82,37 @@
 			return err
 		}
 	}
+	if err := n.CheckSecurity(); err != nil {
+		return err
+	}
 	if n.DrainTime < 0 {
 		return errors.Errorf("field drain_time is %s, want 0 or more", n.DrainTime)
 	}
 	return nil
 }
 
+// CheckSecurity returns an error unless exactly one of tls and insecure is
+// set.
+func (n *Node) CheckSecurity() error {
+	if n.TLS == nil {
+		if n.Insecure {
+			return nil
+		}
+		return errors.New("field tls is missing; links between nodes are plain TCP only with insecure: true")
+	}
+	if n.Insecure {
+		return errors.New("fields tls and insecure exclude each other")
+	}
+	for _, f := range []struct{ field, value string }{
+		{"certificate", n.TLS.Certificate}, {"key", n.TLS.Key}, {"authority", n.TLS.Authority},
+	} {
+		if f.value == "" {
+			return errors.Errorf("field tls.%s is missing", f.field)
+		}
+	}
+	return nil
+}
+
 func checkAddress(field, value string) error {
 	host, _, err := net.SplitHostPort(value)
 	if err != nil {
--- a/transport/peerlink/call.go
+++ b/transport/peerlink/call.go
@@ -138,6 +138,9 @@
 	if err != nil {
 		return
 	}
+	if call.Entry.Instance != s.peer.Instance {
+		return // a peer may speak only for its own instance
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
--- a/transport/peerlink/endpoint.go
+++ b/transport/peerlink/endpoint.go
@@ -27,6 +27,10 @@
 	Control ControlHandler
 	// Accepted is called for each session that a peer opened.
 	Accepted func(s *Session)
+	// Security proves identities; nil for plain TCP.
+	Security *Security
+	// Refused is called for each connection that was not accepted.
+	Refused func(address string, err error)
 	// Start is the zero of the monotonic clock in calls and heartbeats.
 	Start time.Time
 
@@ -67,7 +71,7 @@
 	if err != nil {
 		return nil, nil, fault.At("dial peer", string(peer.Instance), err)
 	}
-	s, err := newSession(conn, false, e)
+	s, err := e.open(ctx, conn, peer.Instance)
 	if err != nil {
 		conn.Close()
 		return nil, nil, err
@@ -80,6 +84,21 @@
 	return s, r, nil
 }
 
+// open secures a connection that this node opened.
+func (e *Endpoint) open(ctx context.Context, conn net.Conn, peer model.Instance) (*Session, error) {
+	counting := &countingConn{Conn: conn}
+	if e.Security == nil {
+		return newSession(counting, counting, false, e)
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	secured, err := e.Security.client(ctx, counting, peer)
+	if err != nil {
+		return nil, err
+	}
+	return newSession(counting, secured, false, e)
+}
+
 // greet exchanges hellos on a session that this node opened.
 func (e *Endpoint) greet(s *Session, peer model.Member, probe bool) (*bufio.Reader, error) {
 	stream, err := s.yamux.OpenStream()
@@ -112,7 +131,8 @@
 		return nil, fault.New("read hello", "", "first frame is no hello")
 	}
 	s.peer = fromHello(h)
-	return h, nil
+	err := speaksFor(s.stream, s.peer.Instance)
+	return h, fault.At("check certificate", string(s.peer.Instance), err)
 }
 
 // Serve accepts sessions on l until t is dying.
@@ -131,14 +151,15 @@
 }
 
 func (e *Endpoint) accept(conn net.Conn) {
-	s, err := newSession(conn, true, e)
+	s, err := e.take(conn)
 	if err != nil {
-		conn.Close()
+		e.refuse(conn, err)
 		return
 	}
 	timeout := time.AfterFunc(handshakeTimeout, s.Close)
 	r, probe, err := e.welcome(s)
 	if err != nil || !timeout.Stop() {
+		e.refuse(conn, err)
 		s.Close()
 		return
 	}
@@ -154,6 +175,28 @@
 	s.serveCalls(e.Calls)
 }
 
+func (e *Endpoint) refuse(conn net.Conn, err error) {
+	conn.Close()
+	if e.Refused != nil && err != nil {
+		e.Refused(conn.RemoteAddr().String(), err)
+	}
+}
+
+// take secures a connection that a peer opened.
+func (e *Endpoint) take(conn net.Conn) (*Session, error) {
+	counting := &countingConn{Conn: conn}
+	if e.Security == nil {
+		return newSession(counting, counting, true, e)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	secured, err := e.Security.server(ctx, counting)
+	if err != nil {
+		return nil, err
+	}
+	return newSession(counting, secured, true, e)
+}
+
 // welcome exchanges hellos on a session that the peer opened. It reports
 // whether the peer only probes.
 func (e *Endpoint) welcome(s *Session) (*bufio.Reader, bool, error) {
--- a/transport/peerlink/session.go
+++ b/transport/peerlink/session.go
@@ -43,6 +43,7 @@
 	peer    model.Member
 	yamux   *yamux.Session
 	conn    *countingConn
+	stream  net.Conn // conn, or TLS on it
 	control *yamux.Stream
 	out     *ring.Ring[*wire.ControlFrame]
 	clock   clock
@@ -126,21 +127,22 @@
 	}
 }
 
-func newSession(conn net.Conn, server bool, e *Endpoint) (*Session, error) {
-	counting := &countingConn{Conn: conn}
+// newSession opens a session on stream, whose bytes conn counts.
+func newSession(conn *countingConn, stream net.Conn, server bool, e *Endpoint) (*Session, error) {
 	open := yamux.Client
 	if server {
 		open = yamux.Server
 	}
-	y, err := open(counting, yamuxConfig())
+	y, err := open(stream, yamuxConfig())
 	if err != nil {
 		return nil, fault.At("open session", conn.RemoteAddr().String(), err)
 	}
 	return &Session{
-		yamux: y,
-		conn:  counting,
-		out:   ring.New[*wire.ControlFrame]("control", controlCapacity),
-		clock: clock{start: e.Start},
-		total: &e.calls,
+		yamux:  y,
+		conn:   conn,
+		stream: stream,
+		out:    ring.New[*wire.ControlFrame]("control", controlCapacity),
+		clock:  clock{start: e.Start},
+		total:  &e.calls,
 	}, nil
 }
