Bound the bytes that a node holds and test cut answers

Cause: both nodes hold answers of up to 64 MiB each without a common bound, so that slots times 64 MiB could be held.

Setting held_bytes (256 MiB by default): calls are refused as not run above half of it, and a body that would exceed it fails its own call.

--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/oleanderworks/oleanderworks/agent/admission"
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/transport/target"
@@ -17,6 +18,8 @@
 type Server struct {
 	Admission *ring.Ring[admission.Message]
 	Target    *target.Client
+	// Held bounds the bytes of calls and answers; nil for no bound.
+	Held *budget.Bytes
 	// Leaving refuses new calls while the node shuts down.
 	Leaving atomic.Bool
 }
@@ -27,6 +30,9 @@
 	if s.Leaving.Load() {
 		return model.Refusal(call.ID, model.ReasonTargetLeaving, "the target's node is shutting down")
 	}
+	if s.Held != nil && !s.Held.HasRoom() {
+		return model.Refusal(call.ID, model.ReasonNodeBusy, budget.ErrExceeded.Error())
+	}
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
 	arrive := &admission.Arrive{
--- a/agent/node.go
+++ b/agent/node.go
@@ -21,6 +21,7 @@
 	"github.com/oleanderworks/oleanderworks/agent/local"
 	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
@@ -50,6 +51,7 @@
 	log      *event.Log
 	service  logservice.Log
 	vars     *expvar.Map
+	held     *budget.Bytes
 
 	routing    *duty.Duty[routingduty.Message]
 	admission  *duty.Duty[admissionduty.Message]
@@ -87,6 +89,7 @@
 		service:  log,
 		log:      event.New(out.Named(s.Instance)),
 		vars:     new(expvar.Map).Init(),
+		held:     budget.NewBytes(s.HeldBytes),
 		leaving:  leaving{done: make(chan struct{})},
 	}
 	if err := n.listen(); err != nil {
@@ -120,10 +123,10 @@
 	}
 	n.admission = admissionduty.New(admission.New(self), n.log)
 	n.routing = routingduty.New(routing.New(self, newRand()), n.log)
-	n.local = &local.Server{Admission: n.admission.Ring(), Target: client}
+	n.local = &local.Server{Admission: n.admission.Ring(), Target: client, Held: n.held}
 	dispatcher := links.NewDispatcher(n.log)
 	start := time.Now()
-	n.endpoint = &peerlink.Endpoint{Self: n.member, Calls: n.local.Serve, Start: start, Security: n.security, Refused: n.onPeerRefused}
+	n.endpoint = &peerlink.Endpoint{Self: n.member, Calls: n.local.Serve, Start: start, Security: n.security, Held: n.held, Refused: n.onPeerRefused}
 	n.links, n.sessions = links.New(n.tomb.Context(context.Background()), self, link.New(newRand(), start), n.endpoint, n.onHeard, n.log)
 	n.endpoint.Accepted = n.sessions.Accept
 	n.endpoint.Control = n.sessions.Control(dispatcher, n.onGoodbye)
@@ -148,6 +151,7 @@
 	n.vars.Set("admission", n.admission.Vars())
 	n.vars.Set("follower", n.follower.Vars())
 	n.vars.Set("links", n.links.Vars())
+	n.vars.Set("held_bytes", n.held.Var())
 	n.vars.Set("membership", n.membership.Vars())
 }
 
@@ -218,8 +222,8 @@
 		})
 	}
 	n.tomb.Go(func() error { return n.endpoint.Serve(&n.tomb, n.listeners.peer) })
-	n.callers = n.serveHTTP(n.callersListener, n.closing(caller.NewHandler(n.serve, false)))
-	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.serve, true))
+	n.callers = n.serveHTTP(n.callersListener, n.closing(caller.NewHandler(n.serve, false, n.held)))
+	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.serve, true, n.held))
 	n.serveHTTP(n.listeners.ops, n.operatorsHandler())
 	n.tomb.Go(func() error {
 		n.watchTarget(ctx)
--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -98,6 +98,7 @@
 		}
 		assert.Equal(t, text, "filed")
 		assert.Equal(t, resp.Header.Get("Oleander-Run"), "completed")
+		assert.Equal(t, resp.ContentLength, int64(len("filed")), "a cut must be visible to the caller")
 		return poll.Success()
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
 	assert.Equal(t, seenBody, "42 head")
--- a/agent/shutdown.go
+++ b/agent/shutdown.go
@@ -9,6 +9,7 @@
 	"time"
 
 	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/model"
@@ -84,11 +85,14 @@
 	return n.endpoint.InProgress() + int(n.leaving.callers.Load())
 }
 
-// serve answers a request unless the node is leaving.
+// serve answers a request unless the node is leaving or holds too many bytes.
 func (n *Node) serve(ctx context.Context, req *model.Request) *model.Answer {
 	if n.leaving.refusing.Load() && !req.FromTarget {
 		return model.Refusal(req.ID, model.ReasonTargetLeaving, "the node is shutting down")
 	}
+	if !n.held.HasRoom() {
+		return model.Refusal(req.ID, model.ReasonNodeBusy, budget.ErrExceeded.Error())
+	}
 	return n.entry.Serve(ctx, req)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,7 @@
 	Entry []string `yaml:"entry"` // services for which the node takes calls; its own by default
 
 	DrainTime time.Duration `yaml:"drain_time"` // for running calls at shutdown
+	HeldBytes int64         `yaml:"held_bytes"` // bound on request and answer bytes in memory; 0 for 256 MiB
 	LogLevel  string        `yaml:"log_level"`  // debug, info, warn or error
 	Insecure  bool          `yaml:"insecure"`   // plain TCP between nodes
 	TLS       *TLS          `yaml:"tls"`        // mutual TLS between nodes
@@ -85,6 +86,9 @@
 	if err := n.CheckSecurity(); err != nil {
 		return err
 	}
+	if n.HeldBytes < 0 {
+		return errors.Errorf("field held_bytes is %d, want 0 or more", n.HeldBytes)
+	}
 	if n.DrainTime < 0 {
 		return errors.Errorf("field drain_time is %s, want 0 or more", n.DrainTime)
 	}
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/uptrace/bunrouter"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
@@ -41,11 +42,14 @@
 type Backend func(ctx context.Context, req *model.Request) *model.Answer
 
 // NewHandler returns the HTTP handler for callers. fromTarget is true for the
-// loopback listener on which the node's own target calls.
-func NewHandler(backend Backend, fromTarget bool) http.Handler {
+// loopback listener on which the node's own target calls. held bounds the
+// bytes of requests and answers; nil for no bound.
+func NewHandler(backend Backend, fromTarget bool, held *budget.Bytes) http.Handler {
 	router := bunrouter.New()
 	serve := func(w http.ResponseWriter, r bunrouter.Request) error {
-		handle(w, r, backend, fromTarget)
+		lease := held.Lease()
+		defer lease.Release()
+		handle(w, r.WithContext(budget.With(r.Context(), lease)), backend, fromTarget)
 		return nil
 	}
 	methods := []string{
@@ -73,6 +77,9 @@
 	if errors.As(err, &tooLarge) {
 		return model.Refusal(req.ID, model.ReasonTooLarge, err.Error())
 	}
+	if errors.Is(err, budget.ErrExceeded) {
+		return model.Refusal(req.ID, model.ReasonNodeBusy, err.Error())
+	}
 	return model.Refusal(req.ID, model.ReasonBadRequest, err.Error())
 }
 
@@ -95,7 +102,7 @@
 		return req, errors.Wrap(err, "read request body")
 	}
 	req.Body = body
-	return req, nil
+	return req, budget.From(r.Context()).Take(len(body))
 }
 
 // targetPath cuts the service from the path and keeps the query.
--- a/transport/peerlink/call.go
+++ b/transport/peerlink/call.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
@@ -74,14 +75,14 @@
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { abort(stream) })
 	defer stop()
-	answer, err := a.exchange(stream)
+	answer, err := a.exchange(stream, budget.From(ctx))
 	if err != nil {
 		answer = a.failure(ctx, err)
 	}
 	a.answer <- answer
 }
 
-func (a *attempt) exchange(stream *yamux.Stream) (*model.Answer, error) {
+func (a *attempt) exchange(stream *yamux.Stream, lease *budget.Lease) (*model.Answer, error) {
 	w := bufio.NewWriter(stream)
 	now := time.Now()
 	sent := a.session.clock.sent(now)
@@ -91,7 +92,7 @@
 	if err := w.Flush(); err != nil {
 		return nil, fault.At("send call", "", err)
 	}
-	return wire.ReadAnswer(bufio.NewReader(stream), a.call.ID)
+	return wire.ReadAnswer(bufio.NewReader(stream), a.call.ID, lease.Take)
 }
 
 // failure says honestly whether the call may have run.
@@ -133,15 +134,17 @@
 	s.count(1)
 	defer s.count(-1)
 	defer stream.Close()
+	lease := s.held.Lease()
+	defer lease.Release()
 	r := bufio.NewReader(stream)
-	call, err := wire.ReadCall(r, s.clock.arrival)
+	call, err := wire.ReadCall(r, s.clock.arrival, lease.Take)
 	if err != nil {
 		return
 	}
 	if call.Entry.Instance != s.peer.Instance {
 		return // a peer may speak only for its own instance
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(budget.With(context.Background(), lease))
 	defer cancel()
 	go func() {
 		// The caller sends nothing more; the read ends when it goes away.
--- /dev/null
+++ b/transport/peerlink/call_test.go
@@ -0,0 +1,159 @@
+package peerlink
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/core/budget"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+func dial(t *testing.T, e *Endpoint, peer model.Member) *Session {
+	t.Helper()
+	s, err := e.Dial(context.Background(), peer)
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func callWith(id model.CallID, body string) *model.Call {
+	call := &model.Call{ID: id, Body: []byte(body), Deadline: time.Now().Add(10 * time.Second)}
+	call.Entry.Instance = "registry-1"
+	return call
+}
+
+// Guards against an answer that comes after its call was cancelled and
+// reaches another caller on the same link.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	release := make(chan struct{})
+	peer := newEndpoint("tally-1", nil)
+	peer.Calls = func(ctx context.Context, call *model.Call) *model.Answer {
+		if call.ID == 1 {
+			<-release
+		}
+		return answerAll(ctx, call)
+	}
+	at, _ := listen(t, peer)
+	s := dial(t, newEndpoint("registry-1", nil), at)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	late := s.Call(ctx, callWith(1, "first"))
+	assert.Equal(t, late.Reason, model.ReasonDeadline)
+	assert.Equal(t, late.Run, model.RunUnknown)
+	close(release)
+	for id := model.CallID(2); id < 50; id++ {
+		answer := s.Call(context.Background(), callWith(id, "second"))
+		assert.Equal(t, answer.ID, id)
+		assert.Equal(t, string(answer.Body), "second")
+	}
+}
+
+// Guards against crossed answers when many calls share a link.
+func TestCrossedAnswersReachTheirCallers(t *testing.T) {
+	peer := newEndpoint("tally-1", nil)
+	peer.Calls = func(ctx context.Context, call *model.Call) *model.Answer {
+		time.Sleep(time.Duration(call.ID%7) * time.Millisecond)
+		return answerAll(ctx, call)
+	}
+	at, _ := listen(t, peer)
+	s := dial(t, newEndpoint("registry-1", nil), at)
+	var wait sync.WaitGroup
+	for id := model.CallID(1); id <= 200; id++ {
+		wait.Go(func() {
+			body := bytes.Repeat([]byte{byte(id)}, int(id)*300)
+			answer := s.Call(context.Background(), callWith(id, string(body)))
+			assert.Check(t, bytes.Equal(answer.Body, body))
+		})
+	}
+	wait.Wait()
+}
+
+// Guards against callers that hang when the peer's connection takes no more
+// bytes, and against a call said to have run although its end was not sent.
+func TestStuckWriteDoesNotHangCallers(t *testing.T) {
+	peer := newEndpoint("tally-1", nil)
+	at, _ := listen(t, peer)
+	stuck := newStuckRelay(t, at.PeerAddress)
+	s := dial(t, newEndpoint("registry-1", nil), testMember("tally-1", stuck.address))
+	assert.Equal(t, callOnce(t, s, "registry-1").Run, model.Completed)
+	stuck.stop()
+	body := string(make([]byte, 4<<20))
+	var wait sync.WaitGroup
+	for id := model.CallID(1); id <= 8; id++ {
+		wait.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			begin := time.Now()
+			answer := s.Call(ctx, callWith(id, body))
+			assert.Check(t, time.Since(begin) < time.Second)
+			assert.Check(t, answer.Run == model.NotRun, "4 MiB do not fit a window of 256 KiB")
+		})
+	}
+	wait.Wait()
+}
+
+// Guards against answers that fill a node's memory.
+func TestAnswersStayWithinTheBudget(t *testing.T) {
+	peer := newEndpoint("tally-1", nil)
+	peer.Calls = func(_ context.Context, call *model.Call) *model.Answer {
+		return &model.Answer{ID: call.ID, Run: model.Completed, Status: 200, Body: make([]byte, 1<<20)}
+	}
+	at, _ := listen(t, peer)
+	s := dial(t, newEndpoint("registry-1", nil), at)
+	held := budget.NewBytes(512 << 10)
+	lease := held.Lease()
+	answer := s.Call(budget.With(context.Background(), lease), callWith(1, ""))
+	assert.Equal(t, answer.Reason, model.ReasonAnswerCut)
+	assert.Equal(t, answer.Run, model.RunUnknown)
+	lease.Release()
+	assert.Equal(t, held.Held(), int64(0))
+}
+
+// stuckRelay passes bytes on until it is stopped; then it reads no more.
+type stuckRelay struct {
+	address string
+	gate    sync.RWMutex
+}
+
+func newStuckRelay(t *testing.T, to string) *stuckRelay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &stuckRelay{address: l.Addr().String()}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		in, err := l.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", to)
+		if err != nil {
+			return
+		}
+		go r.copy(in, out)
+		r.copy(out, in)
+	}()
+	return r
+}
+
+func (r *stuckRelay) copy(to io.Writer, from io.Reader) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		r.gate.RLock()
+		_, _ = to.Write(buffer[:n])
+		r.gate.RUnlock()
+	}
+}
+
+func (r *stuckRelay) stop() { r.gate.Lock() }
--- a/transport/peerlink/endpoint.go
+++ b/transport/peerlink/endpoint.go
@@ -9,6 +9,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
@@ -29,6 +30,8 @@
 	Accepted func(s *Session)
 	// Security proves identities; nil for plain TCP.
 	Security *Security
+	// Held bounds the bytes of calls and answers; nil for no bound.
+	Held *budget.Bytes
 	// Refused is called for each connection that was not accepted.
 	Refused func(address string, err error)
 	// Start is the zero of the monotonic clock in calls and heartbeats.
--- a/transport/peerlink/session.go
+++ b/transport/peerlink/session.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
@@ -49,6 +50,7 @@
 	clock   clock
 	calls   atomic.Int64
 	total   *atomic.Int64 // calls of all sessions of the endpoint
+	held    *budget.Bytes
 }
 
 func yamuxConfig() *yamux.Config {
@@ -144,5 +146,6 @@
 		out:    ring.New[*wire.ControlFrame]("control", controlCapacity),
 		clock:  clock{start: e.Start},
 		total:  &e.calls,
+		held:   e.Held,
 	}, nil
 }
--- a/transport/target/client.go
+++ b/transport/target/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
@@ -89,7 +90,10 @@
 		return failure(ctx, call.ID, err, written.Load())
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(&leasedReader{resp.Body, budget.From(ctx)}, wire.MaxBodyBytes+1))
+	if errors.Is(err, budget.ErrExceeded) {
+		return model.Failure(call.ID, model.ReasonTooLarge, err.Error())
+	}
 	if err != nil {
 		return failure(ctx, call.ID, err, true)
 	}
@@ -105,6 +109,21 @@
 	}
 }
 
+// leasedReader takes room for each byte that it reads.
+type leasedReader struct {
+	io.Reader
+	lease *budget.Lease
+}
+
+// Read implements io.Reader. It fails with budget.ErrExceeded.
+func (r *leasedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if taken := r.lease.Take(n); taken != nil {
+		return 0, taken
+	}
+	return n, err
+}
+
 func (c *Client) request(ctx context.Context, call *model.Call, contextID string) (*http.Request, error) {
 	path := strings.TrimSuffix(c.base.String(), "/") + call.Path
 	req, err := http.NewRequestWithContext(ctx, call.Method, path, onceBody{bytes.NewReader(call.Body)})
--- /dev/null
+++ b/transport/target/cut_test.go
@@ -0,0 +1,50 @@
+package target
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/core/budget"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+func do(t *testing.T, h http.HandlerFunc, ctx context.Context) *model.Answer {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	client, err := New(server.URL, 4)
+	assert.NilError(t, err)
+	call := &model.Call{ID: 7, Method: http.MethodPost, Path: "/tallies", Deadline: time.Now().Add(5 * time.Second)}
+	return client.Do(ctx, call, "context")
+}
+
+// Guards against a target's cut answer that is passed on as a whole one.
+func TestCutAnswerOfTargetIsAFailure(t *testing.T) {
+	answer := do(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "ten bytes.")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}, context.Background())
+	assert.Equal(t, answer.Reason, model.ReasonTargetFailed)
+	assert.Equal(t, answer.Run, model.RunUnknown)
+}
+
+// Guards against a large answer of a target that fills the node's memory.
+func TestAnswerBeyondBudgetIsAFailure(t *testing.T) {
+	held := budget.NewBytes(1 << 20)
+	lease := held.Lease()
+	answer := do(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 2<<20))
+	}, budget.With(context.Background(), lease))
+	assert.Equal(t, answer.Reason, model.ReasonTooLarge)
+	assert.Equal(t, answer.Run, model.RunUnknown)
+	lease.Release()
+	assert.Equal(t, held.Held(), int64(0))
+}
--- a/transport/wire/call.go
+++ b/transport/wire/call.go
@@ -55,8 +55,9 @@
 // ReadCall reads a call. arrival is called when the head was read and returns
 // the time and how long the head was on the way. The likely time on the way
 // is taken from the deadline, and the longest possible one from the life of
-// the token, since a token must not be used after its life.
-func ReadCall(r *bufio.Reader, arrival func(sent time.Duration) (time.Time, Transit)) (*model.Call, error) {
+// the token, since a token must not be used after its life. take is asked for
+// room for the body.
+func ReadCall(r *bufio.Reader, arrival func(sent time.Duration) (time.Time, Transit), take func(n int) error) (*model.Call, error) {
 	var f CallFrame
 	if err := ReadFrame(r, &f); err != nil {
 		return nil, err
@@ -70,7 +71,7 @@
 	if err != nil {
 		return nil, fault.At("read call", head.GetEntry().GetInstance(), err)
 	}
-	c.Body, err = readBody(r)
+	c.Body, err = readBody(r, take)
 	return c, fault.At("read call body", head.GetEntry().GetInstance(), err)
 }
 
@@ -129,8 +130,9 @@
 }
 
 // ReadAnswer reads the answer to the call with the given id. An answer to
-// another call is an error, so that it reaches nobody.
-func ReadAnswer(r *bufio.Reader, id model.CallID) (*model.Answer, error) {
+// another call is an error, so that it reaches nobody. take is asked for room
+// for the body.
+func ReadAnswer(r *bufio.Reader, id model.CallID, take func(n int) error) (*model.Answer, error) {
 	var f CallFrame
 	if err := ReadFrame(r, &f); err != nil {
 		return nil, err
@@ -155,7 +157,7 @@
 		TargetLost:  h.GetTargetLost(),
 		Load:        ToLoad(h.GetLoad()),
 	}
-	body, err := readBody(r)
+	body, err := readBody(r, take)
 	if err != nil {
 		return nil, fault.At("read answer body", "", err)
 	}
