--- a/agent/links/duty.go
+++ b/agent/links/duty.go
@@ -200,21 +200,19 @@
 func (h *Handler) onHeartbeat(now time.Time, m *Heartbeat) {
 	id, f := h.ids[m.Session], m.Frame
 	h.core.OnHeartbeat(now, id, link.Heartbeat{
-		Sequence:     f.GetSequence(),
-		Sent:         time.Duration(f.GetSentNs()),
-		EchoSequence: f.GetEchoSequence(),
-		EchoSent:     time.Duration(f.GetEchoSentNs()),
-		EchoHeld:     time.Duration(f.GetEchoHeldNs()),
+		Sent:     micros(f.GetSentUs()),
+		EchoSent: micros(f.GetEchoSentUs()),
+		EchoHeld: micros(f.GetEchoHeldUs()),
 	})
 	at := now
 	if o, ok := h.core.Offset(now, id); ok {
 		m.Session.SetOffset(o.Value, o.Bound)
 		// A heartbeat that waited, here or on the way, tells of an earlier
 		// time than its arrival.
-		_, worst := o.Transit(time.Duration(f.GetSentNs()), now.Sub(h.endpoint.Start))
+		_, worst := o.Transit(micros(f.GetSentUs()), now.Sub(h.endpoint.Start))
 		at = now.Add(-worst)
 	}
-	h.heard(m.Session.Peer(), at, wire.ToLoad(f.GetLoad()), time.Duration(f.GetContactAgeNs()))
+	h.heard(m.Session.Peer(), at, wire.ToLoad(f.GetLoad()), micros(f.GetContactAgeUs()))
 }
 
 // wanted lists the members of the followed services and of the newest quorum
@@ -276,19 +274,19 @@
 func (h *Handler) heartbeat(b link.Heartbeat) *wire.ControlFrame {
 	age := int64(-1)
 	if !h.report.Contact.IsZero() {
-		age = int64(time.Since(h.report.Contact))
+		age = time.Since(h.report.Contact).Microseconds()
 	}
 	return &wire.ControlFrame{Kind: &wire.ControlFrame_Heartbeat{Heartbeat: &wire.Heartbeat{
-		Sequence:     b.Sequence,
-		SentNs:       int64(b.Sent),
-		EchoSequence: b.EchoSequence,
-		EchoSentNs:   int64(b.EchoSent),
-		EchoHeldNs:   int64(b.EchoHeld),
+		SentUs:       b.Sent.Microseconds(),
+		EchoSentUs:   b.EchoSent.Microseconds(),
+		EchoHeldUs:   b.EchoHeld.Microseconds(),
 		Load:         wire.FromLoad(h.report.Load),
-		ContactAgeNs: age,
+		ContactAgeUs: age,
 	}}}
 }
 
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 func (h *Handler) dial(peer model.Member) {
 	s, err := h.endpoint.Dial(h.ctx, peer)
 	_ = h.inbox.Put(h.ctx, &Dialed{Peer: peer, Session: s, Err: err})
--- /dev/null
+++ b/policy/link/bench_test.go
@@ -0,0 +1,37 @@
+package link
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkSecond is the link policy's work in one second: progress at four
+// ticks and a heartbeat each way on each link.
+func BenchmarkSecond(b *testing.B) {
+	for _, peers := range []int{10, 50, 110} {
+		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
+			c := newCore()
+			for i := range peers {
+				c.OnAccepted(epoch, SessionID(i+1))
+			}
+			now, received := epoch, int64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				for range 4 {
+					now = now.Add(tickPeriod)
+					received += 100
+					for i := range peers {
+						c.OnProgress(now, SessionID(i+1), received, 0)
+					}
+					c.Tick(now)
+				}
+				for i := range peers {
+					h := Heartbeat{Sent: now.Sub(epoch), EchoSent: now.Sub(epoch) - time.Millisecond}
+					c.OnHeartbeat(now, SessionID(i+1), h)
+				}
+				c.Actions()
+			}
+		})
+	}
+}
--- a/policy/link/core.go
+++ b/policy/link/core.go
@@ -38,11 +38,9 @@
 // Heartbeat is the part of a heartbeat that the link policy uses. Times are
 // on the sender's monotonic clock.
 type Heartbeat struct {
-	Sequence     uint64
-	Sent         time.Duration
-	EchoSequence uint64        // latest heartbeat that the sender received; 0 for none
-	EchoSent     time.Duration // its Sent
-	EchoHeld     time.Duration // time between its receipt and this heartbeat
+	Sent     time.Duration // above zero
+	EchoSent time.Duration // Sent of the latest heartbeat that the sender received; 0 for none
+	EchoHeld time.Duration // time between its receipt and this heartbeat
 }
 
 // ActionKind tells what the node does for a link.
@@ -173,10 +171,10 @@
 		return
 	}
 	received := now.Sub(c.start)
-	if h.EchoSequence != 0 {
+	if h.EchoSent != 0 {
 		s.clock.observe(h.EchoSent, received, h.Sent, h.EchoHeld)
 	}
-	first := s.heard.Sequence == 0
+	first := s.heard.Sent == 0
 	s.heard = h
 	s.heardAt = now
 	if first {
--- a/policy/link/session.go
+++ b/policy/link/session.go
@@ -31,11 +31,10 @@
 	progressAt  time.Time // when received last grew
 	silentSince time.Time
 
-	sequence uint64 // of the latest heartbeat sent
-	beatAt   time.Time
-	heard    Heartbeat
-	heardAt  time.Time
-	clock    clock
+	beatAt  time.Time
+	heard   Heartbeat
+	heardAt time.Time
+	clock   clock
 }
 
 func newSessionMachine() *chart.Machine[*session] {
@@ -75,10 +74,8 @@
 // beat sends a heartbeat that echoes the latest one of the peer.
 func (s *session) beat(now time.Time) {
 	s.beatAt = now.Add(HeartbeatPeriod)
-	s.sequence++
-	h := Heartbeat{Sequence: s.sequence, Sent: now.Sub(s.core.start)}
-	if s.heard.Sequence != 0 {
-		h.EchoSequence = s.heard.Sequence
+	h := Heartbeat{Sent: now.Sub(s.core.start)}
+	if s.heard.Sent != 0 {
 		h.EchoSent = s.heard.Sent
 		h.EchoHeld = now.Sub(s.heardAt)
 	}
--- a/policy/membership/peer.go
+++ b/policy/membership/peer.go
@@ -80,11 +80,18 @@
 	if now.Sub(p.reportAt) >= reportPeriod {
 		p.step(now, eventReportDue)
 	}
-	if now.Sub(p.heardAt) >= silenceLimit+p.removalDelay() && now.Sub(p.appendAt) >= rankDelay {
+	if p.removalDue(now) {
 		p.step(now, eventRemovalDue)
 	}
 }
 
+// removalDue looks at the rank last: it costs a hash for each peer.
+func (p *peer) removalDue(now time.Time) bool {
+	silent := now.Sub(p.heardAt)
+	return silent >= silenceLimit+removalDelay && now.Sub(p.appendAt) >= rankDelay &&
+		silent >= silenceLimit+p.removalDelay()
+}
+
 func (p *peer) report() {
 	p.reportAt = p.now
 	if p.suspectAt.IsZero() {
--- a/transport/peerlink/security_test.go
+++ b/transport/peerlink/security_test.go
@@ -30,7 +30,7 @@
 	pem  []byte
 }
 
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t testing.TB) *authority {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
@@ -47,7 +47,7 @@
 }
 
 // issue writes the files of an instance into dir.
-func (a *authority) issue(t *testing.T, dir string, names ...string) *Security {
+func (a *authority) issue(t testing.TB, dir string, names ...string) *Security {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
--- a/transport/peerlink/session.go
+++ b/transport/peerlink/session.go
@@ -135,7 +135,7 @@
 	if server {
 		open = yamux.Server
 	}
-	y, err := open(stream, yamuxConfig())
+	y, err := open(&joiningConn{Conn: stream}, yamuxConfig())
 	if err != nil {
 		return nil, fault.At("open session", conn.RemoteAddr().String(), err)
 	}
--- a/transport/wire/fuzz_test.go
+++ b/transport/wire/fuzz_test.go
@@ -52,7 +52,7 @@
 func FuzzReadControl(f *testing.F) {
 	seeds := []*ControlFrame{
 		{Kind: &ControlFrame_Hello{Hello: &Hello{Node: &NodeID{Instance: "tally-1"}}}},
-		{Kind: &ControlFrame_Heartbeat{Heartbeat: &Heartbeat{Sequence: 1, EchoSequence: 1, Load: &Load{Limit: 4}}}},
+		{Kind: &ControlFrame_Heartbeat{Heartbeat: &Heartbeat{SentUs: 2, EchoSentUs: 1, Load: &Load{Limit: 4}}}},
 		{Kind: &ControlFrame_Goodbye{Goodbye: &Goodbye{}}},
 		{Kind: &ControlFrame_Payload{Payload: &Payload{Kind: KindProbe, Body: []byte{1, 2}}}},
 	}
