--- /dev/null
+++ b/agent/config.go
@@ -0,0 +1,126 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
+	"github.com/oleanderworks/oleanderworks/agent/appender"
+	"github.com/oleanderworks/oleanderworks/agent/follower"
+	"github.com/oleanderworks/oleanderworks/agent/links"
+	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
+	quorumduty "github.com/oleanderworks/oleanderworks/agent/quorum"
+	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
+	"github.com/oleanderworks/oleanderworks/core/duty"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/transport/peerlink"
+)
+
+// configuration is the part of a node that follows and writes the log.
+type configuration struct {
+	duty     *duty.Duty[follower.Message]
+	follower *follower.Handler
+	appender *duty.Duty[appender.Message]
+	seeds    *follower.Seeds
+}
+
+// buildConfiguration wires the follower and the appender. Contacts get the
+// state of the log contact.
+func (n *Node) buildConfiguration(sessions *links.Handler, dispatcher *links.Dispatcher, contacts ...follower.ContactSubscriber) {
+	ctx := n.tomb.Context(context.Background())
+	c := &n.configuration
+	c.appender = appender.New(ctx, n.service, newRand(), n.log)
+	c.seeds = follower.NewSeeds(sessions, seedDialer{n.endpoint}, n.settings.Peers, n.log)
+	c.duty, c.follower = follower.New(follower.Config{
+		Self:      n.member(),
+		Streams:   n.streams(),
+		Rand:      newRand(),
+		Checker:   invariant.New(n.log, nil),
+		Log:       n.log,
+		Peers:     c.seeds,
+		Append:    func(a *appender.Append) bool { return c.appender.Ring().Offer(a) },
+		Contacts:  contacts,
+		Snapshots: n.snapshotSubscribers(),
+	})
+	for kind, handler := range follower.PayloadHandlers(c.duty.Ring(), n.log) {
+		dispatcher.Register(kind, handler)
+	}
+	n.vars.Set("follower", c.duty.Vars())
+	n.vars.Set("appender", c.appender.Vars())
+}
+
+// snapshotSubscribers lists the duties that take new configurations.
+func (n *Node) snapshotSubscribers() []follower.Subscriber {
+	return []follower.Subscriber{
+		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
+		func(s *model.Snapshot) bool {
+			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
+		},
+		func(s *model.Snapshot) bool { return n.quorum.Ring().Offer(&quorumduty.SnapshotChanged{Snapshot: s}) },
+		func(s *model.Snapshot) bool {
+			return n.membership.Ring().Offer(&membershipduty.SnapshotChanged{Snapshot: s})
+		},
+		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
+	}
+}
+
+func (n *Node) startConfiguration(ctx context.Context) {
+	c := &n.configuration
+	c.appender.Start(&n.tomb)
+	c.duty.Start(&n.tomb)
+	for _, stream := range n.streams() {
+		n.tomb.Go(func() error {
+			c.follower.Read(ctx, n.service, stream, c.duty.Ring())
+			return nil
+		})
+	}
+	n.tomb.Go(func() error {
+		c.seeds.Run(ctx)
+		return nil
+	})
+}
+
+// seedDialer opens sessions to addresses whose instance is not known.
+type seedDialer struct{ endpoint *peerlink.Endpoint }
+
+// Dial implements follower.Dialer.
+func (d seedDialer) Dial(ctx context.Context, peer model.Member) (*peerlink.Session, error) {
+	return d.endpoint.Dial(ctx, model.Member{PeerAddress: peer.PeerAddress})
+}
+
+// streams lists the streams that the node follows.
+func (n *Node) streams() []string {
+	services := n.settings.Entry
+	if len(services) == 0 {
+		services = []string{n.settings.Service}
+	}
+	streams := []string{model.ConfigStream, model.GroupStream(model.Region(n.settings.Region))}
+	own := false
+	for _, s := range services {
+		own = own || s == n.settings.Service
+		streams = append(streams, model.MemberStream(model.Service(s)))
+	}
+	if !own {
+		streams = append(streams, model.MemberStream(model.Service(n.settings.Service)))
+	}
+	return streams
+}
+
+// appendGroup appends a composition of a quorum group. The duty proposes it
+// again when it does not come back from the log.
+func (n *Node) appendGroup(r model.GroupRecord) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		n.log.Emit(event.RecordMalformed, "error", errors.Wrap(err, "encode composition"))
+		return
+	}
+	n.configuration.appender.Ring().Offer(&appender.Append{
+		Stream: model.GroupStream(r.Region),
+		ID:     r.ID,
+		Body:   body,
+	})
+}
--- a/agent/links/duty.go
+++ b/agent/links/duty.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -48,12 +47,8 @@
 	Frame   *wire.Heartbeat
 }
 
-// SelfReport is what the node tells its peers in heartbeats. Contact is the
-// time at which it last had contact at first hand; zero for never.
-type SelfReport struct {
-	Load    model.Load
-	Contact time.Time
-}
+// SelfReport is what the node tells its peers in heartbeats.
+type SelfReport struct{ Load model.Load }
 
 func (*SnapshotChanged) linksMessage() {}
 func (*Dialed) linksMessage()          {}
@@ -66,9 +61,9 @@
 type Table map[model.Instance]*peerlink.Session
 
 // Heard takes a heartbeat that a peer sent at the time at, on this node's
-// clock. contactAge is negative when the peer never had contact. It runs on
-// the duty's thread and must not block.
-type Heard func(from model.Member, at time.Time, load model.Load, contactAge time.Duration)
+// clock, in answer to the own one that was sent at echoed; zero for none. It
+// runs on the duty's thread and must not block.
+type Heard func(from model.Member, at, echoed time.Time, load model.Load)
 
 // Handler is the logic of the links duty.
 type Handler struct {
@@ -212,25 +207,33 @@
 		_, worst := o.Transit(micros(f.GetSentUs()), now.Sub(h.endpoint.Start))
 		at = now.Add(-worst)
 	}
-	h.heard(m.Session.Peer(), at, wire.ToLoad(f.GetLoad()), micros(f.GetContactAgeUs()))
+	var echoed time.Time
+	if f.GetEchoSentUs() != 0 {
+		echoed = h.endpoint.Start.Add(micros(f.GetEchoSentUs()))
+	}
+	h.heard(m.Session.Peer(), at, echoed, wire.ToLoad(f.GetLoad()))
 }
 
-// wanted lists the members of the followed services and of the newest quorum
-// groups besides this node.
+// wanted lists the members of the snapshot besides this node, and the members
+// of quorum groups that serve other services.
 func (h *Handler) wanted(s *model.Snapshot) []model.Member {
-	found := make(map[model.Instance]model.Member)
-	for _, epochs := range s.Groups {
-		for _, m := range epochs[len(epochs)-1].Members {
-			found[m.Instance] = m
+	var out []model.Member
+	known := map[model.Instance]bool{h.self.Instance: true}
+	add := func(members []model.Member) {
+		for _, m := range members {
+			if !known[m.Instance] {
+				known[m.Instance] = true
+				out = append(out, m)
+			}
 		}
 	}
 	for _, members := range s.Members {
-		for _, m := range members {
-			found[m.Instance] = m
-		}
+		add(members)
+	}
+	for _, epochs := range s.Groups {
+		add(epochs[len(epochs)-1].Members)
 	}
-	delete(found, h.self.Instance)
-	return slices.Collect(maps.Values(found))
+	return out
 }
 
 func (h *Handler) act() {
@@ -272,16 +275,11 @@
 }
 
 func (h *Handler) heartbeat(b link.Heartbeat) *wire.ControlFrame {
-	age := int64(-1)
-	if !h.report.Contact.IsZero() {
-		age = time.Since(h.report.Contact).Microseconds()
-	}
 	return &wire.ControlFrame{Kind: &wire.ControlFrame_Heartbeat{Heartbeat: &wire.Heartbeat{
-		SentUs:       b.Sent.Microseconds(),
-		EchoSentUs:   b.EchoSent.Microseconds(),
-		EchoHeldUs:   b.EchoHeld.Microseconds(),
-		Load:         wire.FromLoad(h.report.Load),
-		ContactAgeUs: age,
+		SentUs:     b.Sent.Microseconds(),
+		EchoSentUs: b.EchoSent.Microseconds(),
+		EchoHeldUs: b.EchoHeld.Microseconds(),
+		Load:       wire.FromLoad(h.report.Load),
 	}}}
 }
 
--- a/agent/members.go
+++ b/agent/members.go
@@ -12,10 +12,11 @@
 	"google.golang.org/protobuf/proto"
 
 	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
+	"github.com/oleanderworks/oleanderworks/agent/appender"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
-	"github.com/oleanderworks/oleanderworks/logservice"
+	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/drain"
 	"github.com/oleanderworks/oleanderworks/policy/membership"
@@ -45,7 +46,7 @@
 		Contact:    n.offerContact,
 		Report:     n.offerReport,
 		SampleLoad: n.sampleLoad,
-		Append:     func(r *model.MemberRecord) { go n.appendMember(r) },
+		Append:     n.appendMember,
 		Reach:      func(to model.Instance, id uint64, m model.Member) { go n.reach(to, id, m) },
 		InFlight:   n.inFlight,
 		Shutdown:   n.shutdown,
@@ -56,7 +57,7 @@
 }
 
 func (n *Node) offerAvoided(i model.Instance, avoided bool) bool {
-	return n.routing.Ring().Offer(&routingduty.SuspectChanged{Instance: i, Avoided: avoided})
+	return n.routing.Ring().Offer(&routingduty.SuspectChanged{Instance: i, Suspect: avoided})
 }
 
 // offerContact may find a ring full: the message is repeated each tick, and
@@ -66,8 +67,8 @@
 	n.admission.Ring().Offer(&admissionduty.ContactChanged{Until: until})
 }
 
-func (n *Node) offerReport(l model.Load, firstHand time.Time) {
-	n.links.Ring().Offer(&links.SelfReport{Load: l, Contact: firstHand})
+func (n *Node) offerReport(l model.Load) {
+	n.links.Ring().Offer(&links.SelfReport{Load: l})
 }
 
 func (n *Node) sampleLoad() {
@@ -76,8 +77,8 @@
 	}})
 }
 
-func (n *Node) onHeard(from model.Member, at time.Time, l model.Load, contactAge time.Duration) {
-	n.membership.Ring().Offer(&membershipduty.Heard{From: from, At: at, Load: l, ContactAge: contactAge})
+func (n *Node) onHeard(from model.Member, at, echoed time.Time, l model.Load) {
+	n.membership.Ring().Offer(&membershipduty.Heard{From: from, At: at, Echoed: echoed, Load: l})
 }
 
 func (n *Node) onGoodbye(from model.Instance) {
@@ -113,16 +114,23 @@
 	n.sessions.Send(to, wire.KindProbe, &wire.Probe{Id: id, Answer: true, Reached: err == nil})
 }
 
-// appendMember makes one attempt to append a record; the policy repeats it.
+// appendMember hands a record to the appender, which finds a lost answer by
+// the record's id.
 func (n *Node) appendMember(r *model.MemberRecord) {
 	r.ID = uuid.NewString()
 	body, err := json.Marshal(r)
-	if err == nil {
-		ctx := n.tomb.Context(context.Background())
-		_, err = n.service.Append(ctx, model.MemberStream(r.Member.Service), r.ID, body)
+	if err != nil {
+		n.log.Emit(event.RecordMalformed, "error", errors.Wrap(err, "encode member record"))
+		return
 	}
-	done := &membershipduty.Appended{Record: r, Err: errors.Wrap(err, "append member record")}
-	_ = n.membership.Ring().Put(n.tomb.Context(context.Background()), done)
+	n.configuration.appender.Ring().Offer(&appender.Append{
+		Stream: model.MemberStream(r.Member.Service),
+		ID:     r.ID,
+		Body:   body,
+		Done: func(err error) {
+			n.membership.Ring().Offer(&membershipduty.Appended{Record: r, Err: err})
+		},
+	})
 }
 
 // watchTarget waits until the target accepts a connection.
@@ -145,25 +153,3 @@
 		}
 	}
 }
-
-// observedLog reports successful reads of the configuration to the
-// membership duty, which judges contact by them.
-type observedLog struct {
-	logservice.Log
-	read func(begun time.Time, retention time.Duration)
-}
-
-// Read implements logservice.Log. The time of a read is its begin: the answer
-// is at least that new, also when the process was paused before it looked.
-func (l *observedLog) Read(ctx context.Context, stream string, from logservice.Offset, opts logservice.ReadOptions) (logservice.Page, error) {
-	begun := time.Now()
-	page, err := l.Log.Read(ctx, stream, from, opts)
-	if err == nil && stream == model.ConfigStream {
-		l.read(begun, page.Retention)
-	}
-	return page, err
-}
-
-func (n *Node) onLogRead(begun time.Time, retention time.Duration) {
-	n.membership.Ring().Offer(&membershipduty.LogRead{Begun: begun, Retention: retention})
-}
--- a/agent/membership/duty.go
+++ b/agent/membership/duty.go
@@ -34,8 +34,8 @@
 	Load func(i model.Instance, l model.Load)
 	// Contact tells the other duties how long contact lasts.
 	Contact func(until time.Time)
-	// Report gives the links duty what heartbeats carry.
-	Report func(l model.Load, firstHand time.Time)
+	// Report gives the links duty the load that heartbeats carry.
+	Report func(l model.Load)
 	// SampleLoad asks for a LoadSampled.
 	SampleLoad func()
 	// Append starts the append of a record; an Appended follows.
@@ -56,8 +56,6 @@
 	drain     *drain.Core
 	out       Outputs
 	log       *event.Log
-	load      model.Load
-	firstHand time.Time
 	sampledAt time.Time
 	until     time.Time
 	avoided   map[model.Instance]bool // changes that the routing ring had no room for
@@ -103,7 +101,7 @@
 	case *SnapshotChanged:
 		h.core.OnSnapshot(now, m.Snapshot)
 	case *Heard:
-		h.core.OnHeard(now, m.At, m.From, m.ContactAge)
+		h.core.OnHeard(now, m.At, m.Echoed, m.From)
 		h.out.Load(m.From.Instance, m.Load)
 	case *TargetUp:
 		h.core.OnTargetUp(now)
@@ -118,12 +116,9 @@
 	case *SaidGoodbye:
 		h.log.Emit(event.PeerLeaving, "peer", m.From)
 		h.core.OnGoodbye(now, m.From)
-	case *LogRead:
-		h.core.OnLogRead(now, m.Begun, m.Retention)
 	case *LoadSampled:
-		h.load = m.Load
-		h.load.Draining = h.load.Draining || !h.drain.Running()
-		h.out.Report(h.load, h.firstHand)
+		m.Load.Draining = m.Load.Draining || !h.drain.Running()
+		h.out.Report(m.Load)
 	case *Stop:
 		h.drain.OnStop(now)
 		h.core.OnLeave(now)
@@ -191,7 +186,8 @@
 		h.log.Emit(event.WronglyRemoved, "incarnation", a.Peer.Incarnation)
 		h.out.Renamed(a.Peer)
 	case membership.Contact:
-		h.onContact(a)
+		h.until = a.Until
+		h.out.Contact(a.Until)
 	}
 }
 
@@ -202,13 +198,6 @@
 	h.out.Append(r)
 }
 
-func (h *Handler) onContact(a membership.Action) {
-	h.until = a.Until
-	h.firstHand = a.FirstHand
-	h.out.Contact(a.Until)
-	h.out.Report(h.load, h.firstHand)
-}
-
 // offerAvoided offers the routing duty the changes that it has not taken.
 func (h *Handler) offerAvoided() {
 	for i, avoided := range h.avoided {
--- a/agent/membership/messages.go
+++ b/agent/membership/messages.go
@@ -13,18 +13,18 @@
 type SnapshotChanged struct{ Snapshot *model.Snapshot }
 
 // Heard reports a heartbeat that a peer sent at the time At, on this node's
-// clock. ContactAge is negative when the peer never had contact.
+// clock. It answers the own heartbeat that was sent at Echoed; zero for none.
 type Heard struct {
-	From       model.Member
-	At         time.Time
-	Load       model.Load
-	ContactAge time.Duration
+	From   model.Member
+	At     time.Time
+	Echoed time.Time
+	Load   model.Load
 }
 
 // TargetUp reports that the node's target answers.
 type TargetUp struct{}
 
-// Appended reports the end of an append to the log.
+// Appended reports that the log holds a record, or that it was not taken.
 type Appended struct {
 	Record *model.MemberRecord
 	Err    error
@@ -55,12 +55,6 @@
 // SaidGoodbye reports that a peer is leaving.
 type SaidGoodbye struct{ From model.Instance }
 
-// LogRead reports a successful read of the configuration that began at Begun.
-type LogRead struct {
-	Begun     time.Time
-	Retention time.Duration
-}
-
 // LoadSampled carries the load of this node's target.
 type LoadSampled struct{ Load model.Load }
 
@@ -75,6 +69,5 @@
 func (*ProbeAnswered) membershipMessage()   {}
 func (*Suspected) membershipMessage()       {}
 func (*SaidGoodbye) membershipMessage()     {}
-func (*LogRead) membershipMessage()         {}
 func (*LoadSampled) membershipMessage()     {}
 func (*Stop) membershipMessage()            {}
--- a/agent/node.go
+++ b/agent/node.go
@@ -11,20 +11,23 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
 	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
 	"github.com/oleanderworks/oleanderworks/agent/entry"
-	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
 	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
+	"github.com/oleanderworks/oleanderworks/agent/quarantine"
+	quorumduty "github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/admission"
@@ -49,20 +52,22 @@
 	security *peerlink.Security           // nil for plain TCP
 	self     atomic.Pointer[model.Member] // changes when others removed the node
 	log      *event.Log
-	service  logservice.Log
+	service  *quorumduty.ContactLog
 	vars     *expvar.Map
 	held     *budget.Bytes
+	checker  *invariant.Checker
 
 	routing    *duty.Duty[routingduty.Message]
 	admission  *duty.Duty[admissionduty.Message]
 	membership *duty.Duty[membershipduty.Message]
-	follower   *duty.Duty[follower.Message]
 	links      *duty.Duty[links.Message]
+	quorum     *duty.Duty[quorumduty.Message]
+
+	configuration configuration
 
 	endpoint *peerlink.Endpoint
 	sessions *links.Handler
 	entry    *entry.Entry
-	local    *local.Server
 	callers  *http.Server
 
 	callersListener *caller.Listener
@@ -86,7 +91,7 @@
 	n := &Node{
 		settings: s,
 		security: security,
-		service:  log,
+		service:  quorumduty.NewContactLog(log, model.GroupStream(model.Region(s.Region))),
 		log:      event.New(out.Named(s.Instance)),
 		vars:     new(expvar.Map).Init(),
 		held:     budget.NewBytes(s.HeldBytes),
@@ -117,47 +122,82 @@
 	if err != nil {
 		return err
 	}
-	self := *n.self.Load()
 	if n.callersListener, err = caller.NewListener(n.listeners.call); err != nil {
 		return err
 	}
-	n.admission = admissionduty.New(admission.New(self), n.log)
-	n.routing = routingduty.New(routing.New(self, newRand()), n.log)
-	n.local = &local.Server{Admission: n.admission.Ring(), Target: client, Held: n.held}
+	ctx := n.tomb.Context(context.Background())
+	self := n.member()
 	dispatcher := links.NewDispatcher(n.log)
-	start := time.Now()
-	n.endpoint = &peerlink.Endpoint{Self: n.member, Calls: n.local.Serve, Start: start, Security: n.security, Held: n.held, Refused: n.onPeerRefused}
-	n.links, n.sessions = links.New(n.tomb.Context(context.Background()), self, link.New(newRand(), start), n.endpoint, n.onHeard, n.log)
-	n.endpoint.Accepted = n.sessions.Accept
-	n.endpoint.Control = n.sessions.Control(dispatcher, n.onGoodbye)
+	n.buildLinks(ctx, dispatcher)
+
+	n.checker = invariant.New(n.log, nil)
+	table := n.newQuarantine(n.sessions, dispatcher)
+	admissionCore := admission.New(self, admission.Options{Rand: newRand(), Check: n.checker, Quarantine: table})
+	n.admission = admissionduty.New(ctx, admissionCore, client, table, n.log)
+	quorumVars := n.buildQuorum(n.sessions, dispatcher)
+	var decisions *routingduty.Handler
+	n.routing, decisions = routingduty.New(routing.New(self, newRand(), n.checker), n.quorum.Ring(), n.log)
+	server := &local.Server{Admission: n.admission.Ring(), Target: client, Parents: n.routing.Ring(), Held: n.held}
+	n.endpoint.Calls = server.Serve
+	n.entry = &entry.Entry{Self: self, Routing: n.routing.Ring(), Sessions: n.sessions, Local: server.Serve}
 	n.buildMembership(dispatcher)
-	n.entry = &entry.Entry{Self: self, Routing: n.routing.Ring(), Sessions: n.sessions, Local: n.local.Serve}
-	n.follower = follower.New(n.log, []follower.Subscriber{
-		func(s *model.Snapshot) bool { return n.routing.Ring().Offer(&routingduty.SnapshotChanged{Snapshot: s}) },
-		func(s *model.Snapshot) bool {
-			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
-		},
-		func(s *model.Snapshot) bool {
-			return n.membership.Ring().Offer(&membershipduty.SnapshotChanged{Snapshot: s})
-		},
-		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
-	})
+	n.buildConfiguration(n.sessions, dispatcher)
+	n.vars.Set("calls", decisions.Vars())
+	n.vars.Set("quorum", quorumVars)
 	n.setVars()
 	return nil
 }
 
+// buildLinks wires the peer links.
+func (n *Node) buildLinks(ctx context.Context, dispatcher *links.Dispatcher) {
+	start := time.Now()
+	n.endpoint = &peerlink.Endpoint{Self: n.member, Security: n.security, Held: n.held, Refused: n.onPeerRefused, Start: start}
+	n.links, n.sessions = links.New(ctx, n.member(), link.New(newRand(), start), n.endpoint, n.onHeard, n.log)
+	n.endpoint.Accepted = n.sessions.Accept
+	n.endpoint.Control = n.sessions.Control(dispatcher, n.onGoodbye)
+}
+
 func (n *Node) setVars() {
 	n.vars.Set("routing", n.routing.Vars())
+	n.vars.Set("invariant_breaches", expvar.Func(func() any { return n.checker.Breaches() }))
 	n.vars.Set("admission", n.admission.Vars())
-	n.vars.Set("follower", n.follower.Vars())
+	n.vars.Set("membership", n.membership.Vars())
 	n.vars.Set("links", n.links.Vars())
 	n.vars.Set("held_bytes", n.held.Var())
-	n.vars.Set("membership", n.membership.Vars())
 }
 
 // member returns the member as which the node speaks now.
 func (n *Node) member() model.Member { return *n.self.Load() }
 
+// buildQuorum wires the votes, token leases and request records. It returns
+// their metrics.
+func (n *Node) buildQuorum(sessions *links.Handler, dispatcher *links.Dispatcher) *expvar.Map {
+	duty, vars := quorumduty.New(quorumduty.Config{
+		Self:    n.member(),
+		Send:    quorumduty.SendOver(sessions, n.log),
+		Append:  n.appendGroup,
+		Contact: n.service.Contact,
+		NewID:   uuid.NewString,
+		Rand:    newRand(),
+		Log:     n.log,
+		Checker: n.checker,
+	})
+	quorumduty.Register(dispatcher, duty.Ring(), n.log)
+	n.quorum = duty
+	return vars
+}
+
+// newQuarantine returns the quarantine table of the admission duty, which
+// talks to the other nodes of the service.
+func (n *Node) newQuarantine(s *links.Handler, d *links.Dispatcher) *quarantine.Table {
+	table := quarantine.New(n.member(), s, n.log)
+	n.vars.Set("quarantine", table.Vars())
+	quarantine.Register(d, n.log, func(news quarantine.News) bool {
+		return n.admission.Ring().Offer(&admissionduty.QuarantineNews{News: news})
+	})
+	return table
+}
+
 // newSecurity returns the node's proof of identity. The error says why the
 // node must not start.
 func newSecurity(s *settings.Node) (*peerlink.Security, error) {
@@ -210,17 +250,11 @@
 func (n *Node) Start() {
 	n.admission.Start(&n.tomb)
 	n.routing.Start(&n.tomb)
+	n.quorum.Start(&n.tomb)
 	n.links.Start(&n.tomb)
 	n.membership.Start(&n.tomb)
-	n.follower.Start(&n.tomb)
 	ctx := n.tomb.Context(context.Background())
-	log := &observedLog{Log: n.service, read: n.onLogRead}
-	for _, stream := range n.streams() {
-		n.tomb.Go(func() error {
-			follower.Read(ctx, log, stream, n.follower.Ring(), n.log)
-			return nil
-		})
-	}
+	n.startConfiguration(ctx)
 	n.tomb.Go(func() error { return n.endpoint.Serve(&n.tomb, n.listeners.peer) })
 	n.callers = n.serveHTTP(n.callersListener, n.closing(caller.NewHandler(n.serve, false, n.held)))
 	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.serve, true, n.held))
@@ -234,17 +268,6 @@
 		"calls", n.CallAddress(), "peers", self.PeerAddress, "operators", n.OpsAddress())
 }
 
-// streams lists the streams that the node follows.
-func (n *Node) streams() []string {
-	streams := []string{model.ConfigStream, model.MemberStream(model.Service(n.settings.Service))}
-	for _, s := range n.settings.Entry {
-		if s != n.settings.Service {
-			streams = append(streams, model.MemberStream(model.Service(s)))
-		}
-	}
-	return streams
-}
-
 // CallAddress returns the address for callers, IP:port.
 func (n *Node) CallAddress() string { return n.listeners.call.Addr().String() }
 
--- a/agent/shutdown.go
+++ b/agent/shutdown.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
 	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
 	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/event"
@@ -60,7 +61,7 @@
 	case drain.RefuseNew:
 		n.log.Emit(event.DrainBegun, "in_flight", n.inFlight())
 		n.leaving.refusing.Store(true)
-		n.local.Leaving.Store(true)
+		n.admission.Ring().Offer(&admissionduty.Drain{})
 		// The server itself goes on: http.Server.Shutdown drops requests that
 		// it has just read, without an answer.
 		n.callersListener.Stop()
--- a/model/call.go
+++ b/model/call.go
@@ -31,6 +31,7 @@
 type Token struct {
 	Group  int           // quorum group whose grantor gave it
 	Epoch  uint64        // term of the grantor
+	Grant  uint64        // the grant it is from; known at the entry node only
 	Expiry time.Time     // on the holder's monotonic clock
 	Life   time.Duration // remaining life when the call was sent
 }
@@ -65,7 +66,8 @@
 	RetryBudget int // extra executions that this call may still cause
 	Depth       int // 0 for an outside call
 	Deadline    time.Time
-	Fingerprint uint64
+	Fingerprint uint64     // of customer, method, path and body
+	LostOn      []Instance // targets that were lost while this request ran
 	Token       *Token
 	Claim       *Claim
 	Entry       NodeID
--- a/policy/membership/core.go
+++ b/policy/membership/core.go
@@ -4,6 +4,7 @@
 package membership
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -28,7 +29,8 @@
 	removalDelay = 30 * time.Second
 	// rankDelay separates the removers by rank, so that one append is enough.
 	rankDelay = 5 * time.Second
-	// appendRetry separates attempts to append an own record.
+	// appendRetry separates attempts to append an own record that was not
+	// taken.
 	appendRetry = time.Second
 	// probers is the number of peers asked to probe.
 	probers = 2
@@ -52,20 +54,19 @@
 	Lift                      // take the report on Peer back
 	Refute                    // tell To that this node hears Peer
 	Renamed                   // this node goes on as Peer, with a new incarnation
-	Contact                   // contact lasts until Until; FirstHand is what peers may rely on
+	Contact                   // contact lasts until Until
 )
 
 // Action is what the node does for its membership.
 type Action struct {
-	Kind      ActionKind
-	Peer      model.Member
-	To        model.Instance
-	Probe     uint64
-	Reached   bool
-	Avoided   bool
-	Record    *model.MemberRecord
-	Until     time.Time
-	FirstHand time.Time
+	Kind    ActionKind
+	Peer    model.Member
+	To      model.Instance
+	Probe   uint64
+	Reached bool
+	Avoided bool
+	Record  *model.MemberRecord
+	Until   time.Time
 }
 
 // Core holds the membership of one node. All methods run on one thread.
@@ -76,9 +77,11 @@
 	machine *chart.Machine[*peer]
 	peers   map[model.Instance]*peer
 	probes  map[uint64]*probe
-	contact contactState
 	pauseAt time.Time // end of the latest pause
 	out     []Action
+
+	configured []model.Zone // zones that the configuration places in this region
+	until      time.Time    // end of contact, as last told to the other duties
 }
 
 // New returns a core that knows no peers.
@@ -113,24 +116,32 @@
 // OnLeave starts the leave of this node.
 func (c *Core) OnLeave(now time.Time) { c.own.step(now, eventLeave) }
 
-// OnAppended reports the end of the append of an own record.
+// OnAppended reports that the log holds a record, or that it was not taken.
 func (c *Core) OnAppended(now time.Time, r *model.MemberRecord, ok bool) {
-	if ok && r.Leave && r.Member.NodeID == c.self.NodeID {
-		c.own.step(now, eventLeaveDone)
+	if r.Member.NodeID == c.self.NodeID {
+		c.own.onAppended(now, r.Leave, ok)
+		return
+	}
+	if p := c.peers[r.Member.Instance]; p != nil {
+		p.appending = false
+		p.appendAt = now
 	}
 }
 
 // OnSnapshot takes the members of the log and of the quorum groups.
 func (c *Core) OnSnapshot(now time.Time, s *model.Snapshot) {
-	listed := scope(s)
+	c.configured = zonesOf(s, c.self.Region)
+	listed := members(s)
 	own, ok := listed[c.self.Instance]
 	c.own.onListed(now, ok && own.NodeID == c.self.NodeID)
-	delete(listed, c.self.Instance)
-	for i, m := range listed {
+	known := scope(s, listed)
+	delete(known, c.self.Instance)
+	for i, m := range known {
 		c.list(now, i, m)
+		c.peers[i].listed = listed[i].NodeID == m.NodeID
 	}
 	for i, p := range c.peers {
-		if _, ok := listed[i]; !ok {
+		if _, ok := known[i]; !ok {
 			p.step(now, eventUnlisted)
 		}
 	}
@@ -150,15 +161,9 @@
 	c.peers[i] = &peer{core: c, member: m, heardAt: now, reports: make(map[model.Instance]report)}
 }
 
-// scope lists the members of the followed services and of the newest quorum
-// groups.
-func scope(s *model.Snapshot) map[model.Instance]model.Member {
+// members lists the members of the followed services.
+func members(s *model.Snapshot) map[model.Instance]model.Member {
 	out := make(map[model.Instance]model.Member)
-	for _, epochs := range s.Groups {
-		for _, m := range epochs[len(epochs)-1].Members {
-			out[m.Instance] = m
-		}
-	}
 	for _, members := range s.Members {
 		for _, m := range members {
 			out[m.Instance] = m
@@ -167,10 +172,24 @@
 	return out
 }
 
+// scope adds the members of the newest quorum groups, which may serve other
+// services or have been removed.
+func scope(s *model.Snapshot, listed map[model.Instance]model.Member) map[model.Instance]model.Member {
+	out := maps.Clone(listed)
+	for _, epochs := range s.Groups {
+		for _, m := range epochs[len(epochs)-1].Members {
+			if _, ok := listed[m.Instance]; !ok {
+				out[m.Instance] = m
+			}
+		}
+	}
+	return out
+}
+
 // OnHeard takes a heartbeat that the peer sent at the time at, on this node's
-// clock. contactAge is the peer's age of contact at first hand; negative for
-// none.
-func (c *Core) OnHeard(now, at time.Time, from model.Member, contactAge time.Duration) {
+// clock. It answers the heartbeat that this node sent at the time echoed; zero
+// for none.
+func (c *Core) OnHeard(now, at, echoed time.Time, from model.Member) {
 	p := c.peers[from.Instance]
 	if p == nil {
 		return
@@ -181,9 +200,7 @@
 	if now.Sub(at) >= silenceLimit {
 		return
 	}
-	if contactAge >= 0 {
-		p.contactAt = later(p.contactAt, c.afterPause(at.Add(-contactAge)))
-	}
+	p.echoedAt = later(p.echoedAt, c.afterPause(echoed))
 	p.directAt = later(p.directAt, c.afterPause(at))
 	p.step(now, eventHeard)
 }
@@ -195,21 +212,12 @@
 	}
 }
 
-// OnLogRead reports a successful read of the configuration that was begun at
-// the time begun, and how long the log keeps records.
-func (c *Core) OnLogRead(now, begun time.Time, retention time.Duration) {
-	c.contact.logReadAt = later(c.contact.logReadAt, c.afterPause(begun))
-	c.own.retention = retention
-	c.judgeContact(now)
-}
-
 // OnPaused drops what others may have changed while the process was paused.
 func (c *Core) OnPaused(now time.Time) {
 	c.pauseAt = now
-	c.contact.logReadAt = time.Time{}
 	for _, p := range c.peers {
 		p.heardAt = now
-		p.contactAt = time.Time{}
+		p.echoedAt = time.Time{}
 		p.directAt = time.Time{}
 		clear(p.reports)
 	}
--- a/policy/membership/own.go
+++ b/policy/membership/own.go
@@ -15,29 +15,23 @@
 	eventMissing
 	eventReachable
 	eventRetryDue
-	eventRefreshDue
 	eventLeave
 	eventLeaveDone
 )
 
-// refreshShare is the part of the log's retention after which a join is
-// appended again, so that it does not expire.
-const refreshShare = 0.6
-
 // ownMember is this node's entry in the members of its service.
 type ownMember struct {
-	core      *Core
-	machine   *chart.Machine[*ownMember]
-	now       time.Time
-	state     chart.StateID
-	appendAt  time.Time // latest append
-	retention time.Duration
+	core     *Core
+	machine  *chart.Machine[*ownMember]
+	now      time.Time
+	state    chart.StateID
+	failedAt time.Time // when the latest append failed; zero for none
 }
 
 func newOwnMember(c *Core) ownMember {
 	return ownMember{core: c, machine: chart.MustCompile(charts.MustRead("membership"), chart.Binding[*ownMember]{
 		States: []string{"waiting", "joining", "member", "removed", "leaving", "left"},
-		Events: []string{"target_up", "seen", "missing", "reachable", "retry_due", "refresh_due", "leave", "leave_done"},
+		Events: []string{"target_up", "seen", "missing", "reachable", "retry_due", "leave", "leave_done"},
 		Actions: map[string]func(*ownMember){
 			"append_join":     func(o *ownMember) { o.append(false) },
 			"append_leave":    func(o *ownMember) { o.append(true) },
@@ -65,17 +59,25 @@
 	if now.Sub(o.core.heard(now)) < silenceLimit {
 		o.step(now, eventReachable)
 	}
-	since := now.Sub(o.appendAt)
-	if since >= appendRetry {
+	if !o.failedAt.IsZero() && now.Sub(o.failedAt) >= appendRetry {
 		o.step(now, eventRetryDue)
 	}
-	if o.retention > 0 && since >= time.Duration(refreshShare*float64(o.retention)) {
-		o.step(now, eventRefreshDue)
+}
+
+// onAppended takes the end of an own append. An outage of the log is no
+// failure: the record waits for the log.
+func (o *ownMember) onAppended(now time.Time, leave, ok bool) {
+	if !ok {
+		o.failedAt = now
+		return
+	}
+	if leave {
+		o.step(now, eventLeaveDone)
 	}
 }
 
 func (o *ownMember) append(leave bool) {
-	o.appendAt = o.now
+	o.failedAt = time.Time{}
 	record := &model.MemberRecord{Time: o.now, Leave: leave, Member: o.core.self}
 	o.core.emit(Action{Kind: Append, Record: record})
 }
--- a/policy/membership/peer.go
+++ b/policy/membership/peer.go
@@ -29,14 +29,16 @@
 	now       time.Time
 	state     chart.StateID
 	member    model.Member
+	listed    bool      // a member; others are in a quorum group only
 	heardAt   time.Time // latest heartbeat, or since when one is expected
 	directAt  time.Time // latest heartbeat; zero for none
-	contactAt time.Time // the peer's latest contact at first hand; zero for none
+	echoedAt  time.Time // when the latest own heartbeat that it answered was sent; zero for none
 	probedAt  time.Time
 	reportAt  time.Time
 	suspectAt time.Time
-	refutedAt time.Time // when another node last said that it hears the peer
-	appendAt  time.Time
+	refutedAt time.Time                 // when another node last said that it hears the peer
+	appending bool                      // a leave on its behalf waits for the log
+	appendAt  time.Time                 // when the log had it
 	reports   map[model.Instance]report // of other nodes
 }
 
@@ -89,7 +91,7 @@
 // removalDue looks at the rank last: it costs a hash for each peer.
 func (p *peer) removalDue(now time.Time) bool {
 	lasts := now.Sub(p.lostSince())
-	return lasts >= removalDelay && now.Sub(p.appendAt) >= rankDelay && lasts >= p.removalDelay()
+	return lasts >= removalDelay && p.listed && !p.appending && now.Sub(p.appendAt) >= rankDelay && lasts >= p.removalDelay()
 }
 
 // lostSince returns when the suspicion began, or when a peer that said
@@ -115,7 +117,7 @@
 }
 
 func (p *peer) appendLeave() {
-	p.appendAt = p.now
+	p.appending = true
 	record := &model.MemberRecord{Time: p.now, Leave: true, Member: p.member, Reporter: p.core.self.Instance}
 	p.emit(Action{Kind: Append, Record: record})
 }
--- a/policy/membership/suspicion.go
+++ b/policy/membership/suspicion.go
@@ -150,7 +150,16 @@
 		}
 		zones[r.zone] = true
 	}
-	return len(zones) >= min(removalZones, len(p.core.zones()))
+	return len(zones) >= min(removalZones, p.core.zoneCount())
+}
+
+// zoneCount returns the number of availability zones of the known nodes.
+func (c *Core) zoneCount() int {
+	zones := map[model.Zone]bool{c.self.Zone: true}
+	for _, p := range c.peers {
+		zones[p.member.Zone] = true
+	}
+	return len(zones)
 }
 
 // removalDelay spaces the removers by rendezvous rank: usually the first one
--- a/transport/peerlink/endpoint.go
+++ b/transport/peerlink/endpoint.go
@@ -44,7 +44,8 @@
 // directions.
 func (e *Endpoint) InProgress() int { return int(e.calls.Load()) }
 
-// Dial opens a session to a peer. It fails when another instance answers.
+// Dial opens a session to a peer. It fails when another instance answers; an
+// empty instance accepts any that proves who it is.
 func (e *Endpoint) Dial(ctx context.Context, peer model.Member) (*Session, error) {
 	s, r, err := e.connect(ctx, peer, false)
 	if err != nil {
@@ -72,7 +73,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", peer.PeerAddress)
 	if err != nil {
-		return nil, nil, fault.At("dial peer", string(peer.Instance), err)
+		return nil, nil, fault.At("dial peer", nameOf(peer), err)
 	}
 	s, err := e.open(ctx, conn, peer.Instance)
 	if err != nil {
@@ -82,11 +83,18 @@
 	r, err := e.greet(s, peer, probe)
 	if err != nil {
 		s.Close()
-		return nil, nil, fault.At("open control stream", string(peer.Instance), err)
+		return nil, nil, fault.At("open control stream", nameOf(peer), err)
 	}
 	return s, r, nil
 }
 
+func nameOf(peer model.Member) string {
+	if peer.Instance == "" {
+		return peer.PeerAddress
+	}
+	return string(peer.Instance)
+}
+
 // open secures a connection that this node opened.
 func (e *Endpoint) open(ctx context.Context, conn net.Conn, peer model.Instance) (*Session, error) {
 	counting := &countingConn{Conn: conn}
@@ -117,7 +125,7 @@
 	if _, err := s.readHello(r); err != nil {
 		return nil, err
 	}
-	if s.peer.Instance != peer.Instance {
+	if peer.Instance != "" && s.peer.Instance != peer.Instance {
 		return nil, fault.New("check peer", string(peer.Instance), "instance %s answers at %s", s.peer.Instance, peer.PeerAddress)
 	}
 	return r, stream.SetDeadline(time.Time{})
--- a/transport/peerlink/security.go
+++ b/transport/peerlink/security.go
@@ -93,10 +93,27 @@
 		return nil, err
 	}
 	config.ServerName = string(peer)
+	if peer == "" {
+		// The instance is checked against the hello; the chain is checked here.
+		config.InsecureSkipVerify = true
+		config.VerifyConnection = chainIn(config.RootCAs)
+	}
 	secured := tls.Client(conn, config)
 	return secured, fault.At("TLS handshake", string(peer), secured.HandshakeContext(ctx))
 }
 
+// chainIn returns a check that the peer's chain ends in roots.
+func chainIn(roots *x509.CertPool) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		pool := x509.NewCertPool()
+		for _, c := range state.PeerCertificates[1:] {
+			pool.AddCert(c)
+		}
+		_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: roots, Intermediates: pool})
+		return err
+	}
+}
+
 // server secures a connection that a peer opened.
 func (s *Security) server(ctx context.Context, conn net.Conn) (*tls.Conn, error) {
 	config, err := s.config()
--- a/transport/wire/call.go
+++ b/transport/wire/call.go
@@ -41,6 +41,7 @@
 		Depth:       int32(c.Depth),
 		RemainingNs: int64(c.Deadline.Sub(now)),
 		Fingerprint: c.Fingerprint,
+		LostOn:      fromInstances(c.LostOn),
 		Token:       fromToken(c.Token, now),
 		Claim:       fromClaim(c.Claim),
 		Entry:       FromNodeID(c.Entry),
@@ -92,6 +93,7 @@
 		Depth:       int(h.GetDepth()),
 		Deadline:    now.Add(time.Duration(h.GetRemainingNs()) - transit.Best),
 		Fingerprint: h.GetFingerprint(),
+		LostOn:      toInstances(h.GetLostOn()),
 		Token:       toToken(h.GetToken(), now, transit.Worst),
 		Entry:       ToNodeID(h.GetEntry()),
 	}
@@ -110,20 +112,7 @@
 
 // WriteAnswer writes the answer to a call.
 func WriteAnswer(w io.Writer, a *model.Answer) error {
-	head := &AnswerHead{
-		CallId:       uint64(a.ID),
-		Run:          uint32(a.Run),
-		Reason:       string(a.Reason),
-		Detail:       a.Detail,
-		Status:       int32(a.Status),
-		Headers:      fromHeader(a.Header),
-		RetriesUsed:  int32(a.RetriesUsed),
-		RetryAfterNs: int64(a.RetryAfter),
-		Replayed:     a.Replayed,
-		TargetLost:   a.TargetLost,
-		Load:         FromLoad(a.Load),
-	}
-	if err := WriteFrame(w, &CallFrame{Kind: &CallFrame_Answer{Answer: head}}); err != nil {
+	if err := WriteFrame(w, &CallFrame{Kind: &CallFrame_Answer{Answer: fromAnswer(a)}}); err != nil {
 		return err
 	}
 	return writeBody(w, a.Body, func() error { return nil })
@@ -144,8 +133,36 @@
 	if model.CallID(h.GetCallId()) != id {
 		return nil, fault.New("read answer", "", "answer belongs to call %x, want %x", h.GetCallId(), id)
 	}
-	a := &model.Answer{
-		ID:          id,
+	a := toAnswer(h)
+	body, err := readBody(r, take)
+	if err != nil {
+		return nil, fault.At("read answer body", "", err)
+	}
+	a.Body = body
+	return a, nil
+}
+
+// fromAnswer encodes an answer without its body.
+func fromAnswer(a *model.Answer) *AnswerHead {
+	return &AnswerHead{
+		CallId:       uint64(a.ID),
+		Run:          uint32(a.Run),
+		Reason:       string(a.Reason),
+		Detail:       a.Detail,
+		Status:       int32(a.Status),
+		Headers:      fromHeader(a.Header),
+		RetriesUsed:  int32(a.RetriesUsed),
+		RetryAfterNs: int64(a.RetryAfter),
+		Replayed:     a.Replayed,
+		TargetLost:   a.TargetLost,
+		Load:         FromLoad(a.Load),
+	}
+}
+
+// toAnswer decodes an answer without its body.
+func toAnswer(h *AnswerHead) *model.Answer {
+	return &model.Answer{
+		ID:          model.CallID(h.GetCallId()),
 		Run:         model.Run(h.GetRun()),
 		Reason:      model.Reason(h.GetReason()),
 		Detail:      h.GetDetail(),
@@ -157,12 +174,6 @@
 		TargetLost:  h.GetTargetLost(),
 		Load:        ToLoad(h.GetLoad()),
 	}
-	body, err := readBody(r, take)
-	if err != nil {
-		return nil, fault.At("read answer body", "", err)
-	}
-	a.Body = body
-	return a, nil
 }
 
 func fromHeader(h http.Header) []*Header {
@@ -181,6 +192,22 @@
 	return out
 }
 
+func fromInstances(list []model.Instance) []string {
+	var out []string
+	for _, i := range list {
+		out = append(out, string(i))
+	}
+	return out
+}
+
+func toInstances(list []string) []model.Instance {
+	var out []model.Instance
+	for _, i := range list {
+		out = append(out, model.Instance(i))
+	}
+	return out
+}
+
 func fromToken(t *model.Token, now time.Time) *Token {
 	if t == nil {
 		return nil
