Refresh the join of a node's new incarnation

Cause: the follower refreshed joins by the incarnation with which the process started, so that the join of a node that others had removed by mistake would have expired after the log's retention.

--- a/agent/follower/duty.go
+++ b/agent/follower/duty.go
@@ -117,6 +117,8 @@
 		h.core.OnAnswer(now, m.From, m.Answer)
 	case *PeerWithdrawals:
 		h.core.OnWithdrawals(now, m.From, m.Withdrawals)
+	case *Renamed:
+		h.core.OnRenamed(m.Self)
 	case *Withdraw:
 		done := func(a configlog.Acceptance) { m.Reply.Send(a) }
 		if !h.core.OnWithdraw(now, m.Hash, done) {
--- a/agent/follower/messages.go
+++ b/agent/follower/messages.go
@@ -9,7 +9,7 @@
 )
 
 // Message is what the follower duty takes: *ReadDone, *PeerRequest,
-// *PeerAnswer, *PeerWithdrawals or *Withdraw.
+// *PeerAnswer, *PeerWithdrawals, *Withdraw or *Renamed.
 type Message interface{ followerMessage() }
 
 // ReadDone carries the outcome of a read of the log.
@@ -42,6 +42,10 @@
 	Reply ring.Reply[configlog.Acceptance]
 }
 
+// Renamed tells that the node goes on under another incarnation.
+type Renamed struct{ Self model.Member }
+
+func (*Renamed) followerMessage()         {}
 func (*ReadDone) followerMessage()        {}
 func (*PeerRequest) followerMessage()     {}
 func (*PeerAnswer) followerMessage()      {}
--- a/agent/members.go
+++ b/agent/members.go
@@ -13,6 +13,7 @@
 
 	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
 	"github.com/oleanderworks/oleanderworks/agent/appender"
+	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
@@ -50,12 +51,20 @@
 		Reach:      func(to model.Instance, id uint64, m model.Member) { go n.reach(to, id, m) },
 		InFlight:   n.inFlight,
 		Shutdown:   n.shutdown,
-		Renamed:    func(m model.Member) { n.self.Store(&m) },
+		Renamed:    n.rename,
 	}, n.log)
 	d.Register(wire.KindProbe, n.onProbe)
 	d.Register(wire.KindSuspicion, n.onSuspicion)
 }
 
+// rename makes the node speak as another incarnation. The follower, which
+// refreshes the join, reads its ring; a message that is lost costs a join that
+// expires after the log's retention and is then made again.
+func (n *Node) rename(self model.Member) {
+	n.self.Store(&self)
+	n.configuration.duty.Ring().Offer(&follower.Renamed{Self: self})
+}
+
 func (n *Node) offerAvoided(i model.Instance, avoided bool) bool {
 	return n.routing.Ring().Offer(&routingduty.SuspectChanged{Instance: i, Suspect: avoided})
 }
--- a/policy/configlog/upkeep.go
+++ b/policy/configlog/upkeep.go
@@ -67,6 +67,10 @@
 	}
 }
 
+// OnRenamed takes this node's new incarnation, whose join is to be refreshed
+// from now on.
+func (c *Core) OnRenamed(self model.Member) { c.self = self }
+
 // refreshJoin announces this node's target again. Only the node itself does
 // it, so that the join of a lost target expires.
 func (c *Core) refreshJoin(now time.Time) {
