--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -8,12 +8,11 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/agent/admission"
-	"github.com/oleanderworks/oleanderworks/agent/routing"
+	duty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	policy "github.com/oleanderworks/oleanderworks/policy/admission"
-	decisions "github.com/oleanderworks/oleanderworks/policy/routing"
+	"github.com/oleanderworks/oleanderworks/policy/routing"
 	"github.com/oleanderworks/oleanderworks/transport/target"
 )
 
@@ -21,7 +20,7 @@
 type Server struct {
 	Admission *ring.Ring[admission.Message]
 	Target    *target.Client
-	Parents   *ring.Ring[routing.Message] // takes the calls that may make sub-calls
+	Parents   *ring.Ring[duty.Message] // takes the calls that may make sub-calls
 	// Held bounds the bytes of calls and answers; nil for no bound.
 	Held *budget.Bytes
 }
@@ -55,47 +54,54 @@
 	if verdict.Answer != nil {
 		return verdict.Answer
 	}
-	answer, waited := s.run(running, call, verdict, began)
-	s.finish(answer, waited)
+	answer, end := s.run(running, call, verdict, began)
+	s.finish(answer, end.Waited)
 	return answer
 }
 
-// run hands an admitted call to the target, unless the process was paused
-// since the decision: the fences that the call passed may not hold any more.
-// While it runs, its sub-calls are accepted under an opaque random id; waited
-// is the time for which the call waited for them.
-func (s *Server) run(ctx context.Context, call *model.Call, v admission.Verdict, began time.Time) (a *model.Answer, waited time.Duration) {
+// run hands a call to the target. While it runs, its sub-calls are accepted
+// under an opaque random id.
+func (s *Server) run(ctx context.Context, call *model.Call, v admission.Verdict, began time.Time) (*model.Answer, routing.Ended) {
 	contextID := rand.Text()
-	if err := s.Parents.Put(ctx, &routing.RegisterParent{ContextID: contextID, Call: call}); err != nil {
-		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), 0
+	if err := s.Parents.Put(ctx, &duty.RegisterParent{ContextID: contextID, Call: call}); err != nil {
+		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), routing.Ended{}
 	}
 	handed := time.Now()
-	if handed.Before(v.Until) {
-		a = s.Target.Do(ctx, call, contextID)
-	} else {
-		a = model.Refusal(call.ID, model.ReasonNodeBusy, "the permission to run has expired before the handoff")
-	}
-	end := &routing.EndParent{
+	answer := s.handOver(ctx, call, contextID, v)
+	end := &duty.EndParent{
 		ContextID: contextID,
 		Canceled:  ctx.Err() != nil,
 		NodeTime:  handed.Sub(began),
-		Reply:     ring.NewReply[decisions.Ended](),
+		Reply:     ring.NewReply[routing.Ended](),
 	}
 	if err := s.Parents.Put(context.Background(), end); err != nil {
-		return a, 0
+		return answer, routing.Ended{}
 	}
-	if ended, err := end.Reply.Wait(context.Background()); err == nil {
-		a.RetriesUsed, waited = ended.RetriesUsed, ended.Waited
+	ended, err := end.Reply.Wait(context.Background())
+	if err == nil {
+		answer.RetriesUsed = ended.RetriesUsed
 	}
-	return a, waited
+	return answer, ended
+}
+
+// handOver gives a call to the target, unless the process was paused since
+// the decision: the fences that the call passed may not hold any more.
+func (s *Server) handOver(ctx context.Context, call *model.Call, contextID string, v admission.Verdict) *model.Answer {
+	if !time.Now().Before(v.Until) {
+		return model.Refusal(call.ID, model.ReasonNodeBusy, "the permission to run has expired before the handoff")
+	}
+	return s.Target.Do(ctx, call, contextID, v.Silence)
 }
 
 // finish frees the slot. It waits for room in the ring, since a lost message
 // would hold the slot for ever.
 func (s *Server) finish(answer *model.Answer, waited time.Duration) {
-	outcome := policy.OutcomeOf(answer, target.TakeStart(answer))
-	outcome.Waited = waited
-	done := &admission.Finish{Answer: answer, Outcome: outcome, Reply: ring.NewReply[model.Load]()}
+	done := &admission.Finish{
+		Answer: answer,
+		Start:  target.TakeStart(answer),
+		Waited: waited,
+		Reply:  ring.NewReply[model.Load](),
+	}
 	if err := s.Admission.Put(context.Background(), done); err != nil {
 		return
 	}
--- a/agent/node.go
+++ b/agent/node.go
@@ -133,7 +133,8 @@
 	n.checker = invariant.New(n.log, nil)
 	table := n.newQuarantine(n.sessions, dispatcher)
 	admissionCore := admission.New(self, admission.Options{Rand: newRand(), Check: n.checker, Quarantine: table})
-	n.admission = admissionduty.New(ctx, admissionCore, client, table, n.log)
+	var targetVars *expvar.Map
+	n.admission, targetVars = admissionduty.New(ctx, admissionCore, client, table, n.log)
 	n.buildQuorum(n.sessions, dispatcher)
 	var decisions *routingduty.Handler
 	n.routing, decisions = routingduty.New(routing.New(self, newRand(), n.checker), n.quorum.Ring(), n.log)
@@ -143,6 +144,7 @@
 	n.buildMembership(dispatcher)
 	n.buildConfiguration(n.sessions, dispatcher)
 	n.vars.Set("calls", decisions.Vars())
+	n.vars.Set("target", targetVars)
 	n.setVars()
 	return nil
 }
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -50,7 +50,6 @@
 	entry   *node
 	request *request
 	step    *step
-	depth   int
 	attempt *attempt // latest
 	timed   bool
 	done    func(*model.Answer)
@@ -63,8 +62,7 @@
 	call   *model.Call
 	work   *work
 	ended  bool
-	failed bool          // a sub-call failed
-	waited time.Duration // for a sub-call
+	failed bool // a sub-call failed
 }
 
 func newFleet(d *deployment, v variant, seed uint64) *fleet {
@@ -116,7 +114,7 @@
 		}
 		n := &node{
 			fleet: f, index: len(f.nodes), service: i, member: member,
-			routing: routing.New(member, f.newRand(), nil),
+			routing: routing.New(member, f.newRand(), check),
 			gate:    f.variant.gate(member, size, f.newRand()),
 			target:  newTarget(&f.loop, size),
 			flights: make(map[model.CallID]*flight),
@@ -181,7 +179,9 @@
 
 func (f *fleet) tick(n *node) {
 	n.gate.Tick(f.loop.clock())
+	n.routing.Tick(f.loop.clock())
 	n.pump()
+	n.route()
 	f.loop.after(tickTime, func() { f.tick(n) })
 }
 
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -21,10 +21,13 @@
 // Run, Cancel and Answer is set.
 type Decision struct {
 	CallID model.CallID
-	Run    bool          // hand the call to the target, at the latest at Until
-	Until  time.Time     // end of the permission to hand the call over
-	Cancel bool          // cancel the call at the target
-	Answer *model.Answer // refusal
+	Run    bool      // hand the call to the target, at the latest at Until
+	Until  time.Time // end of the permission to hand the call over
+	// Silence is the time without a byte after which the connection to the
+	// target is given up, if others progress meanwhile.
+	Silence time.Duration
+	Cancel  bool          // cancel the call at the target
+	Answer  *model.Answer // refusal
 }
 
 // Core holds the calls of one target. All methods run on one thread.
@@ -197,6 +200,18 @@
 	}
 }
 
+// State returns the name of the target's state in its chart.
+func (c *Core) State() string { return c.target.machine.StateName(c.target.state) }
+
+// Connections returns the number of connections that the target accepts, or 0
+// when the configuration does not tell.
+func (c *Core) Connections() int {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Connections
+}
+
 // startWaiting hands free slots to waiting calls. The fences are checked here
 // again, since time has passed in the queue.
 func (c *Core) startWaiting(now time.Time) {
@@ -230,8 +245,9 @@
 	c.target.onEmptied(now)
 }
 
-// tooOld reports whether a call has waited for longer than it usually runs,
-// in a queue that does not get shorter.
+// tooOld reports whether a call has waited for longer than it usually runs, in
+// a queue that holds more than one round of all slots and does not get
+// shorter.
 func (c *Core) tooOld(now time.Time, e *execution) bool {
 	customer := e.list.customer
 	if !customer.order.observe(now, now.Sub(customer.oldest().arrived)) {
@@ -240,7 +256,7 @@
 	if c.queue.classes[e.rank].starved(now) && e.call.Depth > 0 {
 		return true
 	}
-	return now.Sub(e.arrived) > max(maxStanding, c.latency.class(e.rank).usual)
+	return c.queue.length > c.slots() && now.Sub(e.arrived) > max(maxStanding, c.latency.class(e.rank).usual)
 }
 
 // recheckWaiting refuses waiting calls that the fences no longer let pass.
--- a/policy/admission/execution.go
+++ b/policy/admission/execution.go
@@ -132,14 +132,15 @@
 func (e *execution) start() {
 	c := e.core
 	c.running++
-	c.check.Assert(c.running <= c.slots(), "admission_within_limit",
-		"%d calls run, limit %d", c.running, c.slots())
-	c.check.Assert(!e.answered && !e.handedOver, "admission_runs_once", "call %d", e.call.ID)
+	e.assert(c.running <= c.slots(), "admission_within_limit")
+	e.assert(!e.answered && !e.handedOver, "admission_runs_once")
 	e.handedOver = true
 	e.started = e.now
 	c.queue.onStart(e)
 	c.pressure.onStart(e.now)
-	c.out = append(c.out, Decision{CallID: e.call.ID, Run: true, Until: e.handOverUntil()})
+	c.out = append(c.out, Decision{
+		CallID: e.call.ID, Run: true, Until: e.handOverUntil(), Silence: c.latency.silence(e.rank),
+	})
 }
 
 func (e *execution) enqueue() { e.core.queue.add(e, e.core.weight(e.call.Customer)) }
@@ -167,8 +168,8 @@
 	if e.call.Claim != nil {
 		e.core.seen.Refuse(e.call.Claim)
 	}
-	e.core.check.Assert(!e.handedOver, "admission_not_run_is_true", "call %d was handed over", e.call.ID)
-	e.core.check.Assert(!e.answered, "admission_answers_once", "call %d", e.call.ID)
+	e.assert(!e.handedOver, "admission_not_run_is_true")
+	e.assert(!e.answered, "admission_answers_once")
 	e.answered = true
 	e.core.refuse(e.now, a)
 }
@@ -184,7 +185,7 @@
 }
 
 func (e *execution) releaseSlot() {
-	e.core.check.Assert(!e.answered, "admission_answers_once", "call %d", e.call.ID)
+	e.assert(!e.answered, "admission_answers_once")
 	e.answered = true
 	e.core.running--
 	e.core.queue.onEnd(e)
--- a/policy/admission/fence.go
+++ b/policy/admission/fence.go
@@ -21,7 +21,9 @@
 		return model.Refusal(call.ID, model.ReasonNoTarget, "the target serves another service")
 	}
 	if reason, detail := c.target.closed(); reason != model.ReasonNone {
-		return model.Refusal(call.ID, reason, detail)
+		refusal := model.Refusal(call.ID, reason, detail)
+		refusal.TargetLost = reason == model.ReasonTargetFailed
+		return refusal
 	}
 	return c.fence(now, call)
 }
