--- a/policy/drain/core.go
+++ b/policy/drain/core.go
@@ -61,7 +61,7 @@
 		Guards: map[string]func(*Core) bool{"leave_settled": (*Core).leaveSettled},
 		Actions: map[string]func(*Core){
 			"announce":   (*Core).announce,
-			"refuse_new": func(c *Core) { c.out = append(c.out, RefuseNew) },
+			"refuse_new": (*Core).refuseNew,
 			"close":      func(c *Core) { c.out = append(c.out, Close) },
 		},
 	})
@@ -115,4 +115,11 @@
 	c.out = append(c.out, Announce)
 }
 
+// refuseNew starts the quiet time anew: requests that are on their way to an
+// idle node get their refusal, too.
+func (c *Core) refuseNew() {
+	c.busyAt = c.now
+	c.out = append(c.out, RefuseNew)
+}
+
 func (c *Core) leaveSettled() bool { return c.left || c.now.Sub(c.stopAt) >= leaveTime }
--- a/policy/drain/core_test.go
+++ b/policy/drain/core_test.go
@@ -49,6 +49,15 @@
 	assert.Equal(t, at[Close], 30*time.Second)
 }
 
+// Guards against an idle node that closes before requests that are on their
+// way got their refusal.
+func TestIdleNodeStaysForItsRefusals(t *testing.T) {
+	c := New(30 * time.Second)
+	c.OnLeft()
+	at := run(c, busyUntil(0), time.Minute)
+	assert.Assert(t, at[Close]-at[RefuseNew] >= quietTime)
+}
+
 // Guards against an idle node that is killed before the log holds its leave,
 // and against one that waits for a log that is down.
 func TestIdleNodeWaitsShortlyForTheLog(t *testing.T) {
