--- a/agent/config.go
+++ b/agent/config.go
@@ -2,21 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/pkg/errors"
-
 	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
 	"github.com/oleanderworks/oleanderworks/agent/appender"
 	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
+	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
 	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
-	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/transport/peerlink"
 )
 
 // configuration is the part of a node that follows and writes the log.
@@ -33,11 +30,11 @@
 	ctx := n.tomb.Context(context.Background())
 	c := &n.configuration
 	c.appender = appender.New(ctx, n.service, newRand(), n.log)
-	c.seeds = follower.NewSeeds(sessions, n.endpoint, n.settings.Peers, n.log)
+	c.seeds = follower.NewSeeds(sessions, seedDialer{n.endpoint}, n.settings.Peers, n.log)
 	c.duty, c.follower = follower.New(follower.Config{
 		Context:   ctx,
 		Service:   n.service,
-		Self:      n.self,
+		Self:      n.member(),
 		Streams:   n.streams(),
 		Rand:      newRand(),
 		Checker:   n.checker,
@@ -62,6 +59,9 @@
 			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
 		},
 		func(s *model.Snapshot) bool { return n.quorum.Ring().Offer(&quorum.SnapshotChanged{Snapshot: s}) },
+		func(s *model.Snapshot) bool {
+			return n.membership.Ring().Offer(&membershipduty.SnapshotChanged{Snapshot: s})
+		},
 		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
 	}
 }
@@ -76,20 +76,28 @@
 	})
 }
 
+// seedDialer opens sessions to addresses whose instance is not known.
+type seedDialer struct{ endpoint *peerlink.Endpoint }
+
+// Dial implements follower.Dialer.
+func (d seedDialer) Dial(ctx context.Context, peer model.Member) (*peerlink.Session, error) {
+	return d.endpoint.Dial(ctx, model.Member{PeerAddress: peer.PeerAddress})
+}
+
 // streams lists the streams that the node follows.
 func (n *Node) streams() []string {
 	services := n.settings.Entry
 	if len(services) == 0 {
 		services = []string{n.settings.Service}
 	}
-	streams := []string{model.ConfigStream, model.GroupStream(n.self.Region)}
+	streams := []string{model.ConfigStream, model.GroupStream(model.Region(n.settings.Region))}
 	own := false
 	for _, s := range services {
 		own = own || s == n.settings.Service
 		streams = append(streams, model.MemberStream(model.Service(s)))
 	}
 	if !own {
-		streams = append(streams, model.MemberStream(n.self.Service))
+		streams = append(streams, model.MemberStream(model.Service(n.settings.Service)))
 	}
 	return streams
 }
@@ -97,20 +105,5 @@
 // groupsKnown returns the time before which every composition of the region's
 // quorum groups is known here, read from the log or through peers.
 func (n *Node) groupsKnown() time.Time {
-	return n.configuration.follower.View().Known(model.GroupStream(n.self.Region))
-}
-
-// announce appends the target to the members of its service.
-func (n *Node) announce() {
-	record := model.MemberRecord{ID: uuid.NewString(), Time: time.Now(), Member: n.self}
-	body, err := json.Marshal(record)
-	if err != nil {
-		n.log.Emit(event.RecordMalformed, "error", errors.Wrap(err, "encode announcement"))
-		return
-	}
-	n.configuration.appender.Ring().Offer(&appender.Append{
-		Stream: model.MemberStream(n.self.Service),
-		ID:     record.ID,
-		Body:   body,
-	})
+	return n.configuration.follower.View().Known(model.GroupStream(model.Region(n.settings.Region)))
 }
--- a/agent/config_test.go
+++ b/agent/config_test.go
@@ -87,7 +87,7 @@
 	})
 	first := startNodeWith(t, log, "registry-1", "suva", target.URL)
 	waitStatus(t, first, http.StatusOK)
-	second := startNodeWith(t, noLog{}, "registry-2", "nadi", target.URL, first.self.PeerAddress)
+	second := startNodeWith(t, noLog{}, "registry-2", "nadi", target.URL, first.member().PeerAddress)
 	waitStatus(t, second, http.StatusOK)
 	assert.Assert(t, second.configuration.follower.View().LogContact.IsZero())
 
--- a/agent/groups.go
+++ b/agent/groups.go
@@ -21,7 +21,7 @@
 // buildQuorum wires the quorum duty: votes, token leases and request records.
 func (n *Node) buildQuorum(sessions *links.Handler, dispatcher *links.Dispatcher) {
 	n.quorum, n.quorumVars = quorum.New(quorum.Config{
-		Self:    n.self,
+		Self:    n.member(),
 		Send:    quorum.SendOver(sessions, n.log),
 		Append:  n.appendGroup,
 		Contact: n.groupsKnown,
--- /dev/null
+++ b/agent/members.go
@@ -0,0 +1,168 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
+	"github.com/oleanderworks/oleanderworks/agent/appender"
+	"github.com/oleanderworks/oleanderworks/agent/follower"
+	"github.com/oleanderworks/oleanderworks/agent/links"
+	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
+	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/drain"
+	"github.com/oleanderworks/oleanderworks/policy/membership"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
+)
+
+const (
+	// targetPoll separates attempts to connect to a target that does not
+	// answer yet.
+	targetPoll = 100 * time.Millisecond
+	// targetConnect bounds one attempt.
+	targetConnect = time.Second
+	// reachTimeout bounds a dial on behalf of another node.
+	reachTimeout = 2 * time.Second
+)
+
+// buildMembership builds the membership duty and its ways in and out.
+func (n *Node) buildMembership(d *links.Dispatcher) {
+	core := membership.New(*n.self.Load(), newRand())
+	n.membership = membershipduty.New(core, drain.New(n.settings.DrainTime), membershipduty.Outputs{
+		Send:      func(to model.Instance, kind uint32, m *wire.Probe) { n.sessions.Send(to, kind, m) },
+		Broadcast: func(kind uint32, m *wire.Suspicion) { n.sessions.Broadcast(kind, m) },
+		Avoid:     n.offerAvoided,
+		Load: func(i model.Instance, l model.Load) {
+			n.routing.Ring().Offer(&routingduty.LoadReport{Instance: i, Load: l})
+		},
+		Contact:    n.offerContact,
+		Report:     n.offerReport,
+		SampleLoad: n.sampleLoad,
+		Append:     n.appendMember,
+		Reach:      func(to model.Instance, id uint64, m model.Member) { go n.reach(to, id, m) },
+		InFlight:   n.inFlight,
+		Shutdown:   n.shutdown,
+		Renamed:    n.rename,
+	}, n.log)
+	d.Register(wire.KindProbe, n.onProbe)
+	d.Register(wire.KindSuspicion, n.onSuspicion)
+}
+
+// rename makes the node speak as another incarnation. The follower refreshes
+// its join, and the admission duty checks that claims name it. Their rings are
+// waited for outside the membership thread.
+func (n *Node) rename(self model.Member) {
+	n.self.Store(&self)
+	ctx := n.tomb.Context(context.Background())
+	go func() {
+		_ = n.admission.Ring().Put(ctx, &admissionduty.Renamed{Self: self})
+		_ = n.configuration.duty.Ring().Put(ctx, &follower.Renamed{Self: self})
+	}()
+}
+
+func (n *Node) offerAvoided(i model.Instance, avoided bool) bool {
+	return n.routing.Ring().Offer(&routingduty.SuspectChanged{Instance: i, Suspect: avoided})
+}
+
+// offerContact may find a ring full: the message is repeated each tick, and
+// contact ends by itself.
+func (n *Node) offerContact(until time.Time) {
+	n.routing.Ring().Offer(&routingduty.ContactChanged{Until: until})
+	n.admission.Ring().Offer(&admissionduty.ContactChanged{Until: until})
+}
+
+func (n *Node) offerReport(l model.Load) {
+	n.links.Ring().Offer(&links.SelfReport{Load: l})
+}
+
+func (n *Node) sampleLoad() {
+	n.admission.Ring().Offer(&admissionduty.SampleLoad{Deliver: func(l model.Load) {
+		n.membership.Ring().Offer(&membershipduty.LoadSampled{Load: l})
+	}})
+}
+
+func (n *Node) onHeard(from model.Member, at, echoed time.Time, l model.Load) {
+	n.membership.Ring().Offer(&membershipduty.Heard{From: from, At: at, Echoed: echoed, Load: l})
+}
+
+func (n *Node) onGoodbye(from model.Instance) {
+	n.membership.Ring().Offer(&membershipduty.SaidGoodbye{From: from})
+}
+
+func (n *Node) onProbe(from model.Member, body []byte) {
+	var p wire.Probe
+	if proto.Unmarshal(body, &p) != nil {
+		return
+	}
+	if p.GetAnswer() {
+		n.membership.Ring().Offer(&membershipduty.ProbeAnswered{ID: p.GetId(), Reached: p.GetReached()})
+		return
+	}
+	peer := model.Member{NodeID: wire.ToNodeID(p.GetPeer()), PeerAddress: p.GetAddress()}
+	n.membership.Ring().Offer(&membershipduty.ProbeAsked{From: from.Instance, ID: p.GetId(), Peer: peer})
+}
+
+func (n *Node) onSuspicion(from model.Member, body []byte) {
+	var s wire.Suspicion
+	if proto.Unmarshal(body, &s) != nil {
+		return
+	}
+	n.membership.Ring().Offer(&membershipduty.Suspected{From: from, Peer: wire.ToNodeID(s.GetPeer()), Lifted: s.GetLifted(), Refuted: s.GetRefuted()})
+}
+
+// reach dials a peer for another node and tells it the result.
+func (n *Node) reach(to model.Instance, id uint64, m model.Member) {
+	ctx, cancel := context.WithTimeout(n.tomb.Context(context.Background()), reachTimeout)
+	defer cancel()
+	err := n.endpoint.Probe(ctx, m)
+	n.sessions.Send(to, wire.KindProbe, &wire.Probe{Id: id, Answer: true, Reached: err == nil})
+}
+
+// appendMember hands a record to the appender, which finds a lost answer by
+// the record's id.
+func (n *Node) appendMember(r *model.MemberRecord) {
+	r.ID = uuid.NewString()
+	body, err := json.Marshal(r)
+	if err != nil {
+		n.log.Emit(event.RecordMalformed, "error", errors.Wrap(err, "encode member record"))
+		return
+	}
+	n.configuration.appender.Ring().Offer(&appender.Append{
+		Stream: model.MemberStream(r.Member.Service),
+		ID:     r.ID,
+		Body:   body,
+		Done: func(err error) {
+			n.membership.Ring().Offer(&membershipduty.Appended{Record: r, Err: err})
+		},
+	})
+}
+
+// watchTarget waits until the target accepts a connection.
+func (n *Node) watchTarget(ctx context.Context) {
+	u, err := url.Parse(n.settings.Target)
+	if err != nil {
+		return
+	}
+	dialer := net.Dialer{Timeout: targetConnect}
+	for ctx.Err() == nil {
+		conn, err := dialer.DialContext(ctx, "tcp", u.Host)
+		if err == nil {
+			conn.Close()
+			_ = n.membership.Ring().Put(ctx, &membershipduty.TargetUp{})
+			return
+		}
+		select {
+		case <-time.After(targetPoll):
+		case <-ctx.Done():
+		}
+	}
+}
--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -36,19 +36,23 @@
 	assert.NilError(t, err)
 }
 
-func startNode(t testing.TB, log *memlog.Log, instance, service, target string) *Node {
+func startNode(t testing.TB, log *memlog.Log, instance, service, target string, options ...func(*settings.Node)) *Node {
 	t.Helper()
-	return startLoggingNode(t, log, instance, service, target, hclog.NewNullLogger())
+	return startLoggingNode(t, log, instance, service, target, hclog.NewNullLogger(), options...)
 }
 
-func startLoggingNode(t testing.TB, log *memlog.Log, instance, service, target string, out hclog.Logger) *Node {
+func startLoggingNode(t testing.TB, log *memlog.Log, instance, service, target string, out hclog.Logger, options ...func(*settings.Node)) *Node {
 	t.Helper()
 	const loopback = "127.0.0.1:0"
-	n, err := New(&settings.Node{
+	s := &settings.Node{
 		Instance: instance, Service: service, Zone: "suva", Region: "viti", Target: target,
 		CallAddress: loopback, SubAddress: loopback, PeerAddress: loopback, OpsAddress: loopback,
 		Entry: []string{"registry", "tally"}, Insecure: true,
-	}, log, out)
+	}
+	for _, option := range options {
+		option(s)
+	}
+	n, err := New(s, log, out)
 	assert.NilError(t, err)
 	n.Start()
 	t.Cleanup(func() {
@@ -102,6 +106,7 @@
 		}
 		assert.Equal(t, text, "filed")
 		assert.Equal(t, resp.Header.Get("Oleander-Run"), "completed")
+		assert.Equal(t, resp.ContentLength, int64(len("filed")), "a cut must be visible to the caller")
 		return poll.Success()
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
 	assert.Equal(t, seenBody, "42 head")
--- a/agent/quorum_test.go
+++ b/agent/quorum_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	reply := ring.NewReply[record.Result]()
 	assert.Assert(t, n.quorum.Ring().Offer(&quorumduty.AcquireClaim{
-		CallID: call, Customer: "herders", RequestID: id, Target: n.self.NodeID,
+		CallID: call, Customer: "herders", RequestID: id, Target: n.member().NodeID,
 		Deliver: func(r record.Result) { reply.Send(r) },
 	}))
 	return await(t, reply)
@@ -56,7 +56,7 @@
 	})
 	var nodes []*Node
 	for _, instance := range instances {
-		nodes = append(nodes, startNode(t, log, instance, "tally", "http://127.0.0.1:1"))
+		nodes = append(nodes, startNode(t, log, instance, "tally", newTarget(t)))
 	}
 	return nodes
 }
--- a/agent/routing/messages.go
+++ b/agent/routing/messages.go
@@ -74,9 +74,9 @@
 	Suspect  bool
 }
 
-// ContactChanged tells whether the node is in contact with the fleet. The
-// duty assumes contact until it is told otherwise.
-type ContactChanged struct{ Contact bool }
+// ContactChanged tells until when the node is in contact with the fleet; zero
+// means that it is not. The duty assumes contact until it is told otherwise.
+type ContactChanged struct{ Until time.Time }
 
 func (*Begin) routingMessage()           {}
 func (*Outcome) routingMessage()         {}
--- /dev/null
+++ b/agent/shutdown.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	admissionduty "github.com/oleanderworks/oleanderworks/agent/admission"
+	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
+	"github.com/oleanderworks/oleanderworks/core/budget"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/drain"
+)
+
+const (
+	// lingerTime lets the last answers reach their peers before the
+	// connections are closed.
+	lingerTime = 100 * time.Millisecond
+	// stopMargin is what a shutdown may take beyond the drain time.
+	stopMargin = 2 * time.Second
+)
+
+// leaving is the part of a shutdown that connections' goroutines look at.
+type leaving struct {
+	announced atomic.Bool  // answers close their connections
+	refusing  atomic.Bool  // new calls are refused
+	callers   atomic.Int64 // callers' requests in progress
+	done      chan struct{}
+}
+
+// Stop ends the node gracefully and waits until its threads have ended.
+// Without a drain time it ends at once.
+func (n *Node) Stop() error {
+	if n.settings.DrainTime > 0 && n.tomb.Alive() {
+		n.log.Emit(event.ShutdownBegun, "instance", n.settings.Instance)
+		n.membership.Ring().Offer(&membershipduty.Stop{})
+		select {
+		case <-n.leaving.done:
+		case <-n.tomb.Dying():
+		case <-time.After(n.settings.DrainTime + stopMargin):
+		}
+	}
+	n.tomb.Kill(nil)
+	err := n.tomb.Wait()
+	n.log.Emit(event.NodeStopped, "instance", n.settings.Instance)
+	return err
+}
+
+// shutdown carries out a step of the shutdown. It runs on the membership
+// thread and does not block.
+func (n *Node) shutdown(a drain.Action) {
+	switch a {
+	case drain.Announce:
+		n.leaving.announced.Store(true)
+		n.sessions.Goodbye()
+	case drain.RefuseNew:
+		n.log.Emit(event.DrainBegun, "in_flight", n.inFlight())
+		n.leaving.refusing.Store(true)
+		n.admission.Ring().Offer(&admissionduty.Drain{})
+		// The server itself goes on: http.Server.Shutdown drops requests that
+		// it has just read, without an answer.
+		n.callersListener.Stop()
+	case drain.Close:
+		n.log.Emit(event.DrainEnded, "in_flight", n.inFlight())
+		go n.closeCallers()
+	}
+}
+
+// closeCallers ends the callers' connections, which are idle by now, unless
+// the drain time is over.
+func (n *Node) closeCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), lingerTime)
+	defer cancel()
+	_ = n.callers.Shutdown(ctx)
+	<-ctx.Done()
+	close(n.leaving.done)
+}
+
+// inFlight counts the calls in progress with peers and callers.
+func (n *Node) inFlight() int {
+	return n.endpoint.InProgress() + int(n.leaving.callers.Load())
+}
+
+// serve answers a request unless the node is leaving or holds too many bytes.
+func (n *Node) serve(ctx context.Context, req *model.Request) *model.Answer {
+	if n.leaving.refusing.Load() && !req.FromTarget {
+		return model.Refusal(req.ID, model.ReasonTargetLeaving, "the node is shutting down")
+	}
+	if !n.held.HasRoom() {
+		return model.Refusal(req.ID, model.ReasonNodeBusy, budget.ErrExceeded.Error())
+	}
+	return n.entry.Serve(ctx, req)
+}
+
+// closing counts callers' requests. Once the node is leaving, it makes answers
+// close their connections, so that callers go elsewhere before the listener
+// is closed.
+func (n *Node) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.leaving.callers.Add(1)
+		defer n.leaving.callers.Add(-1)
+		if n.leaving.announced.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) serveHTTP(l net.Listener, h http.Handler) *http.Server {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	context.AfterFunc(n.tomb.Context(context.Background()), func() { server.Close() })
+	n.tomb.Go(func() error {
+		err := server.Serve(l)
+		if err != http.ErrServerClosed && !errors.Is(err, net.ErrClosed) {
+			return fault.At("serve HTTP", l.Addr().String(), err)
+		}
+		return nil
+	})
+	return server
+}
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -47,6 +47,7 @@
 	queue      queue
 	running    int
 
+	contact  contact
 	target   target
 	limit    limit
 	latency  latency
@@ -107,6 +108,13 @@
 	c.startWaiting(now)
 }
 
+// OnRenamed takes the node's new incarnation. Calls with claims that name the
+// last one and were not handed over yet are refused as not run.
+func (c *Core) OnRenamed(self model.Member) { c.self = self }
+
+// OnContact tells until when the node has contact.
+func (c *Core) OnContact(until time.Time) { c.contact = contact{known: true, until: until} }
+
 // OnArrival takes a call that an entry node sent.
 func (c *Core) OnArrival(now time.Time, call *model.Call) {
 	c.pressure.onArrival(now)
--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -94,7 +94,7 @@
 		r.Header.Set(name, value)
 	}
 	w := httptest.NewRecorder()
-	NewHandler(backend, false).ServeHTTP(w, r)
+	NewHandler(backend, false, nil).ServeHTTP(w, r)
 	return w.Result(), seen
 }
 
--- a/transport/peerlink/endpoint.go
+++ b/transport/peerlink/endpoint.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
@@ -20,45 +22,128 @@
 
 // Endpoint dials peers and accepts their connections.
 type Endpoint struct {
-	Self    model.Member
+	// Self returns the member as which the node speaks now.
+	Self    func() model.Member
 	Calls   CallHandler
 	Control ControlHandler
 	// Accepted is called for each session that a peer opened.
 	Accepted func(s *Session)
+	// Security proves identities; nil for plain TCP.
+	Security *Security
+	// Held bounds the bytes of calls and answers; nil for no bound.
+	Held *budget.Bytes
+	// Refused is called for each connection that was not accepted.
+	Refused func(address string, err error)
+	// Start is the zero of the monotonic clock in calls and heartbeats.
+	Start time.Time
+
+	calls atomic.Int64
 }
 
-// Dial opens a session to a peer.
+// InProgress returns the number of calls in progress on all sessions, in both
+// directions.
+func (e *Endpoint) InProgress() int { return int(e.calls.Load()) }
+
+// Dial opens a session to a peer. It fails when another instance answers; an
+// empty instance accepts any that proves who it is.
 func (e *Endpoint) Dial(ctx context.Context, peer model.Member) (*Session, error) {
+	s, r, err := e.connect(ctx, peer, false)
+	if err != nil {
+		return nil, err
+	}
+	s.startControl(r, e.Control)
+	go s.serveCalls(e.Calls)
+	return s, nil
+}
+
+// Probe reports whether this life of a peer answers.
+func (e *Endpoint) Probe(ctx context.Context, peer model.Member) error {
+	s, _, err := e.connect(ctx, peer, true)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if s.peer.Incarnation != peer.Incarnation {
+		return fault.New("probe peer", string(peer.Instance), "another incarnation answers")
+	}
+	return nil
+}
+
+func (e *Endpoint) connect(ctx context.Context, peer model.Member, probe bool) (*Session, *bufio.Reader, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", peer.PeerAddress)
 	if err != nil {
-		return nil, fault.At("dial peer", string(peer.Instance), err)
+		return nil, nil, fault.At("dial peer", nameOf(peer), err)
 	}
-	s, err := newSession(conn, false)
+	s, err := e.open(ctx, conn, peer.Instance)
 	if err != nil {
 		conn.Close()
-		return nil, err
+		return nil, nil, err
 	}
-	s.peer = peer
-	if err := e.openControl(s); err != nil {
+	r, err := e.greet(s, peer, probe)
+	if err != nil {
 		s.Close()
-		return nil, fault.At("open control stream", string(peer.Instance), err)
+		return nil, nil, fault.At("open control stream", nameOf(peer), err)
 	}
-	go s.serveCalls(e.Calls)
-	return s, nil
+	return s, r, nil
+}
+
+func nameOf(peer model.Member) string {
+	if peer.Instance == "" {
+		return peer.PeerAddress
+	}
+	return string(peer.Instance)
+}
+
+// open secures a connection that this node opened.
+func (e *Endpoint) open(ctx context.Context, conn net.Conn, peer model.Instance) (*Session, error) {
+	counting := &countingConn{Conn: conn}
+	if e.Security == nil {
+		return newSession(counting, counting, false, e)
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	secured, err := e.Security.client(ctx, counting, peer)
+	if err != nil {
+		return nil, err
+	}
+	return newSession(counting, secured, false, e)
 }
 
-func (e *Endpoint) openControl(s *Session) error {
+// greet exchanges hellos on a session that this node opened.
+func (e *Endpoint) greet(s *Session, peer model.Member, probe bool) (*bufio.Reader, error) {
 	stream, err := s.yamux.OpenStream()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s.control = stream
-	if err := wire.WriteFrame(stream, hello(e.Self)); err != nil {
-		return err
+	_ = stream.SetDeadline(time.Now().Add(handshakeTimeout))
+	if err := wire.WriteFrame(stream, hello(e.Self(), probe)); err != nil {
+		return nil, err
 	}
-	s.startControl(bufio.NewReader(stream), e.Control)
-	return nil
+	r := bufio.NewReader(stream)
+	if _, err := s.readHello(r); err != nil {
+		return nil, err
+	}
+	if peer.Instance != "" && s.peer.Instance != peer.Instance {
+		return nil, fault.New("check peer", string(peer.Instance), "instance %s answers at %s", s.peer.Instance, peer.PeerAddress)
+	}
+	return r, stream.SetDeadline(time.Time{})
+}
+
+// readHello reads the peer's first frame and notes who it is.
+func (s *Session) readHello(r *bufio.Reader) (*wire.Hello, error) {
+	var f wire.ControlFrame
+	if err := wire.ReadFrame(r, &f); err != nil {
+		return nil, err
+	}
+	h := f.GetHello()
+	if h == nil {
+		return nil, fault.New("read hello", "", "first frame is no hello")
+	}
+	s.peer = fromHello(h)
+	err := speaksFor(s.stream, s.peer.Instance)
+	return h, fault.At("check certificate", string(s.peer.Instance), err)
 }
 
 // Serve accepts sessions on l until t is dying.
@@ -77,28 +162,23 @@
 }
 
 func (e *Endpoint) accept(conn net.Conn) {
-	s, err := newSession(conn, true)
+	s, err := e.take(conn)
 	if err != nil {
-		conn.Close()
+		e.refuse(conn, err)
 		return
 	}
 	timeout := time.AfterFunc(handshakeTimeout, s.Close)
-	stream, err := s.yamux.AcceptStream()
-	if err != nil {
+	r, probe, err := e.welcome(s)
+	if err != nil || !timeout.Stop() {
+		e.refuse(conn, err)
 		s.Close()
 		return
 	}
-	r := bufio.NewReader(stream)
-	var f wire.ControlFrame
-	if err := wire.ReadFrame(r, &f); err != nil || f.GetHello() == nil {
-		s.Close()
-		return
-	}
-	if !timeout.Stop() {
+	if probe {
+		// The prober closes the session when it has read the hello.
+		time.AfterFunc(handshakeTimeout, s.Close)
 		return
 	}
-	s.control = stream
-	s.peer = fromHello(f.GetHello())
 	s.startControl(r, e.Control)
 	if e.Accepted != nil {
 		e.Accepted(s)
@@ -106,13 +186,53 @@
 	s.serveCalls(e.Calls)
 }
 
-func hello(m model.Member) *wire.ControlFrame {
+func (e *Endpoint) refuse(conn net.Conn, err error) {
+	conn.Close()
+	if e.Refused != nil && err != nil {
+		e.Refused(conn.RemoteAddr().String(), err)
+	}
+}
+
+// take secures a connection that a peer opened.
+func (e *Endpoint) take(conn net.Conn) (*Session, error) {
+	counting := &countingConn{Conn: conn}
+	if e.Security == nil {
+		return newSession(counting, counting, true, e)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	secured, err := e.Security.server(ctx, counting)
+	if err != nil {
+		return nil, err
+	}
+	return newSession(counting, secured, true, e)
+}
+
+// welcome exchanges hellos on a session that the peer opened. It reports
+// whether the peer only probes.
+func (e *Endpoint) welcome(s *Session) (*bufio.Reader, bool, error) {
+	stream, err := s.yamux.AcceptStream()
+	if err != nil {
+		return nil, false, err
+	}
+	s.control = stream
+	r := bufio.NewReader(stream)
+	h, err := s.readHello(r)
+	if err != nil {
+		return nil, false, err
+	}
+	s.clock.greeted(time.Now())
+	return r, h.GetProbe(), wire.WriteFrame(stream, hello(e.Self(), false))
+}
+
+func hello(m model.Member, probe bool) *wire.ControlFrame {
 	h := &wire.Hello{
 		Node:    wire.FromNodeID(m.NodeID),
 		Service: string(m.Service),
 		Zone:    string(m.Zone),
 		Region:  string(m.Region),
 		Address: m.PeerAddress,
+		Probe:   probe,
 	}
 	return &wire.ControlFrame{Kind: &wire.ControlFrame_Hello{Hello: h}}
 }
--- a/transport/target/body.go
+++ b/transport/target/body.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
@@ -40,11 +41,11 @@
 
 // readBody reads a whole answer. net/http reports an answer that is shorter
 // than its Content-Length, and one that is cut between its chunks.
-func readBody(resp *http.Response) ([]byte, error) {
+func readBody(resp *http.Response, lease *budget.Lease) ([]byte, error) {
 	if closeDelimited(resp) {
 		return nil, errNoLength
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(&leasedReader{resp.Body, lease}, wire.MaxBodyBytes+1))
 	if err != nil {
 		return nil, err
 	}
@@ -54,6 +55,21 @@
 	return body, nil
 }
 
+// leasedReader takes room for each byte that it reads.
+type leasedReader struct {
+	io.Reader
+	lease *budget.Lease
+}
+
+// Read implements io.Reader. It fails with budget.ErrExceeded.
+func (r *leasedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if taken := r.lease.Take(n); taken != nil {
+		return 0, taken
+	}
+	return n, err
+}
+
 // closeDelimited reports whether only the end of the connection ends the body.
 func closeDelimited(resp *http.Response) bool {
 	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead {
--- a/transport/wire/codec.go
+++ b/transport/wire/codec.go
@@ -39,8 +39,9 @@
 	return fault.At("read frame", "", err)
 }
 
-// writeBody writes data as chunks and an end frame.
-func writeBody(w io.Writer, data []byte) error {
+// writeBody writes data as chunks and an end frame, and calls beforeEnd
+// between the two. An error of beforeEnd leaves the body without its end.
+func writeBody(w io.Writer, data []byte, beforeEnd func() error) error {
 	sum := xxhash.Sum64(data)
 	total := uint64(len(data))
 	for seq := uint32(0); len(data) > 0; seq++ {
@@ -51,13 +52,17 @@
 		}
 		data = data[n:]
 	}
+	if err := beforeEnd(); err != nil {
+		return err
+	}
 	end := &BodyEnd{Length: total, Checksum: sum}
 	return WriteFrame(w, &CallFrame{Kind: &CallFrame_End{End: end}})
 }
 
 // readBody reads chunks up to the end frame. It returns ErrIncomplete when a
-// chunk is missing, or length or checksum do not match.
-func readBody(r *bufio.Reader) ([]byte, error) {
+// chunk is missing, or length or checksum do not match. take is asked for
+// room for each chunk.
+func readBody(r *bufio.Reader, take func(n int) error) ([]byte, error) {
 	var body []byte
 	for seq := uint32(0); ; seq++ {
 		var f CallFrame
@@ -74,6 +79,9 @@
 		if len(body)+len(chunk.GetData()) > MaxBodyBytes {
 			return nil, errors.Errorf("body exceeds %d bytes", MaxBodyBytes)
 		}
+		if err := take(len(chunk.GetData())); err != nil {
+			return nil, err
+		}
 		body = append(body, chunk.GetData()...)
 	}
 }
