Shorten the time without a grantor after a change of composition

Cause: with callers that wait 3 s at most, 1,204 of 26,234 requests of customers at 90% of their rate were refused in 47 s with a crashed grantor, a pause and a restart. New members waited 2 s before they promised a lease, whatever was left of the old one, and a composition counted a restarted voter although a majority had answered, which put its start two minutes ahead.

Members tell with their seal how long the lease that they promised lasts; the record carries the longest. A composition waits for seals of a majority before it counts restarted voters.

--- a/agent/quorum/dispatch.go
+++ b/agent/quorum/dispatch.go
@@ -18,7 +18,9 @@
 	case *quorum.ProbeAnswer:
 		h.composer.OnProbeAnswer(now, m)
 	case *quorum.SealRequest:
-		h.send(from, h.votes.OnSeal(now, m))
+		a := h.votes.OnSeal(now, m)
+		a.Remaining = h.promises.Remaining(now, m.Ballot.Key)
+		h.send(from, a)
 	case *quorum.SealAnswer:
 		h.composer.OnSealAnswer(now, m)
 	case *tokenlease.PromiseRequest:
--- a/model/config.go
+++ b/model/config.go
@@ -163,6 +163,9 @@
 	Members []Member  `json:"members"`
 	From    time.Time `json:"from"`   // ids from this time on belong to the epoch
 	Sealed  bool      `json:"sealed"` // a majority of the epoch before sealed it
+	// LeaseWait is how long, after reading the record, a member waits before
+	// it promises a lease: leases of the epoch before have lapsed by then.
+	LeaseWait Duration `json:"lease_wait,omitempty"`
 	// Refresh repeats a record that was accepted before, so that it outlives
 	// the retention of the log.
 	Refresh bool `json:"refresh,omitempty"`
--- a/policy/quorum/composer.go
+++ b/policy/quorum/composer.go
@@ -38,6 +38,8 @@
 	// majorityLostAfter is how long a majority must be lost before an
 	// unsealed composition is made.
 	majorityLostAfter = 30 * time.Second
+	// PromiseLife is how long a voter promises a lease.
+	PromiseLife = 2 * time.Second
 	// contactFresh is the age of the log contact up to which a node composes.
 	// Without the log a seal would end the group's service for nothing.
 	contactFresh = 5 * time.Second
@@ -157,7 +159,7 @@
 	}
 	g.observe(now, a.Ballot, a.Standing, a.Voter)
 	if a.Standing == StandingSealed || a.Standing == StandingRetired {
-		g.seals[a.Ballot.Voter] = a.Time
+		g.seals[a.Ballot.Voter] = seal{a.Time, a.Remaining}
 	}
 	g.step(now, eventAnswered)
 }
--- a/policy/quorum/group.go
+++ b/policy/quorum/group.go
@@ -25,12 +25,18 @@
 
 	seen     map[model.NodeID]sighting // members by voter
 	live     map[model.Instance]model.NodeID
-	seals    map[model.NodeID]time.Time
+	seals    map[model.NodeID]seal
 	unfitAt  time.Time // since when the group is unfit; zero when it is fit
 	betterAt time.Time // since when a better composition is possible
 	lostAt   time.Time // since when a majority is lost
 }
 
+// seal is what a sealed member answered.
+type seal struct {
+	time      time.Time
+	remaining time.Duration // of the lease that it has promised
+}
+
 // sighting is the latest answer of a member.
 type sighting struct {
 	at       time.Time
@@ -89,7 +95,7 @@
 	g.since = g.now
 	g.seen = make(map[model.NodeID]sighting)
 	g.live = make(map[model.Instance]model.NodeID)
-	g.seals = make(map[model.NodeID]time.Time)
+	g.seals = make(map[model.NodeID]seal)
 	g.unfitAt, g.betterAt, g.lostAt = time.Time{}, time.Time{}, time.Time{}
 	g.due = g.now
 }
--- a/policy/quorum/message.go
+++ b/policy/quorum/message.go
@@ -82,6 +82,8 @@
 	Standing Standing
 	Time     time.Time
 	Voter    model.NodeID
+	// Remaining is the life of the lease that the voter has promised.
+	Remaining time.Duration
 }
 
 // QuorumMessage marks the type.
--- a/policy/quorum/propose.go
+++ b/policy/quorum/propose.go
@@ -30,7 +30,7 @@
 // they live.
 func (g *group) ask() {
 	g.due = g.now.Add(askTimeout)
-	g.seals = make(map[model.NodeID]time.Time)
+	g.seals = make(map[model.NodeID]seal)
 	g.live = make(map[model.Instance]model.NodeID)
 	for _, m := range g.members() {
 		g.core.Send(m.Instance, &SealRequest{Ballot: g.ballot(m), Time: g.now})
@@ -51,9 +51,12 @@
 	return Ballot{Key: g.key, Epoch: g.epoch(), Voter: m.NodeID}
 }
 
-// complete reports that waiting longer would not change the composition.
+// complete reports that waiting longer would not change the composition. A
+// majority without restarted voters is waited for, since it allows an earlier
+// start.
 func (g *group) complete() bool {
-	if !g.sealedByMajority() {
+	sealed, _ := g.sealCount()
+	if !g.sealedByMajority() || g.current != nil && sealed < Majority(len(g.members())) {
 		return false
 	}
 	for _, m := range g.members() {
@@ -114,34 +117,34 @@
 func (g *group) chosen() []model.Member { return choose(g.survivors(), g.liveCandidates()) }
 
 func (g *group) appendSealed() {
-	from := g.now
+	from, wait := g.now, time.Duration(0)
 	sealed, _ := g.sealCount()
-	for _, t := range g.seals {
-		from = later(from, t)
+	for _, s := range g.seals {
+		from = later(from, s.time)
+		wait = max(wait, s.remaining)
 	}
 	if g.current != nil && sealed < Majority(len(g.members())) {
 		from = later(from, g.now.Add(goneDelay))
+		wait = PromiseLife
 	}
-	g.propose(from, true)
+	g.propose(model.GroupRecord{From: from, Sealed: true, LeaseWait: model.Duration(wait)})
 }
 
-func (g *group) appendUnsealed() { g.propose(g.now.Add(UnsealedDelay), false) }
+func (g *group) appendUnsealed() {
+	g.propose(model.GroupRecord{From: g.now.Add(UnsealedDelay), LeaseWait: model.Duration(PromiseLife)})
+}
 
-func (g *group) propose(from time.Time, sealed bool) {
+func (g *group) propose(r model.GroupRecord) {
 	if g.current != nil {
 		// Epochs start in order, also after an unsealed one that is ahead.
-		from = later(from, g.current.From)
+		r.From = later(r.From, g.current.From)
 	}
 	g.due = g.now.Add(proposeTimeout)
-	g.core.proposals = append(g.core.proposals, model.GroupRecord{
-		ID:      g.core.newID(),
-		Region:  g.key.Region,
-		Group:   g.key.Group,
-		Epoch:   g.epoch() + 1,
-		Members: g.chosen(),
-		From:    from.Truncate(idResolution).Add(idResolution).UTC(),
-		Sealed:  sealed,
-	})
+	r.ID = g.core.newID()
+	r.Region, r.Group, r.Epoch = g.key.Region, g.key.Group, g.epoch()+1
+	r.Members = g.chosen()
+	r.From = r.From.Truncate(idResolution).Add(idResolution).UTC()
+	g.core.proposals = append(g.core.proposals, r)
 }
 
 func later(a, b time.Time) time.Time {
--- a/policy/quorum/votes.go
+++ b/policy/quorum/votes.go
@@ -33,8 +33,9 @@
 // membership is the standing of this node's voter in one epoch.
 type membership struct {
 	voter    model.NodeID
-	learned  time.Time // when this node read the composition
-	sealed   bool      // the epoch before was sealed
+	learned  time.Time     // when this node read the composition
+	sealed   bool          // the epoch before was sealed
+	wait     time.Duration // before leases are promised
 	standing Standing
 	sealTime time.Time // ids from here on are refused when sealed
 	accepted time.Time // largest time of an accepted id
@@ -75,7 +76,7 @@
 	}
 	for _, m := range r.Members {
 		if m.NodeID == v.voter {
-			v.members[k] = &membership{voter: v.voter, learned: now, sealed: r.Sealed, standing: StandingMember}
+			v.members[k] = &membership{voter: v.voter, learned: now, sealed: r.Sealed, wait: r.LeaseWait.D(), standing: StandingMember}
 		}
 	}
 }
@@ -117,12 +118,12 @@
 // waits until promises of the epoch before have lapsed. It need not wait for
 // a holder that continues its lease: one that held the lease of the sealed
 // epoch before when it read this composition is the last one that could.
-func (v *Votes) MayPromise(now time.Time, b Ballot, lapse time.Duration, continued bool) bool {
+func (v *Votes) MayPromise(now time.Time, b Ballot, continued bool) bool {
 	if v.Standing(now, b) != StandingMember || now.Sub(v.contact) > LeaseHorizon {
 		return false
 	}
 	m := v.members[epochKey{b.Key, b.Epoch}]
-	return b.Epoch == 1 || continued && m.sealed || now.Sub(m.learned) >= lapse
+	return continued && m.sealed || now.Sub(m.learned) >= m.wait
 }
 
 // AcceptID decides whether the addressed voter may accept a new id made at t,
--- a/policy/tokenlease/promise.go
+++ b/policy/tokenlease/promise.go
@@ -10,7 +10,7 @@
 const (
 	// PromiseLife is how long a voter promises a lease, on its monotonic
 	// clock from its answer on.
-	PromiseLife = 2 * time.Second
+	PromiseLife = quorum.PromiseLife
 	// renewInterval is the time between two renewals.
 	renewInterval = 500 * time.Millisecond
 	// leaseMargin is what a holder leaves unused of a lease, so that clocks
@@ -43,7 +43,7 @@
 	if standing != nil {
 		a.Holder, a.Term, a.Remaining = standing.holder, standing.term, max(standing.until.Sub(now), 0)
 	}
-	if !p.votes.MayPromise(now, r.Ballot, PromiseLife, r.Continued) || !standing.allows(now, r) {
+	if !p.votes.MayPromise(now, r.Ballot, r.Continued) || !standing.allows(now, r) {
 		return a
 	}
 	p.groups[r.Ballot.Key] = &promise{holder: r.Holder, term: r.Term, until: now.Add(PromiseLife)}
--- a/transport/wire/quorum.go
+++ b/transport/wire/quorum.go
@@ -46,7 +46,10 @@
 		r := &SealRequest{TimeMs: m.Time.UnixMilli()}
 		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_Seal{Seal: r}}
 	case *quorum.SealAnswer:
-		a := &SealAnswer{Standing: uint32(m.Standing), TimeMs: m.Time.UnixMilli(), Voter: FromNodeID(m.Voter)}
+		a := &SealAnswer{
+			Standing: uint32(m.Standing), TimeMs: m.Time.UnixMilli(), Voter: FromNodeID(m.Voter),
+			RemainingNs: int64(m.Remaining),
+		}
 		return &VoteFrame{Ballot: fromBallot(m.Ballot), Kind: &VoteFrame_SealAnswer{SealAnswer: a}}
 	}
 	if f := encodePromise(m); f != nil {
--- a/transport/wire/quorum_decode.go
+++ b/transport/wire/quorum_decode.go
@@ -46,6 +46,7 @@
 		standing, err := toStanding(a.GetStanding())
 		return &quorum.SealAnswer{
 			Ballot: b, Standing: standing, Time: time.UnixMilli(a.GetTimeMs()), Voter: ToNodeID(a.GetVoter()),
+			Remaining: toDuration(a.GetRemainingNs()),
 		}, err
 	case *VoteFrame_Promise:
 		r := k.Promise
