--- a/policy/admission/latency.go
+++ b/policy/admission/latency.go
@@ -13,10 +13,10 @@
 	buckets    = 30
 	// usualWeight is the weight of one answer in the usual service time.
 	usualWeight = 0.05
-	// trialPause is the time between two calls that run although the usual
-	// service time says that they end too late. Without them the node would
-	// not notice that the target has become faster.
-	trialPause = 200 * time.Millisecond
+	// adoptTime is how long an adopted baseline is not lowered. Without it, a
+	// customer that alternates between light and heavy requests would cause a
+	// check of the target at each change.
+	adoptTime = 30 * time.Second
 )
 
 // latency holds service times for each class. Classes differ in their usual
@@ -35,6 +35,9 @@
 	opened   time.Time
 	history  [buckets]time.Duration // means of the last buckets; zero when empty
 	position int
+
+	adopted      time.Duration // least baseline until adoptedUntil
+	adoptedUntil time.Time
 }
 
 func (l *latency) class(rank int) *classLatency {
@@ -59,7 +62,7 @@
 	if now.Sub(c.opened) >= bucketTime && c.samples >= minSamples {
 		c.closeBucket(now)
 	}
-	if base := c.baseline(); base > 0 {
+	if base := c.baseline(now); base > 0 {
 		return base
 	}
 	return own
@@ -81,36 +84,27 @@
 }
 
 // baseline is the windowed minimum of the mean service time: what a call
-// takes when the target is not loaded beyond what it bears.
-func (c *classLatency) baseline() time.Duration {
+// takes when the target is not loaded beyond what it bears. It is 0 when
+// nothing is known.
+func (c *classLatency) baseline(now time.Time) time.Duration {
 	var lowest time.Duration
 	for _, mean := range c.history {
 		if mean > 0 && (lowest == 0 || mean < lowest) {
 			lowest = mean
 		}
 	}
+	if now.Before(c.adoptedUntil) {
+		return max(lowest, c.adopted)
+	}
 	return lowest
 }
 
 // adopt makes the present service times the baseline.
-func (l *latency) adopt() {
+func (l *latency) adopt(now time.Time) {
 	for _, c := range l.byRank {
-		*c = classLatency{usual: c.usual, recent: c.recent, history: [buckets]time.Duration{c.recent}, position: 1}
+		*c = classLatency{usual: c.usual, recent: c.recent, adopted: c.recent, adoptedUntil: now.Add(adoptTime)}
 	}
 }
 
 // forget drops what is known, since a restarted target is another one.
 func (l *latency) forget() { l.byRank = nil }
-
-// feasible reports whether a call can end before its deadline when it takes
-// the usual time. Work that ends late is lost to both sides.
-func (l *latency) feasible(now time.Time, e *execution) bool {
-	if !now.Add(l.class(e.rank).usual).After(e.call.Deadline) {
-		return true
-	}
-	if now.Sub(l.lastTrial) < trialPause {
-		return false
-	}
-	l.lastTrial = now
-	return now.Before(e.call.Deadline)
-}
