--- a/policy/tokenlease/acquirer.go
+++ b/policy/tokenlease/acquirer.go
@@ -202,7 +202,11 @@
 		d.waiting = d.waiting[1:]
 		grant.Count = min(left, r.want)
 		left -= grant.Count
-		c.deliver(r, Result{Customer: d.customer, Grant: grant})
+		result := Result{Customer: d.customer, Grant: grant}
+		if grant.Count < r.want {
+			result.RetryAfter = a.RetryAfter
+		}
+		c.deliver(r, result)
 	}
 }
 
--- a/policy/tokenlease/grant.go
+++ b/policy/tokenlease/grant.go
@@ -25,5 +25,5 @@
 	Customer   model.Customer
 	Grant      Grant
 	Reason     model.Reason  // rate_limited or rate_unavailable
-	RetryAfter time.Duration // when a token may be there again
+	RetryAfter time.Duration // when a token may be there again; also with a grant of less than was wanted
 }
--- a/policy/tokenlease/grantor.go
+++ b/policy/tokenlease/grantor.go
@@ -64,6 +64,9 @@
 		a.reserve(grant{holder: holder, id: r.Sequence, granted: n, life: life, expiry: now.Add(life)})
 		a.check(now, customer.Name)
 		answer.Granted, answer.Life = n, life
+		if n < r.Want {
+			answer.RetryAfter = a.wait(now)
+		}
 		return answer
 	}
 	answer.RetryAfter = a.wait(now)
--- a/policy/tokenlease/message.go
+++ b/policy/tokenlease/message.go
@@ -64,7 +64,7 @@
 	Granted    int
 	Term       uint64
 	Life       time.Duration
-	RetryAfter time.Duration  // when nothing was granted
+	RetryAfter time.Duration  // when less was granted than wanted
 	NotGrantor bool           // the asked node holds no lease
 	Grantor    model.Instance // the grantor it knows; empty when it knows none
 }
