Give leases up on request, and fuzz the duty's messages

Cause: a grantor that shuts down gracefully left its group without one for up to 2 s; and members that wait for a lease did not notice when it was given back.

Message Leave gives leases up; members that wait look again on a release. TestLeavingGrantorIsFollowedSoon gets a token within 1.3 s. The generated chart of the lease is brought up to date.

--- a/agent/quorum/compose_test.go
+++ b/agent/quorum/compose_test.go
@@ -4,12 +4,14 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/quorum"
 	"github.com/oleanderworks/oleanderworks/policy/record"
 	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
 var firstGroup = model.GroupKey{Region: "viti", Group: 0}
@@ -227,3 +229,69 @@
 	c.run(time.Second)
 	assert.Equal(t, c.claims(c.nodes[0]), record.Granted)
 }
+
+// Guards against a graceful shutdown that leaves its group without a grantor
+// until the lease lapses. The last token ends within 1 s.
+func TestLeavingGrantorIsFollowedSoon(t *testing.T) {
+	t.Parallel()
+	c := newFleet(3, 3)
+	c.run(5 * time.Second)
+	var leaving *process
+	for _, p := range c.nodes {
+		if p.handler.leases.Held() > 0 {
+			leaving = p
+		}
+	}
+	leaving.handle(&Leave{})
+	other := c.nodes[(leaving.index+1)%3]
+	assert.Assert(t, c.grantsWithin(other, 1300*time.Millisecond))
+	assert.Equal(t, leaving.handler.leases.Held(), 0)
+	c.run(5 * time.Second)
+	assert.Equal(t, leaving.handler.leases.Held(), 0)
+}
+
+// Guards against messages of a faulty peer that panic the duty.
+func FuzzPeerMessage(f *testing.F) {
+	c := newFleet(1, 1)
+	c.run(3 * time.Second)
+	p := c.nodes[0]
+	for _, o := range [][]byte{{}, {0x0a, 0x00}, {0x0a, 0x02, 0x08, 0x01}} {
+		f.Add(wire.KindVote, o)
+		f.Add(wire.KindTokens, o)
+	}
+	c.rewrite = func(from, _ int, m quorum.Message) []forgery {
+		kind, frame, err := wire.EncodeQuorum(m)
+		if err != nil {
+			panic(err)
+		}
+		body, _ := proto.Marshal(frame)
+		f.Add(kind, body)
+		return nil
+	}
+	seedMessages(p)
+	c.rewrite = nil
+	f.Fuzz(func(t *testing.T, kind uint32, body []byte) {
+		m, err := wire.DecodeQuorum(kind, body)
+		if err != nil {
+			return
+		}
+		p.handle(&PeerMessage{From: "tally-0", Message: m})
+		p.handle(&PeerMessage{From: "tally-9", Message: m})
+		c.run(time.Millisecond)
+	})
+}
+
+// seedMessages makes the node send messages of its own to a peer, which the
+// cluster records.
+func seedMessages(p *process) {
+	ballot := quorum.Ballot{Key: firstGroup, Epoch: 1, Voter: p.member.NodeID}
+	claim := &record.ClaimRequest{Ballot: ballot, Key: record.Key{Customer: "herders", ID: (&orders{c: p.c}).newID()}, Round: 1}
+	for _, m := range []quorum.Message{
+		&quorum.ProbeRequest{Ballot: ballot}, &quorum.SealRequest{Ballot: ballot, Time: p.c.now}, claim,
+		&tokenlease.PromiseRequest{Ballot: ballot, Holder: p.member.NodeID, Term: 9},
+		&tokenlease.TokenRequest{Key: firstGroup, Customer: "herders", Want: 3, Sequence: 1},
+		&record.ClaimComplete{Ballot: ballot, Key: claim.Key, Answer: &model.Answer{Status: 200}},
+	} {
+		p.send(p.member.Instance, m)
+	}
+}
--- a/agent/quorum/dispatch.go
+++ b/agent/quorum/dispatch.go
@@ -29,6 +29,7 @@
 		h.leases.OnAnswer(now, m)
 	case *tokenlease.PromiseRelease:
 		h.promises.OnRelease(now, m)
+		h.leases.OnReleased(now, m.Ballot.Key)
 	case *tokenlease.TokenRequest:
 		h.grant(now, from, m)
 	case *tokenlease.TokenAnswer:
--- a/agent/quorum/duty.go
+++ b/agent/quorum/duty.go
@@ -57,6 +57,7 @@
 
 	known     map[model.GroupKey]uint64 // epochs that were logged
 	appending map[model.GroupKey]bool   // compositions on their way to the log
+	leaving   bool                      // seeks no lease any more
 	refreshAt time.Time
 	local     []quorum.Message // messages of this node to itself
 	metrics   *metrics
@@ -120,6 +121,9 @@
 			return
 		}
 		h.dispatch(now, m.From, m.Message)
+	case *Leave:
+		h.leaving = true
+		h.leases.GiveUp(now)
 	case *AppendDone:
 		delete(h.appending, m.Key)
 	case *SnapshotChanged:
@@ -144,7 +148,9 @@
 		keys[i] = model.GroupKey{Region: h.config.Self.Region, Group: i}
 		h.refreshVotes(now, keys[i])
 	}
-	h.leases.OnDirectory(now, keys, h.directory)
+	if !h.leaving {
+		h.leases.OnDirectory(now, keys, h.directory)
+	}
 }
 
 func (h *Handler) refreshVotes(now time.Time, key model.GroupKey) {
--- a/policy/tokenlease/lease.go
+++ b/policy/tokenlease/lease.go
@@ -31,6 +31,7 @@
 	eventLapsed
 	eventLost
 	eventMoved
+	eventReleased
 )
 
 // Leases seeks and holds the leases of the groups in which this node votes.
@@ -94,7 +95,7 @@
 func newMachine() *chart.Machine[*lease] {
 	return chart.MustCompile(charts.MustRead("token_lease"), chart.Binding[*lease]{
 		States: []string{"idle", "asking", "held"},
-		Events: []string{"due", "promised", "refused", "lapsed", "lost", "moved"},
+		Events: []string{"due", "promised", "refused", "lapsed", "lost", "moved", "released"},
 		Guards: map[string]func(*lease) bool{
 			"majority":           func(l *lease) bool { return len(l.promised) >= l.majority() },
 			"hopeless":           (*lease).hopeless,
@@ -174,6 +175,14 @@
 	l.step(now, eventRefused)
 }
 
+// OnReleased looks again when the lease may be free, since its holder has
+// given a promise of this node back.
+func (c *Leases) OnReleased(now time.Time, key model.GroupKey) {
+	if l := c.groups[key]; l != nil {
+		l.step(now, eventReleased)
+	}
+}
+
 // Grantor returns the open buckets of a group, or nil when this node does not
 // hold its lease at now.
 func (c *Leases) Grantor(now time.Time, key model.GroupKey) *Grantor {
--- a/spec/gen/token_lease.pml
+++ b/spec/gen/token_lease.pml
@@ -7,10 +7,13 @@
 #define token_lease_e_refused 2
 #define token_lease_e_lapsed 3
 #define token_lease_e_lost 4
+#define token_lease_e_moved 5
+#define token_lease_e_released 6
 inline token_lease_step(s, e) {
 	if
 	:: (s == token_lease_s_idle && e == token_lease_e_due && (token_lease_g_standing_elsewhere)) -> token_lease_a_wait; s = token_lease_s_idle
 	:: (s == token_lease_s_idle && e == token_lease_e_due && !(token_lease_g_standing_elsewhere)) -> token_lease_a_ask; s = token_lease_s_asking
+	:: (s == token_lease_s_idle && e == token_lease_e_released) -> token_lease_a_wait; s = token_lease_s_idle
 	:: (s == token_lease_s_asking && e == token_lease_e_due) -> token_lease_a_give_back; token_lease_a_wait; s = token_lease_s_idle
 	:: (s == token_lease_s_asking && e == token_lease_e_promised && (token_lease_g_majority)) -> token_lease_a_open; s = token_lease_s_held
 	:: (s == token_lease_s_asking && e == token_lease_e_promised && !(token_lease_g_majority)) -> s = token_lease_s_asking
@@ -23,6 +26,7 @@
 	:: (s == token_lease_s_held && e == token_lease_e_promised && !(token_lease_g_majority)) -> s = token_lease_s_held
 	:: (s == token_lease_s_held && e == token_lease_e_lapsed) -> token_lease_a_close; token_lease_a_wait; s = token_lease_s_idle
 	:: (s == token_lease_s_held && e == token_lease_e_lost) -> token_lease_a_give_back; token_lease_a_close; token_lease_a_wait; s = token_lease_s_idle
+	:: (s == token_lease_s_held && e == token_lease_e_moved) -> token_lease_a_move; token_lease_a_ask_again; s = token_lease_s_held
 	:: else -> skip /* ignored */
 	fi
 }
