--- a/agent/admission/duty_test.go
+++ b/agent/admission/duty_test.go
@@ -31,6 +31,7 @@
 
 func (noQuarantine) Check(time.Time, *model.Call) *model.Answer { return nil }
 func (noQuarantine) Ended(time.Time, *model.Answer)             {}
+func (noQuarantine) Started(model.CallID)                       {}
 func (noQuarantine) OnNews(time.Time, quarantine.News)          {}
 func (noQuarantine) OnSnapshot(*model.Snapshot)                 {}
 func (noQuarantine) Flush(time.Time)                            {}
--- a/agent/config.go
+++ b/agent/config.go
@@ -12,11 +12,10 @@
 	"github.com/oleanderworks/oleanderworks/agent/appender"
 	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/agent/links"
-	quorumduty "github.com/oleanderworks/oleanderworks/agent/quorum"
+	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
-	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
@@ -36,10 +35,12 @@
 	c.appender = appender.New(ctx, n.service, newRand(), n.log)
 	c.seeds = follower.NewSeeds(sessions, n.endpoint, n.settings.Peers, n.log)
 	c.duty, c.follower = follower.New(follower.Config{
+		Context:   ctx,
+		Service:   n.service,
 		Self:      n.self,
 		Streams:   n.streams(),
 		Rand:      newRand(),
-		Checker:   invariant.New(n.log, nil),
+		Checker:   n.checker,
 		Log:       n.log,
 		Peers:     c.seeds,
 		Append:    func(a *appender.Append) bool { return c.appender.Ring().Offer(a) },
@@ -60,7 +61,7 @@
 		func(s *model.Snapshot) bool {
 			return n.admission.Ring().Offer(&admissionduty.SnapshotChanged{Snapshot: s})
 		},
-		func(s *model.Snapshot) bool { return n.quorum.Ring().Offer(&quorumduty.SnapshotChanged{Snapshot: s}) },
+		func(s *model.Snapshot) bool { return n.quorum.Ring().Offer(&quorum.SnapshotChanged{Snapshot: s}) },
 		func(s *model.Snapshot) bool { return n.links.Ring().Offer(&links.SnapshotChanged{Snapshot: s}) },
 	}
 }
@@ -69,12 +70,6 @@
 	c := &n.configuration
 	c.appender.Start(&n.tomb)
 	c.duty.Start(&n.tomb)
-	for _, stream := range n.streams() {
-		n.tomb.Go(func() error {
-			c.follower.Read(ctx, n.service, stream, c.duty.Ring())
-			return nil
-		})
-	}
 	n.tomb.Go(func() error {
 		c.seeds.Run(ctx)
 		return nil
@@ -99,19 +94,10 @@
 	return streams
 }
 
-// appendGroup appends a composition of a quorum group. The duty proposes it
-// again when it does not come back from the log.
-func (n *Node) appendGroup(r model.GroupRecord) {
-	body, err := json.Marshal(r)
-	if err != nil {
-		n.log.Emit(event.RecordMalformed, "error", errors.Wrap(err, "encode composition"))
-		return
-	}
-	n.configuration.appender.Ring().Offer(&appender.Append{
-		Stream: model.GroupStream(r.Region),
-		ID:     r.ID,
-		Body:   body,
-	})
+// groupsKnown returns the time before which every composition of the region's
+// quorum groups is known here, read from the log or through peers.
+func (n *Node) groupsKnown() time.Time {
+	return n.configuration.follower.View().Known(model.GroupStream(n.self.Region))
 }
 
 // announce appends the target to the members of its service.
--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -55,10 +55,10 @@
 
 // run hands a call to the target. While it runs, its sub-calls are accepted
 // under an opaque random id.
-func (s *Server) run(ctx context.Context, call *model.Call, v admission.Verdict, began time.Time) (*model.Answer, routing.ParentEnd) {
+func (s *Server) run(ctx context.Context, call *model.Call, v admission.Verdict, began time.Time) (*model.Answer, routing.Ended) {
 	contextID := rand.Text()
 	if err := s.Parents.Put(ctx, &duty.RegisterParent{ContextID: contextID, Call: call}); err != nil {
-		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), routing.ParentEnd{}
+		return model.Refusal(call.ID, model.ReasonCanceled, err.Error()), routing.Ended{}
 	}
 	handed := time.Now()
 	answer := s.handOver(ctx, call, contextID, v)
@@ -66,10 +66,10 @@
 		ContextID: contextID,
 		Canceled:  ctx.Err() != nil,
 		NodeTime:  handed.Sub(began),
-		Reply:     ring.NewReply[routing.ParentEnd](),
+		Reply:     ring.NewReply[routing.Ended](),
 	}
 	if err := s.Parents.Put(context.Background(), end); err != nil {
-		return answer, routing.ParentEnd{}
+		return answer, routing.Ended{}
 	}
 	ended, err := end.Reply.Wait(context.Background())
 	if err == nil {
@@ -82,7 +82,7 @@
 // the decision: the fences that the call passed may not hold any more.
 func (s *Server) handOver(ctx context.Context, call *model.Call, contextID string, v admission.Verdict) *model.Answer {
 	if !time.Now().Before(v.Until) {
-		return model.Refusal(call.ID, model.ReasonNodeBusy, "the permission to run has expired before the hand-over")
+		return model.Refusal(call.ID, model.ReasonNodeBusy, "the permission to run has expired before the handoff")
 	}
 	return s.Target.Do(ctx, call, contextID, v.Silence)
 }
--- a/agent/routing/messages.go
+++ b/agent/routing/messages.go
@@ -42,12 +42,12 @@
 }
 
 // EndParent reports that the target has ended a call. Reply gets what its
-// sub-calls cost.
+// sub-calls used.
 type EndParent struct {
 	ContextID string
 	Canceled  bool          // the caller has gone
 	NodeTime  time.Duration // time in this node, without the target
-	Reply     ring.Reply[routing.ParentEnd]
+	Reply     ring.Reply[routing.Ended]
 }
 
 // TokensGranted carries the quorum duty's answer to a request for tokens.
--- a/policy/routing/parent.go
+++ b/policy/routing/parent.go
@@ -15,14 +15,15 @@
 	call     *model.Call
 	budget   int // retries that no sub-call holds
 	children map[model.CallID]*call
-	waits    time.Time     // since when it waits for sub-calls; while it has children
-	waited   time.Duration // for sub-calls before
+
+	waitingSince time.Time     // when the first of the running sub-calls began
+	waited       time.Duration // with at least one sub-call in progress
 }
 
-// ParentEnd tells what the sub-calls of a call cost.
-type ParentEnd struct {
-	RetriesUsed int
-	Waited      time.Duration // in which the call waited for one or more of them
+// Ended is what a call that ended at the target leaves.
+type Ended struct {
+	RetriesUsed int           // by its sub-calls
+	Waited      time.Duration // with at least one sub-call in progress; no work of the target
 }
 
 // OnParent registers a call that is handed to the target. id is the opaque
@@ -31,25 +32,25 @@
 	c.parents[id] = &parent{call: running, budget: running.RetryBudget}
 }
 
-// OnParentEnded removes a call that has ended and returns what its sub-calls
-// cost. What a sub-call in progress still holds counts as used.
-// When the caller has gone, these sub-calls are cancelled.
-func (c *Core) OnParentEnded(now time.Time, id string, canceled bool) ParentEnd {
+// OnParentEnded removes a call that has ended. Of the retry budget, what a
+// sub-call in progress still holds counts as used. When the caller has gone,
+// these sub-calls are cancelled.
+func (c *Core) OnParentEnded(now time.Time, id string, canceled bool) Ended {
 	p := c.parents[id]
 	if p == nil {
-		return ParentEnd{}
+		return Ended{}
 	}
 	delete(c.parents, id)
-	end := ParentEnd{RetriesUsed: p.call.RetryBudget - p.budget, Waited: p.waited}
+	ended := Ended{RetriesUsed: p.call.RetryBudget - p.budget, Waited: p.waited}
 	if len(p.children) > 0 {
-		end.Waited += now.Sub(p.waits)
+		ended.Waited += now.Sub(p.waitingSince)
 	}
 	if canceled {
 		for child := range p.children {
 			c.OnCanceled(now, child)
 		}
 	}
-	return end
+	return ended
 }
 
 // join gives the sub-call all that is left of its parent's retry budget. Of
@@ -62,7 +63,7 @@
 		p.children = make(map[model.CallID]*call)
 	}
 	if len(p.children) == 0 {
-		p.waits = r.now
+		p.waitingSince = r.now
 	}
 	p.children[r.id] = r
 }
@@ -72,7 +73,7 @@
 	p.budget += r.budget
 	delete(p.children, r.id)
 	if len(p.children) == 0 {
-		p.waited += r.now.Sub(p.waits)
+		p.waited += r.now.Sub(p.waitingSince)
 	}
 }
 
