Find silent connections to targets without cutting slow calls

Cause: TestZoneOutEndsNewWorkAndCutsNothing saw 2 of 2,124 calls cut: a target that takes 4 s was taken for a silent connection, since some other connection had received a byte after 3 s.

Ruled out: the drain of the availability zone; the calls were running before.

Now the kernel's keepalive finds a lost connection within 4 s, and the rule of progress needs a later call that was answered and half of the call's time limit.

--- a/policy/admission/deadline.go
+++ b/policy/admission/deadline.go
@@ -26,7 +26,9 @@
 }
 
 // silence returns the time without a byte after which the connection of a
-// call is given up, if others progress meanwhile.
-func (l *latency) silence(rank int) time.Duration {
-	return 2*l.class(rank).usual + silenceBase
+// call is given up, if later calls are answered meanwhile. A call that was
+// given a long time may rightly be slow beside fast ones, so it gets at least
+// half of it.
+func (l *latency) silence(e *execution) time.Duration {
+	return max(2*l.class(e.rank).usual+silenceBase, e.call.Deadline.Sub(e.now)/2)
 }
--- a/transport/target/attempt.go
+++ b/transport/target/attempt.go
@@ -37,6 +37,7 @@
 		cancel(nil)
 		return nil, a, cause(ctx, err)
 	}
+	a.noteAnswer()
 	resp.Body = &watchedBody{ReadCloser: resp.Body, stop: func() { stop(); cancel(nil) }, ctx: ctx}
 	return resp, a, nil
 }
@@ -78,9 +79,22 @@
 	return a.reused
 }
 
+// noteAnswer records that a call that began with this attempt was answered.
+func (a *attempt) noteAnswer() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	since := a.since.UnixNano()
+	for {
+		latest := a.dialer.answered.Load()
+		if since <= latest || a.dialer.answered.CompareAndSwap(latest, since) {
+			return
+		}
+	}
+}
+
 // watch gives the attempt up when its connection has been silent for too long
-// while others progressed. Something between the two ends may have lost track
-// of a connection; new ones work then.
+// while calls that began later were answered. Something between the two ends
+// may have lost track of a connection; new ones work then.
 func (a *attempt) watch(ctx context.Context, silence time.Duration) (stop func()) {
 	if silence <= 0 {
 		return func() {}
@@ -105,7 +119,8 @@
 }
 
 // silent reports whether the attempt's connection had no byte for the time,
-// while another had one.
+// while a later call was answered. A target whose calls are all slow is not
+// silent.
 func (a *attempt) silent(now time.Time, silence time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -113,5 +128,5 @@
 		return false
 	}
 	last := max(a.conn.read.Load(), a.since.UnixNano())
-	return now.UnixNano()-last >= int64(silence) && a.dialer.progress.Load() > last
+	return now.UnixNano()-last >= int64(silence) && a.dialer.answered.Load() > last
 }
--- a/transport/target/client.go
+++ b/transport/target/client.go
@@ -5,11 +5,11 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,7 +65,7 @@
 	if u.Scheme != "http" || u.Host == "" {
 		return nil, errors.Errorf("target address %q: want http://host:port", base)
 	}
-	c := &Client{base: u, dialer: &dialer{Dialer: net.Dialer{Timeout: dialTimeout}}}
+	c := &Client{base: u, dialer: &dialer{Dialer: newDialer()}}
 	c.SetConnections(connections)
 	transport := &http.Transport{
 		DialContext:         c.dialer.dial,
@@ -183,7 +183,7 @@
 	switch {
 	case errors.Is(err, errConnections):
 		return answer(id, model.ReasonShed, err.Error())
-	case errors.Is(err, errSilent):
+	case errors.Is(err, errSilent), errors.Is(err, syscall.ETIMEDOUT):
 		return answer(id, model.ReasonTargetFailed, err.Error())
 	case errors.Is(ctx.Err(), context.Canceled):
 		return answer(id, model.ReasonCanceled, "the caller has gone")
@@ -202,7 +202,7 @@
 		return model.Failure(id, model.ReasonTooLarge, err.Error())
 	case errors.Is(err, errNoLength):
 		return model.Failure(id, model.ReasonAnswerCut, err.Error())
-	case ctx.Err() != nil || errors.Is(err, errSilent):
+	case ctx.Err() != nil, errors.Is(err, errSilent), errors.Is(err, syscall.ETIMEDOUT):
 		return failure(ctx, id, err, true)
 	}
 	a := model.Failure(id, model.ReasonAnswerCut, err.Error())
--- a/transport/target/conn.go
+++ b/transport/target/conn.go
@@ -18,12 +18,32 @@
 	errSilent      = errors.New("the connection to the target is silent")
 )
 
+const (
+	// probeInterval and probeCount find within 4 s a connection of which
+	// something between the two ends has lost track. The target's kernel
+	// answers the probes also while the target works on a slow call.
+	probeInterval = time.Second
+	probeCount    = 3
+)
+
+func newDialer() net.Dialer {
+	return net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeInterval,
+			Interval: probeInterval,
+			Count:    probeCount,
+		},
+	}
+}
+
 // dialer opens connections up to a limit.
 type dialer struct {
 	net.Dialer
 	limit    atomic.Int64
 	open     atomic.Int64
-	progress atomic.Int64 // Unix time in ns of the latest byte on any connection
+	answered atomic.Int64 // latest start, as Unix time in ns, of a call that got an answer
 }
 
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -69,9 +89,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		now := time.Now().UnixNano()
-		c.read.Store(now)
-		c.dialer.progress.Store(now)
+		c.read.Store(time.Now().UnixNano())
 	}
 	return n, err
 }
