Draw the policy's plots from an earlier table; bound the level of a bin that meets all demands

Cause: in cases whose capacity changes, a bin without overload had no upper level, so that every customer counted as below its part and what it got by a later retry counted in full (worst customer of a cold restart 100%).

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -11,6 +11,7 @@
 
 var (
 	csvPath  = flag.String("policy.csv", "", "write the table of BenchmarkPolicy to this file")
+	fromPath = flag.String("policy.from", "", "take the results from this table in place of running the cases")
 	plotDir  = flag.String("policy.plots", "", "write one plot for each measure of BenchmarkPolicy to this directory")
 	onlyCase = flag.String("policy.case", "", "comma-separated cases to run; all by default")
 	onlyVar  = flag.String("policy.variant", "", "comma-separated variants to run; all by default")
@@ -28,11 +29,27 @@
 	return false
 }
 
+// results runs the selected cases, or reads an earlier table.
+func results() ([]Result, error) {
+	if *fromPath != "" {
+		f, err := os.Open(*fromPath)
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		return readTable(f)
+	}
+	all := jobs(func(_, c, v string) bool { return selected(*onlyCase, c) && selected(*onlyVar, v) })
+	return runAll(all, max(runtime.GOMAXPROCS(0)/2, 1)), nil
+}
+
 // BenchmarkPolicy runs every case with every policy once, in virtual time,
 // and reports the measures. Its time in ns says nothing about a policy.
 func BenchmarkPolicy(b *testing.B) {
-	all := jobs(func(_, c, v string) bool { return selected(*onlyCase, c) && selected(*onlyVar, v) })
-	results := runAll(all, max(runtime.GOMAXPROCS(0)/2, 1))
+	results, err := results()
+	if err != nil {
+		b.Fatal(err)
+	}
 	for _, r := range results {
 		b.Run(fmt.Sprintf("%s/%s/%s", r.Deployment, r.Case, r.Variant), func(b *testing.B) {
 			for range b.N {
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -252,7 +252,7 @@
 			}
 			shares[k].demand += demands[c]
 			shares[k].part += part
-			shares[k].level += level
+			shares[k].level += min(level, slices.Max(demands))
 			left -= part
 			if demands[c] <= withinPart*level {
 				out.within += at(m.arrivals, k).sum(from, to)
--- a/bench/report.go
+++ b/bench/report.go
@@ -1,8 +1,14 @@
 package bench
 
 import (
+	"encoding/csv"
 	"fmt"
+	"io"
+	"strconv"
 	"strings"
+	"time"
+
+	"github.com/pkg/errors"
 )
 
 // csvTable renders results as comma-separated values, shares in percent and
@@ -16,3 +22,31 @@
 	}
 	return b.String()
 }
+
+// readTable reads what csvTable has written, to draw results of several runs.
+func readTable(r io.Reader) ([]Result, error) {
+	records, err := csv.NewReader(r).ReadAll()
+	if err != nil || len(records) == 0 {
+		return nil, errors.Wrap(err, "read table of results")
+	}
+	var out []Result
+	for _, record := range records[1:] {
+		var numbers [7]float64
+		for i := range numbers {
+			if numbers[i], err = strconv.ParseFloat(record[3+i], 64); err != nil {
+				return nil, errors.Wrapf(err, "case %s variant %s", record[1], record[2])
+			}
+		}
+		out = append(out, Result{
+			Deployment: record[0], Case: record[1], Variant: record[2],
+			Goodput:  numbers[0] / 100,
+			Recovery: time.Duration(numbers[1] * float64(time.Second)),
+			Worst:    numbers[2] / 100,
+			Wrongful: numbers[3] / 100,
+			Service:  numbers[4] / 100,
+			Calm:     numbers[5] / 100,
+			Crashes:  int(numbers[6]),
+		})
+	}
+	return out, nil
+}
