Test buckets, records, seals and the choice of members by themselves

Cause: the three policies were tested through the duty only, so a failure did not show which rule broke.

Covered: doubled and late reports, the end of tokens with life and lease, late messages of old rounds, the first answer, dropped ids and a wall clock that goes back, the memory of hand-overs, epochs by time, seals after accepted ids, and a flood of ten times the rate, which gets 95% of its rate or more and costs three other customers of its groups no refusal.

--- a/agent/quorum/rates_test.go
+++ b/agent/quorum/rates_test.go
@@ -22,8 +22,9 @@
 	waits   []time.Duration
 	sent    int
 	refused int
-	lazy    bool // tokens are used at any time of their life
-	silent  bool // use is not reported
+	denied  map[model.Customer]int // refused of each customer
+	lazy    bool                   // tokens are used at any time of their life
+	silent  bool                   // use is not reported
 }
 
 type holder struct {
@@ -34,7 +35,8 @@
 }
 
 func newCallers(seed uint64, size, zones int, customers ...model.CustomerConfig) *callers {
-	s := &callers{holders: make(map[*process]*holder), used: make(map[model.Customer][]time.Time)}
+	s := &callers{holders: make(map[*process]*holder), used: make(map[model.Customer][]time.Time),
+		denied: make(map[model.Customer]int)}
 	config := &model.Snapshot{Customers: make(map[model.Customer]*model.CustomerConfig)}
 	config.Fleet.Groups = 2
 	for _, c := range customers {
@@ -64,6 +66,11 @@
 	})
 }
 
+func (s *callers) deny(customer model.Customer, n int) {
+	s.refused += n
+	s.denied[customer] += n
+}
+
 func (h *holder) pump(customer model.Customer) {
 	now := h.all.c.now
 	h.expire(customer)
@@ -93,7 +100,7 @@
 	waiting := h.waiting[customer]
 	for len(waiting) > 0 && h.all.c.now.Sub(waiting[0]) > patience {
 		waiting = waiting[1:]
-		h.all.refused++
+		h.all.deny(customer, 1)
 	}
 	h.waiting[customer] = waiting
 }
@@ -101,7 +108,7 @@
 func (h *holder) deliver(r tokenlease.Result) {
 	h.balances.OnResult(h.all.c.now, r)
 	if r.Reason != model.ReasonNone {
-		h.all.refused += len(h.waiting[r.Customer])
+		h.all.deny(r.Customer, len(h.waiting[r.Customer]))
 		delete(h.waiting, r.Customer)
 	}
 	h.pump(r.Customer)
@@ -241,6 +248,28 @@
 	}
 }
 
+// Guards against a customer that sends ten times its rate and takes tokens or
+// the grantor's time from the others of its group. The flood itself gets its
+// rate.
+func TestFloodTakesNothingFromOthers(t *testing.T) {
+	t.Parallel()
+	s := newCallers(1, 5, 3, sampleCustomers...)
+	s.c.run(5 * time.Second)
+	flood := sampleCustomers[0]
+	s.flood(flood, 10)
+	for _, customer := range sampleCustomers[1:] {
+		s.conform(customer, 0.9)
+	}
+	s.c.run(20 * time.Second)
+	s.checkBound(t)
+	for _, customer := range sampleCustomers[1:] {
+		assert.Equal(t, s.denied[customer.Name], 0, "%s", customer.Name)
+	}
+	assert.Assert(t, s.denied[flood.Name] > 1000)
+	got := float64(len(s.used[flood.Name])) / 20
+	assert.Assert(t, got > 0.95*flood.Rate, "the flood got %.1f of %.1f a second", got, flood.Rate)
+}
+
 // Guards against refusals of customers that keep to their rate while nodes
 // change: under 0.1% in a minute in which both grantors crash, a node pauses
 // and another restarts. The fleet of the scale target sees such a minute less
--- /dev/null
+++ b/policy/quorum/directory_test.go
@@ -0,0 +1,96 @@
+package quorum
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Guards against more groups moving nearly every customer, and against groups
+// that get far more customers than others.
+func TestRendezvousIsEvenAndStable(t *testing.T) {
+	const keys, groups = 8000, 8
+	counts := make([]int, groups+1)
+	moved := 0
+	for key := range uint64(keys) {
+		before, after := rendezvous(key, groups), rendezvous(key, groups+1)
+		counts[before]++
+		if before != after {
+			moved++
+			assert.Equal(t, after, groups)
+		}
+	}
+	assert.Assert(t, moved < keys/groups, "%d of %d moved", moved, keys)
+	for g, n := range counts[:groups] {
+		assert.Assert(t, n > keys/groups*8/10, "group %d has %d keys", g, n)
+	}
+}
+
+// Guards against nodes that ask different members for one id, and against
+// leases of an unsealed composition, or of one after it, before the old
+// majority has stopped.
+func TestEpochsByTime(t *testing.T) {
+	start := time.Unix(1_770_000_000, 0)
+	key := model.GroupKey{Region: "viti"}
+	s := &model.Snapshot{Groups: map[model.GroupKey][]model.GroupRecord{key: {
+		{Region: "viti", Epoch: 1, From: start, Sealed: true},
+		{Region: "viti", Epoch: 2, From: start.Add(UnsealedDelay)},
+		{Region: "viti", Epoch: 3, From: start.Add(UnsealedDelay + time.Minute), Sealed: true},
+	}}}
+	d := NewDirectory("viti", s)
+	assert.Assert(t, d.EpochAt(key, start.Add(-1)) == nil)
+	assert.Equal(t, d.EpochAt(key, start).Epoch, uint64(1))
+	assert.Equal(t, d.EpochAt(key, start.Add(UnsealedDelay)).Epoch, uint64(2))
+	assert.Equal(t, d.LeaseEpoch(key, start.Add(UnsealedDelay+time.Hour/2)).Epoch, uint64(1))
+	assert.Equal(t, d.LeaseEpoch(key, start.Add(UnsealedDelay+LeaseHorizon)).Epoch, uint64(3))
+}
+
+// Guards against a seal that cuts off an id which the member accepted, and
+// against a sealed or retired member that accepts later ones.
+func TestSealFollowsAcceptedIDs(t *testing.T) {
+	now := time.Unix(1_770_000_000, 0)
+	self := model.NodeID{Instance: "tally-1", Incarnation: 1}
+	v := NewVotes(self, rand.New(rand.NewPCG(1, 1)))
+	v.OnContact(now)
+	v.OnRecord(now, &model.GroupRecord{Region: "viti", Epoch: 1, Members: []model.Member{{NodeID: self}}})
+	b := Ballot{Key: model.GroupKey{Region: "viti"}, Epoch: 1, Voter: self}
+	ahead := now.Add(30 * time.Second)
+	assert.Equal(t, v.AcceptID(now, b, ahead), StandingMember)
+	a := v.OnSeal(now, &SealRequest{Ballot: b, Time: now})
+	assert.Equal(t, a.Standing, StandingSealed)
+	assert.Equal(t, a.Time, ahead.Add(time.Millisecond))
+	assert.Equal(t, v.AcceptID(now, b, ahead), StandingMember)
+	assert.Equal(t, v.AcceptID(now, b, a.Time), StandingSealed)
+	assert.Assert(t, !v.MayPromise(now, b, true))
+	v.Retire(now)
+	assert.Equal(t, v.AcceptID(now, b, now), StandingRetired)
+	assert.Equal(t, v.OnSeal(now, &SealRequest{Ballot: b, Time: now}).Time, a.Time)
+	b.Voter.Incarnation++
+	assert.Equal(t, v.Standing(now, b), StandingGone)
+}
+
+// Guards against members in availability zones that are out of service, and
+// against a choice that crowds one zone while another is free.
+func TestChoiceOfMembers(t *testing.T) {
+	s := &model.Snapshot{
+		Members: make(map[model.Service][]model.Member),
+		Zones:   map[model.Zone]model.SwitchConfig{"zone-2": {Out: true}},
+	}
+	for i := range 12 {
+		m := model.Member{Region: "viti", Zone: model.Zone(fmt.Sprint("zone-", i%3))}
+		m.Instance = model.Instance(fmt.Sprint("tally-", i))
+		s.Members["tally"] = append(s.Members["tally"], m)
+	}
+	candidates := ranked(s, model.GroupKey{Region: "viti"})
+	assert.Equal(t, len(candidates), 8)
+	chosen := choose(candidates[:1], candidates)
+	size, zones := spread(chosen)
+	assert.Equal(t, size, 3)
+	assert.Equal(t, zones, 2)
+	assert.Equal(t, chosen[0], candidates[0])
+}
--- /dev/null
+++ b/policy/record/store_test.go
@@ -0,0 +1,123 @@
+package record
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/quorum"
+)
+
+// voter is a store whose node is the only member of a group.
+type voter struct {
+	*Store
+	votes *quorum.Votes
+	now   time.Time
+	self  model.NodeID
+	id    model.RequestID
+}
+
+func newVoter() *voter {
+	v := &voter{now: time.Unix(1_770_000_000, 0), self: model.NodeID{Instance: "tally-1", Incarnation: 1}}
+	v.votes = quorum.NewVotes(v.self, rand.New(rand.NewPCG(1, 1)))
+	v.votes.OnContact(v.now)
+	v.votes.OnRecord(v.now, &model.GroupRecord{Region: "viti", Epoch: 1, Members: []model.Member{{NodeID: v.self}}})
+	v.Store = NewStore(v.votes)
+	v.id = idAt(v.now, 1)
+	return v
+}
+
+func (v *voter) ballot() quorum.Ballot {
+	return quorum.Ballot{Key: model.GroupKey{Region: "viti"}, Epoch: 1, Voter: v.self}
+}
+
+func (v *voter) claim(call model.CallID, round int) *ClaimAnswer {
+	v.votes.OnContact(v.now)
+	return v.OnClaim(v.now, &ClaimRequest{
+		Ballot: v.ballot(), Key: Key{"herders", v.id}, Holder: Holder{v.self, call}, Target: v.self, Round: round,
+	})
+}
+
+func (v *voter) release(call model.CallID, round int) {
+	v.OnRelease(v.now, &ClaimRelease{Ballot: v.ballot(), Key: Key{"herders", v.id}, Holder: Holder{v.self, call}, Round: round})
+}
+
+// Guards against a late release or a late copy of an old round that touches a
+// newer claim.
+func TestLateMessagesOfOldRounds(t *testing.T) {
+	v := newVoter()
+	assert.Equal(t, v.claim(1, 1).Vote, VoteYes)
+	assert.Equal(t, v.claim(2, 1).Vote, VoteTaken)
+	assert.Equal(t, v.claim(1, 2).Vote, VoteYes)
+	v.release(1, 1)
+	assert.Equal(t, v.claim(2, 1).Vote, VoteTaken)
+	assert.Equal(t, v.claim(1, 1).Vote, VoteTaken)
+	v.release(2, 9)
+	assert.Equal(t, v.claim(2, 1).Vote, VoteTaken)
+	v.release(1, 2)
+	assert.Equal(t, v.claim(1, 2).Vote, VoteTaken)
+	assert.Equal(t, v.claim(2, 1).Vote, VoteYes)
+}
+
+// Guards against a second first answer, and against answers that fill the
+// memory of the node.
+func TestFirstAnswerStands(t *testing.T) {
+	v := newVoter()
+	v.claim(1, 1)
+	complete := func(body []byte) {
+		a := &model.Answer{Run: model.Completed, Status: 201, Body: body}
+		v.OnComplete(v.now, &ClaimComplete{Ballot: v.ballot(), Key: Key{"herders", v.id}, Holder: Holder{v.self, 1}, Answer: a})
+	}
+	complete([]byte("first"))
+	complete([]byte("second"))
+	a := v.claim(2, 1)
+	assert.Equal(t, a.Vote, VoteDone)
+	assert.Equal(t, string(a.Answer.Body), "first")
+
+	v.id = idAt(v.now, 2)
+	v.claim(1, 1)
+	complete(make([]byte, MaxAnswerBytes+1))
+	a = v.claim(2, 1)
+	assert.Equal(t, a.Vote, VoteDone)
+	assert.Equal(t, len(a.Answer.Body), 0)
+	assert.Equal(t, a.Answer.Run, model.Completed)
+}
+
+// Guards against an id that is accepted again after its record was dropped,
+// also when the wall clock has gone back meanwhile.
+func TestDroppedIDIsNotAcceptedAgain(t *testing.T) {
+	v := newVoter()
+	start := v.now
+	v.claim(1, 1)
+	v.now = start.Add(MaxAge + MaxAhead + time.Second)
+	v.Tick(v.now)
+	assert.Equal(t, v.Len(), 0)
+	assert.Equal(t, v.claim(2, 1).Vote, VoteTooOld)
+	v.now = start.Add(time.Minute)
+	assert.Equal(t, v.claim(2, 1).Vote, VoteTooOld)
+	v.id = idAt(v.now.Add(MaxAhead+time.Second), 3)
+	assert.Equal(t, v.claim(2, 1).Vote, VoteTooFar)
+}
+
+// Guards against a memory of hand-overs that forgets too early, grows without
+// bound, or lets an old attempt pass.
+func TestSeenIsBounded(t *testing.T) {
+	now := time.Unix(1_770_000_000, 0)
+	s := NewSeen(2)
+	claim := func(n uint64, attempt int) *model.Claim {
+		return &model.Claim{Customer: "herders", RequestID: idAt(now, n), Attempt: attempt}
+	}
+	assert.Equal(t, s.Check(now, claim(1, 0)), First)
+	assert.Equal(t, s.Check(now, claim(1, 0)), HandedOver)
+	s.Refuse(claim(1, 0))
+	assert.Equal(t, s.Check(now, claim(1, 0)), Outdated)
+	assert.Equal(t, s.Check(now, claim(1, 1)), First)
+	assert.Equal(t, s.Check(now, claim(2, 0)), First)
+	assert.Equal(t, s.Check(now, claim(3, 0)), Full)
+	assert.Equal(t, s.Check(now.Add(Keep), claim(1, 2)), HandedOver)
+	assert.Equal(t, s.Check(now.Add(Keep+MaxAhead+time.Second), claim(3, 0)), First)
+	assert.Equal(t, s.Len(), 1)
+}
