--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -17,8 +17,7 @@
 // not run.
 const ringCapacity = 8192
 
-// Message is what the admission duty takes: *Arrive, *Finish, *Cancel,
-// *Probed, *Drain or *SnapshotChanged.
+// Message is what the admission duty takes.
 type Message interface{ admissionMessage() }
 
 // Arrive asks for a call to be run. Reply gets the decision. CancelRunning
@@ -61,6 +60,21 @@
 // SnapshotChanged carries a new configuration.
 type SnapshotChanged struct{ Snapshot *model.Snapshot }
 
+// ContactChanged tells until when the node has contact. Zero means that it
+// has none.
+type ContactChanged struct{ Until time.Time }
+
+// SampleLoad asks for the load report. Deliver runs on the admission thread
+// and must not block.
+type SampleLoad struct{ Deliver func(model.Load) }
+
+// Renamed tells that the node goes on under another incarnation, which claims
+// name from now on.
+type Renamed struct{ Self model.Member }
+
+func (*Renamed) admissionMessage()         {}
+func (*ContactChanged) admissionMessage()  {}
+func (*SampleLoad) admissionMessage()      {}
 func (*Arrive) admissionMessage()          {}
 func (*Finish) admissionMessage()          {}
 func (*Probed) admissionMessage()          {}
@@ -141,6 +155,12 @@
 		if n := h.core.Connections(); n > 0 {
 			h.target.SetConnections(n)
 		}
+	case *Renamed:
+		h.core.OnRenamed(m.Self)
+	case *ContactChanged:
+		h.core.OnContact(m.Until)
+	case *SampleLoad:
+		m.Deliver(h.core.Load())
 	}
 }
 
--- a/agent/links/send.go
+++ b/agent/links/send.go
@@ -39,6 +39,21 @@
 	h(s.Peer(), p.GetBody())
 }
 
+// Control returns the handler of control frames: heartbeats go to the links
+// duty, payloads through d, goodbyes to goodbye, which must not block.
+func (h *Handler) Control(d *Dispatcher, goodbye func(from model.Instance)) peerlink.ControlHandler {
+	return func(s *peerlink.Session, f *wire.ControlFrame) {
+		switch k := f.Kind.(type) {
+		case *wire.ControlFrame_Heartbeat:
+			h.inbox.Offer(&Heartbeat{Session: s, Frame: k.Heartbeat})
+		case *wire.ControlFrame_Goodbye:
+			goodbye(s.Peer().Instance)
+		case *wire.ControlFrame_Payload:
+			d.Dispatch(s, k.Payload)
+		}
+	}
+}
+
 // Send queues a payload for a peer, on the link that this node opened or on
 // the one that the peer opened. It reports false when there is no link or its
 // queue is full; the payload is then dropped. It is safe for use by several
@@ -58,3 +73,29 @@
 	}
 	return s.Send(f)
 }
+
+// Broadcast sends a payload to all linked peers. It is safe for use by
+// several threads.
+func (h *Handler) Broadcast(kind uint32, m proto.Message) {
+	out, in := h.Sessions()
+	for i := range out {
+		h.Send(i, kind, m)
+	}
+	for i := range in {
+		if out[i] == nil {
+			h.Send(i, kind, m)
+		}
+	}
+}
+
+// Goodbye tells all linked peers that this node leaves. It is safe for use by
+// several threads.
+func (h *Handler) Goodbye() {
+	out, in := h.Sessions()
+	f := &wire.ControlFrame{Kind: &wire.ControlFrame_Goodbye{Goodbye: &wire.Goodbye{}}}
+	for _, table := range []Table{out, in} {
+		for _, s := range table {
+			s.Send(f)
+		}
+	}
+}
--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -9,6 +9,7 @@
 
 	"github.com/oleanderworks/oleanderworks/agent/admission"
 	duty "github.com/oleanderworks/oleanderworks/agent/routing"
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/routing"
@@ -20,12 +21,17 @@
 	Admission *ring.Ring[admission.Message]
 	Target    *target.Client
 	Parents   *ring.Ring[duty.Message] // takes the calls that may make sub-calls
+	// Held bounds the bytes of calls and answers; nil for no bound.
+	Held *budget.Bytes
 }
 
 // Serve runs a call at the target or refuses it. It ends early when ctx ends,
 // which means that the caller has gone.
 func (s *Server) Serve(ctx context.Context, call *model.Call) *model.Answer {
 	began := time.Now()
+	if s.Held != nil && !s.Held.HasRoom() {
+		return model.Refusal(call.ID, model.ReasonNodeBusy, budget.ErrExceeded.Error())
+	}
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
 	arrive := &admission.Arrive{
--- a/agent/node.go
+++ b/agent/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,9 +18,11 @@
 	"github.com/oleanderworks/oleanderworks/agent/entry"
 	"github.com/oleanderworks/oleanderworks/agent/links"
 	"github.com/oleanderworks/oleanderworks/agent/local"
+	membershipduty "github.com/oleanderworks/oleanderworks/agent/membership"
 	"github.com/oleanderworks/oleanderworks/agent/quarantine"
 	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
@@ -33,7 +36,6 @@
 	"github.com/oleanderworks/oleanderworks/transport/caller"
 	"github.com/oleanderworks/oleanderworks/transport/peerlink"
 	"github.com/oleanderworks/oleanderworks/transport/target"
-	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
 const (
@@ -46,24 +48,32 @@
 // Node is one oleanderworks process beside one target.
 type Node struct {
 	settings *settings.Node
-	self     model.Member
+	security *peerlink.Security           // nil for plain TCP
+	self     atomic.Pointer[model.Member] // changes when others removed the node
 	log      *event.Log
 	service  logservice.Log
 	vars     *expvar.Map
+	held     *budget.Bytes
 	checker  *invariant.Checker
 
-	routing   *duty.Duty[routingduty.Message]
-	quorum    *duty.Duty[quorum.Message]
-	admission *duty.Duty[admissionduty.Message]
-	links     *duty.Duty[links.Message]
+	routing    *duty.Duty[routingduty.Message]
+	admission  *duty.Duty[admissionduty.Message]
+	membership *duty.Duty[membershipduty.Message]
+	links      *duty.Duty[links.Message]
+	quorum     *duty.Duty[quorum.Message]
 
 	quorumVars    *expvar.Map
 	configuration configuration
 
-	endpoint  *peerlink.Endpoint
-	entry     *entry.Entry
-	listeners listeners
-	tomb      tomb.Tomb
+	endpoint *peerlink.Endpoint
+	sessions *links.Handler
+	entry    *entry.Entry
+	callers  *http.Server
+
+	callersListener *caller.Listener
+	listeners       listeners
+	leaving         leaving
+	tomb            tomb.Tomb
 }
 
 // listeners hold the node's addresses. They are open before the node starts,
@@ -74,16 +84,23 @@
 
 // New builds a node and opens its listeners. Start runs it.
 func New(s *settings.Node, log logservice.Log, out hclog.Logger) (*Node, error) {
+	security, err := newSecurity(s)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		settings: s,
+		security: security,
 		service:  log,
 		log:      event.New(out.Named(s.Instance)),
 		vars:     new(expvar.Map).Init(),
+		held:     budget.NewBytes(s.HeldBytes),
+		leaving:  leaving{done: make(chan struct{})},
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	n.self = model.Member{
+	n.self.Store(&model.Member{
 		NodeID: model.NodeID{
 			Instance:    model.Instance(s.Instance),
 			Incarnation: model.Incarnation(rand.Uint64()),
@@ -92,7 +109,7 @@
 		Zone:        model.Zone(s.Zone),
 		Region:      model.Region(s.Region),
 		PeerAddress: n.listeners.peer.Addr().String(),
-	}
+	})
 	if err := n.build(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -105,39 +122,59 @@
 	if err != nil {
 		return err
 	}
+	if n.callersListener, err = caller.NewListener(n.listeners.call); err != nil {
+		return err
+	}
 	ctx := n.tomb.Context(context.Background())
+	self := n.member()
 	dispatcher := links.NewDispatcher(n.log)
-	n.endpoint = &peerlink.Endpoint{Self: n.self, Control: controlHandler(dispatcher)}
-	var sessions *links.Handler
-	n.links, sessions = links.New(ctx, n.self, link.New(newRand()), n.endpoint, n.log)
-	n.endpoint.Accepted = sessions.Accept
+	n.buildLinks(ctx, dispatcher)
 
 	n.checker = invariant.New(n.log, nil)
-	table := n.newQuarantine(sessions, dispatcher)
-	admissionCore := admission.New(n.self, admission.Options{Rand: newRand(), Check: n.checker, Quarantine: table})
+	table := n.newQuarantine(n.sessions, dispatcher)
+	admissionCore := admission.New(self, admission.Options{Rand: newRand(), Check: n.checker, Quarantine: table})
 	var targetVars *expvar.Map
 	n.admission, targetVars = admissionduty.New(ctx, admissionCore, client, table, n.log)
-	n.buildQuorum(sessions, dispatcher)
+	n.buildQuorum(n.sessions, dispatcher)
 	var decisions *routingduty.Handler
-	n.routing, decisions = routingduty.New(routing.New(n.self, newRand(), n.checker), n.quorum.Ring(), n.log)
-	server := &local.Server{Admission: n.admission.Ring(), Target: client, Parents: n.routing.Ring()}
+	n.routing, decisions = routingduty.New(routing.New(self, newRand(), n.checker), n.quorum.Ring(), n.log)
+	server := &local.Server{Admission: n.admission.Ring(), Target: client, Parents: n.routing.Ring(), Held: n.held}
 	n.endpoint.Calls = server.Serve
-	n.entry = &entry.Entry{Self: n.self, Routing: n.routing.Ring(), Sessions: sessions, Local: server.Serve}
-	n.buildConfiguration(sessions, dispatcher)
-	n.vars.Set("routing", n.routing.Vars())
+	n.entry = &entry.Entry{Self: self, Routing: n.routing.Ring(), Sessions: n.sessions, Local: server.Serve}
+	n.buildMembership(dispatcher)
+	n.buildConfiguration(n.sessions, dispatcher)
 	n.vars.Set("calls", decisions.Vars())
+	n.vars.Set("target", targetVars)
+	n.setVars()
+	return nil
+}
+
+// buildLinks wires the peer links.
+func (n *Node) buildLinks(ctx context.Context, dispatcher *links.Dispatcher) {
+	start := time.Now()
+	n.endpoint = &peerlink.Endpoint{Self: n.member, Security: n.security, Held: n.held, Refused: n.onPeerRefused, Start: start}
+	n.links, n.sessions = links.New(ctx, n.member(), link.New(newRand(), start), n.endpoint, n.onHeard, n.log)
+	n.endpoint.Accepted = n.sessions.Accept
+	n.endpoint.Control = n.sessions.Control(dispatcher, n.onGoodbye)
+}
+
+func (n *Node) setVars() {
+	n.vars.Set("routing", n.routing.Vars())
 	n.vars.Set("invariant_breaches", expvar.Func(func() any { return n.checker.Breaches() }))
 	n.vars.Set("quorum", n.quorumVars)
 	n.vars.Set("admission", n.admission.Vars())
-	n.vars.Set("target", targetVars)
+	n.vars.Set("membership", n.membership.Vars())
 	n.vars.Set("links", n.links.Vars())
-	return nil
+	n.vars.Set("held_bytes", n.held.Var())
 }
 
+// member returns the member as which the node speaks now.
+func (n *Node) member() model.Member { return *n.self.Load() }
+
 // newQuarantine returns the quarantine table of the admission duty, which
 // talks to the other nodes of the service.
 func (n *Node) newQuarantine(s *links.Handler, d *links.Dispatcher) *quarantine.Table {
-	table := quarantine.New(n.self, s, n.log)
+	table := quarantine.New(n.member(), s, n.log)
 	n.vars.Set("quarantine", table.Vars())
 	quarantine.Register(d, n.log, func(news quarantine.News) bool {
 		return n.admission.Ring().Offer(&admissionduty.QuarantineNews{News: news})
@@ -145,17 +182,25 @@
 	return table
 }
 
-func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-
-// controlHandler passes the frames of a control stream to their duties.
-func controlHandler(d *links.Dispatcher) peerlink.ControlHandler {
-	return func(s *peerlink.Session, f *wire.ControlFrame) {
-		if p := f.GetPayload(); p != nil {
-			d.Dispatch(s, p)
-		}
+// newSecurity returns the node's proof of identity. The error says why the
+// node must not start.
+func newSecurity(s *settings.Node) (*peerlink.Security, error) {
+	if err := s.CheckSecurity(); err != nil {
+		return nil, fault.At("check settings", s.Instance, err)
+	}
+	if s.Insecure {
+		return nil, nil
 	}
+	security := &peerlink.Security{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority}
+	return security, fault.At("check certificate", s.Instance, security.Check(model.Instance(s.Instance)))
+}
+
+func (n *Node) onPeerRefused(address string, err error) {
+	n.log.Emit(event.PeerRefused, "address", address, "error", err)
 }
 
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func (n *Node) listen() error {
 	addresses := []struct {
 		address string
@@ -191,25 +236,20 @@
 	n.routing.Start(&n.tomb)
 	n.quorum.Start(&n.tomb)
 	n.links.Start(&n.tomb)
-	n.startConfiguration(n.tomb.Context(context.Background()))
+	n.membership.Start(&n.tomb)
+	ctx := n.tomb.Context(context.Background())
+	n.startConfiguration(ctx)
 	n.tomb.Go(func() error { return n.endpoint.Serve(&n.tomb, n.listeners.peer) })
-	n.serveHTTP(n.listeners.call, caller.NewHandler(n.entry.Serve, false))
-	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.entry.Serve, true))
+	n.callers = n.serveHTTP(n.callersListener, n.closing(caller.NewHandler(n.serve, false, n.held)))
+	n.serveHTTP(n.listeners.sub, caller.NewHandler(n.serve, true, n.held))
 	n.serveHTTP(n.listeners.ops, n.operatorsHandler())
-	n.announce()
-	n.log.Emit(event.NodeStarted, "instance", n.self.Instance, "service", n.self.Service, "zone", n.self.Zone,
-		"calls", n.CallAddress(), "peers", n.self.PeerAddress, "operators", n.OpsAddress())
-}
-
-func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	context.AfterFunc(n.tomb.Context(context.Background()), func() { server.Close() })
 	n.tomb.Go(func() error {
-		if err := server.Serve(l); err != http.ErrServerClosed {
-			return fault.At("serve HTTP", l.Addr().String(), err)
-		}
+		n.watchTarget(ctx)
 		return nil
 	})
+	self := n.member()
+	n.log.Emit(event.NodeStarted, "instance", self.Instance, "service", self.Service, "zone", self.Zone,
+		"calls", n.CallAddress(), "peers", self.PeerAddress, "operators", n.OpsAddress())
 }
 
 // CallAddress returns the address for callers, IP:port.
@@ -220,11 +260,3 @@
 
 // OpsAddress returns the address for operators, IP:port.
 func (n *Node) OpsAddress() string { return n.listeners.ops.Addr().String() }
-
-// Stop ends the node and waits until its threads have ended.
-func (n *Node) Stop() error {
-	n.tomb.Kill(nil)
-	err := n.tomb.Wait()
-	n.log.Emit(event.NodeStopped, "instance", n.self.Instance)
-	return err
-}
--- a/agent/quarantine_test.go
+++ b/agent/quarantine_test.go
@@ -46,7 +46,7 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for _, n := range nodes {
 			if v := n.vars.Get("quarantine").String(); !strings.Contains(v, `"quarantined": 1`) {
-				return poll.Continue("%s: %s", n.self.Instance, v)
+				return poll.Continue("%s: %s", n.member().Instance, v)
 			}
 		}
 		return poll.Success()
--- a/agent/routing/duty.go
+++ b/agent/routing/duty.go
@@ -25,6 +25,10 @@
 	inbox   *ring.Ring[Message]
 	callers map[model.CallID]*caller
 	metrics *metrics
+
+	contactKnown bool // set by the first ContactChanged
+	contactUntil time.Time
+	contact      bool // as told to the core
 }
 
 // caller is the goroutine that carries one call.
@@ -43,6 +47,7 @@
 		quorum:  votes,
 		callers: make(map[model.CallID]*caller),
 		metrics: newMetrics(),
+		contact: true,
 	}
 	d := duty.New[Message]("routing", ringCapacity, h)
 	h.inbox = d.Ring()
@@ -54,6 +59,7 @@
 
 // Handle implements duty.Handler.
 func (h *Handler) Handle(now time.Time, batch []Message) {
+	h.judgeContact(now)
 	for _, m := range batch {
 		h.handle(now, m)
 		h.act(now)
@@ -62,6 +68,7 @@
 
 // Tick implements duty.Handler.
 func (h *Handler) Tick(now time.Time) time.Time {
+	h.judgeContact(now)
 	next := h.core.Tick(now)
 	h.act(now)
 	h.metrics.tick(now, h.core)
@@ -108,9 +115,21 @@
 		h.log.Emit(event.TargetSuspected, "target", m.Instance, "suspect", m.Suspect)
 		h.core.OnSuspect(m.Instance, m.Suspect)
 	case *ContactChanged:
-		h.log.Emit(event.ContactKnown, "contact", m.Contact)
-		h.core.OnContact(m.Contact)
+		h.contactKnown, h.contactUntil = true, m.Until
+		h.judgeContact(now)
+	}
+}
+
+// judgeContact tells the core when contact begins or has run out. It runs
+// before each batch, so that a batch after a pause finds the contact ended.
+func (h *Handler) judgeContact(now time.Time) {
+	has := !h.contactKnown || now.Before(h.contactUntil)
+	if has == h.contact {
+		return
 	}
+	h.contact = has
+	h.log.Emit(event.ContactKnown, "contact", has)
+	h.core.OnContact(has)
 }
 
 func (h *Handler) onOutcome(now time.Time, m *Outcome) {
--- a/policy/admission/fence.go
+++ b/policy/admission/fence.go
@@ -61,6 +61,9 @@
 	if c.snapshot.Targets[c.self.Instance].Out {
 		return model.Refusal(call.ID, model.ReasonTargetOut, "the target is out of service")
 	}
+	if !call.Open && c.contact.lost(now) {
+		return model.Refusal(call.ID, model.ReasonNoContact, "the target's node has no contact with its peers")
+	}
 	if !call.Open && !c.keyValid(call) {
 		return model.Refusal(call.ID, model.ReasonKeyUnknown, "the key is unknown or withdrawn")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,9 +32,18 @@
 	Peers []string `yaml:"peers"` // peer addresses to start from
 	Entry []string `yaml:"entry"` // services for which the node takes calls; its own by default
 
-	DrainTime time.Duration `yaml:"-"`         // for running calls at shutdown; drain_time in the file
-	LogLevel  string        `yaml:"log_level"` // debug, info, warn or error
-	Insecure  bool          `yaml:"insecure"`  // plain TCP between nodes
+	DrainTime time.Duration `yaml:"-"`          // for running calls at shutdown; drain_time in the file
+	LogLevel  string        `yaml:"log_level"`  // debug, info, warn or error
+	HeldBytes int64         `yaml:"held_bytes"` // bound on request and answer bytes in memory; 0 for 256 MiB
+	Insecure  bool          `yaml:"insecure"`   // plain TCP between nodes
+	TLS       *TLS          `yaml:"tls"`        // mutual TLS between nodes
+}
+
+// TLS names the PEM files for mutual TLS between nodes.
+type TLS struct {
+	Certificate string `yaml:"certificate"` // a DNS name in it is the instance
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"` // certificates that peers' chains must end in
 }
 
 // DefaultDrainTime is how long a shutdown waits for running calls.
@@ -90,6 +99,10 @@
 		c.address(fmt.Sprintf("peers[%d]", i), peer)
 	}
 	c.entry(n.Entry)
+	c.security(n)
+	if n.HeldBytes < 0 {
+		c.file.Faultf("held_bytes", "is %d, expected 0 or more", n.HeldBytes)
+	}
 	if !slices.Contains(levels, n.LogLevel) {
 		c.file.Faultf("log_level", "is %q, expected one of %s", n.LogLevel, strings.Join(levels, ", "))
 	}
@@ -133,3 +146,9 @@
 		}
 	}
 }
+
+func (c *checker) security(n *Node) {
+	if f := n.securityFault(); f != nil {
+		c.file.Faultf(f.field, "%s", f.text)
+	}
+}
--- a/transport/target/client.go
+++ b/transport/target/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
@@ -132,7 +133,7 @@
 		return failure(ctx, call.ID, err, handedOver), stale
 	}
 	defer resp.Body.Close()
-	body, err := readBody(resp)
+	body, err := readBody(resp, budget.From(ctx))
 	if err != nil {
 		a.handedOver() // closes the connection
 		return cutAnswer(ctx, call.ID, err), false
@@ -197,7 +198,7 @@
 // cutAnswer is the failure of a call whose answer did not arrive whole.
 func cutAnswer(ctx context.Context, id model.CallID, err error) *model.Answer {
 	switch {
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, errTooLarge), errors.Is(err, budget.ErrExceeded):
 		return model.Failure(id, model.ReasonTooLarge, err.Error())
 	case errors.Is(err, errNoLength):
 		return model.Failure(id, model.ReasonAnswerCut, err.Error())
