Keep the expiry of each grant, and follow a node's announcements in the claim fence

And a node that joined again under another incarnation would have refused every claim.

Grants are merged only with equal expiry. The fence accepts every incarnation under which the process announced itself, and none from before.

--- a/policy/admission/claim_test.go
+++ b/policy/admission/claim_test.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
@@ -53,3 +55,27 @@
 	f.finish(second, ResultGood)
 	refusal(arrive(3, nil), model.ReasonInProgress, model.RunUnknown)
 }
+
+// Guards against refused claims of a node that joined again after it was
+// wrongly removed, and against claims for the process before this one, whose
+// memory of hand-overs is lost.
+func TestClaimsFollowOwnAnnouncements(t *testing.T) {
+	self := model.Member{NodeID: model.NodeID{Instance: testInstance, Incarnation: 2}, Service: testService}
+	c := New(self, Options{Rand: rand.New(rand.NewPCG(1, 1))})
+	now := time.Unix(1_770_000_000, 0)
+	announce := func(i model.Incarnation) {
+		m := self
+		m.Incarnation = i
+		c.noteLife(&model.Snapshot{Members: map[model.Service][]model.Member{testService: {m}}})
+	}
+	passes := func(i model.Incarnation) bool {
+		claim := &model.Claim{Customer: "c0", RequestID: uuid.Must(uuid.NewV7())}
+		claim.Target = model.NodeID{Instance: testInstance, Incarnation: i}
+		return c.fenceClaim(now, &model.Call{Claim: claim}) == nil
+	}
+	announce(1)
+	assert.Assert(t, passes(2) && !passes(1))
+	announce(2)
+	announce(3)
+	assert.Assert(t, passes(2) && passes(3) && !passes(1))
+}
--- a/policy/admission/core.go
+++ b/policy/admission/core.go
@@ -37,6 +37,8 @@
 	check      *invariant.Checker
 	quarantine Quarantine
 	seen       *record.Seen
+	lives      []model.NodeID // under which this process announced itself
+	announced  bool           // the first of them is known to the fleet
 
 	snapshot *model.Snapshot
 	config   *model.ServiceConfig // of the own service; nil when unknown
@@ -66,6 +68,7 @@
 		check:      o.Check,
 		quarantine: o.Quarantine,
 		seen:       record.NewSeen(record.MaxSeen),
+		lives:      []model.NodeID{self.NodeID},
 		executions: make(map[model.CallID]*execution),
 	}
 	c.machine = newMachine()
@@ -95,6 +98,7 @@
 // by it.
 func (c *Core) OnSnapshot(now time.Time, s *model.Snapshot) {
 	c.snapshot = s
+	c.noteLife(s)
 	c.config = s.Services[c.self.Service]
 	if c.queue.classesDiffer(s.Fleet.Classes) {
 		c.reorderQueue(s.Fleet.Classes)
--- a/policy/admission/fence.go
+++ b/policy/admission/fence.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
@@ -35,7 +36,7 @@
 	if call.Claim == nil {
 		return nil
 	}
-	if call.Claim.Target != c.self.NodeID {
+	if !slices.Contains(c.lives, call.Claim.Target) {
 		return model.Refusal(call.ID, model.ReasonClaimDenied, "the claim names another life of the target's node")
 	}
 	switch c.seen.Check(now, call.Claim) {
@@ -50,6 +51,24 @@
 	}
 }
 
+// noteLife follows the node's own announcements. A node that was wrongly
+// removed joins again under another incarnation with its memory of hand-overs
+// intact. Incarnations before its first own announcement are of processes that
+// have ended.
+func (c *Core) noteLife(s *model.Snapshot) {
+	for _, m := range s.Members[c.self.Service] {
+		if m.Instance != c.self.Instance {
+			continue
+		}
+		if m.NodeID == c.self.NodeID {
+			c.announced = true
+		}
+		if c.announced && !slices.Contains(c.lives, m.NodeID) {
+			c.lives = append(c.lives, m.NodeID)
+		}
+	}
+}
+
 // fence judges again, at the target's node, what the entry node judged from
 // a configuration that may be older. It runs on arrival, on each change of
 // the configuration, and just before the hand-over. It returns a refusal or
--- a/policy/tokenlease/balance.go
+++ b/policy/tokenlease/balance.go
@@ -99,7 +99,7 @@
 		return
 	}
 	for _, h := range a.grants {
-		if h.ID == r.Grant.ID && h.Epoch == r.Grant.Epoch {
+		if h.ID == r.Grant.ID && h.Epoch == r.Grant.Epoch && h.Expiry.Equal(r.Grant.Expiry) {
 			h.count += r.Grant.Count
 			return
 		}
@@ -183,7 +183,7 @@
 	a := b.account(customer)
 	a.expire(now)
 	for _, h := range a.grants {
-		if h.ID == t.Grant && h.Epoch == t.Epoch {
+		if h.ID == t.Grant && h.Epoch == t.Epoch && h.Expiry.Equal(t.Expiry) {
 			return h
 		}
 	}
--- a/policy/tokenlease/grantor_test.go
+++ b/policy/tokenlease/grantor_test.go
@@ -103,3 +103,15 @@
 	b.Refund(now.Add(time.Second), "herders", first)
 	assert.Equal(t, b.Held(now.Add(time.Second), "herders"), 0)
 }
+
+// Guards against a grant that takes the earlier expiry of another one, so that
+// its tokens are lost: a holder without ids of grants got its tokens so.
+func TestGrantsKeepTheirExpiry(t *testing.T) {
+	now := time.Unix(1_770_000_000, 0)
+	b := NewBalances()
+	for _, life := range []time.Duration{time.Second, 2 * time.Second} {
+		b.OnResult(now, Result{Customer: "herders", Grant: Grant{Customer: "herders", Count: 1, Expiry: now.Add(life)}})
+	}
+	assert.Equal(t, b.Held(now, "herders"), 2)
+	assert.Equal(t, b.Held(now.Add(time.Second), "herders"), 1)
+}
