--- a/agent/follower/bench_test.go
+++ b/agent/follower/bench_test.go
@@ -64,10 +64,15 @@
 }
 
 // BenchmarkChangeInForce measures the time from the start of a publication
-// until each of 100 followers has it, over HTTP on one machine, and the bytes
-// that a change costs a follower at the log service.
+// until each follower has it, over HTTP on one machine, and the bytes that a
+// change costs a follower at the log service.
 func BenchmarkChangeInForce(b *testing.B) {
-	const followers = 100
+	for _, followers := range []int{25, 100, 400} {
+		b.Run(fmt.Sprintf("followers=%d", followers), func(b *testing.B) { benchmarkChangeInForce(b, followers) })
+	}
+}
+
+func benchmarkChangeInForce(b *testing.B, followers int) {
 	log := memlog.New(time.Now, time.Hour)
 	var bytes atomic.Int64
 	server := httptest.NewUnstartedServer(httplog.NewHandler(log))
--- /dev/null
+++ b/policy/logappend/bench_test.go
@@ -0,0 +1,35 @@
+package logappend
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// BenchmarkAppend measures one record from its arrival to its place in the
+// log while so many others wait.
+func BenchmarkAppend(b *testing.B) {
+	for _, waiting := range []int{1, 100, 1_000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			now := time.Unix(1_770_000_000, 0)
+			c := New(rand.New(rand.NewPCG(1, 1)), waiting+1)
+			for range waiting {
+				_ = c.Add(now, &Record{Stream: "members.tally", Body: []byte("{}")})
+			}
+			for b.Loop() {
+				_ = c.Add(now, &Record{Stream: "members.tally", Body: []byte("{}")})
+				c.Tick(now)
+				for _, a := range c.Actions() {
+					c.OnAppend(now, a.Record, 1, nil)
+				}
+				for c.Len() > waiting {
+					c.Tick(now)
+					for _, a := range c.Actions() {
+						c.OnAppend(now, a.Record, 1, nil)
+					}
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/policy/quorum/bench_test.go
@@ -0,0 +1,96 @@
+package quorum
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	// benchRegionNodes and benchFollowed are one region of the target size:
+	// its nodes, and those of them that belong to the services which a node
+	// follows.
+	benchRegionNodes = 3_800
+	benchFollowed    = 110
+	benchZones       = 4
+)
+
+func benchMember(i int) model.Member {
+	return model.Member{
+		NodeID:  model.NodeID{Instance: model.Instance(fmt.Sprint("node-", i)), Incarnation: 1},
+		Service: model.Service(fmt.Sprint("service-", i/11)), Region: "viti",
+		Zone: model.Zone(fmt.Sprint("zone-", i%benchZones)),
+	}
+}
+
+// benchGroups returns the snapshot of node 0, which sees its followed
+// services and all groups of the region.
+func benchGroups(groups int) *model.Snapshot {
+	s := &model.Snapshot{
+		Members: map[model.Service][]model.Member{},
+		Groups:  map[model.GroupKey][]model.GroupRecord{},
+	}
+	s.Fleet.Groups = groups
+	rng := rand.New(rand.NewPCG(1, uint64(groups)))
+	for i := range benchFollowed {
+		m := benchMember(i)
+		s.Members[m.Service] = append(s.Members[m.Service], m)
+	}
+	for g := range groups {
+		key := model.GroupKey{Region: "viti", Group: g}
+		r := model.GroupRecord{Region: "viti", Group: g, Epoch: 1}
+		for zone := range GroupSize {
+			i := rng.IntN(benchRegionNodes/benchZones)*benchZones + zone
+			r.Members = append(r.Members, benchMember(i))
+		}
+		s.Groups[key] = []model.GroupRecord{r}
+	}
+	return s
+}
+
+// BenchmarkSnapshot measures what a new configuration costs the composer of a
+// node, and reports the groups that the node watches and the instances that
+// the groups name. Each of those is a peer of every node of the region.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, groups := range []int{8, 64, 256} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			s := benchGroups(groups)
+			now := time.Unix(1_770_000_000, 0)
+			self := benchMember(0)
+			before := benchHeap()
+			votes := NewVotes(self.NodeID, rand.New(rand.NewPCG(1, 1)))
+			c := NewComposer(self, votes, uuid.NewString)
+			c.OnSnapshot(now, s, NewDirectory("viti", s))
+			used := benchHeap() - before
+			for b.Loop() {
+				c.OnSnapshot(now, s, NewDirectory("viti", s))
+			}
+			named, watched := map[model.Instance]bool{}, 0
+			for _, g := range c.order {
+				for _, m := range g.current.Members {
+					named[m.Instance] = true
+				}
+				if g.order != notWatching {
+					watched++
+				}
+			}
+			b.ReportMetric(float64(used)/float64(groups), "heap-B/group")
+			b.ReportMetric(float64(len(named)), "named")
+			b.ReportMetric(float64(watched), "watched")
+			runtime.KeepAlive(c)
+		})
+	}
+}
+
+func benchHeap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/transport/peerlink/bench_test.go
+++ b/transport/peerlink/bench_test.go
@@ -80,7 +80,7 @@
 // node's work in one second. Both ends run in this process, so that the CPU
 // time is halved. Bytes are those of TLS records, without TCP and IP.
 func BenchmarkHeartbeatRound(b *testing.B) {
-	for _, peers := range []int{10, 50, 110} {
+	for _, peers := range []int{10, 50, 110, 400} {
 		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
 			p := newBenchPair(b)
 			out, in := p.open(b, peers)
@@ -103,18 +103,23 @@
 	}
 }
 
-// BenchmarkLinkMemory reports the memory of one end of an idle link.
+// BenchmarkLinkMemory reports the memory of one end of an idle link, and the
+// CPU time that opening it costs one end, TLS handshake included.
 func BenchmarkLinkMemory(b *testing.B) {
-	const links = 110
-	p := newBenchPair(b)
-	p.open(b, 1)
-	before := inUse()
-	opened := 0
-	for b.Loop() {
-		p.open(b, links)
-		opened += links
+	for _, links := range []int{10, 50, 110, 400} {
+		b.Run(fmt.Sprintf("links=%d", links), func(b *testing.B) {
+			p := newBenchPair(b)
+			p.open(b, 1)
+			before, cpu := inUse(), cpuTime(b)
+			opened := 0
+			for b.Loop() {
+				p.open(b, links)
+				opened += links
+			}
+			b.ReportMetric(float64((cpuTime(b)-cpu).Microseconds())/float64(2*opened), "open-cpu-us/link")
+			b.ReportMetric((inUse()-before)/float64(2*opened), "B/link")
+		})
 	}
-	b.ReportMetric((inUse()-before)/float64(2*opened), "B/link")
 }
 
 func inUse() float64 {
--- /dev/null
+++ b/transport/wire/size_bench_test.go
@@ -0,0 +1,61 @@
+package wire
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+)
+
+// BenchmarkQuorumMessage reports the bytes of each message between a node and
+// a quorum group, and the time to encode and decode it.
+func BenchmarkQuorumMessage(b *testing.B) {
+	for _, m := range quorumSamples() {
+		b.Run(fmt.Sprintf("%T", m)[1:], func(b *testing.B) {
+			kind, body := encodeQuorum(b, m)
+			for b.Loop() {
+				_, frame, _ := EncodeQuorum(m)
+				_, _ = proto.Marshal(frame)
+				_, _ = DecodeQuorum(kind, body)
+			}
+			b.ReportMetric(float64(len(body)), "B")
+		})
+	}
+}
+
+// BenchmarkTokenRequest reports the bytes of a request for tokens with so many
+// reports of earlier grants.
+func BenchmarkTokenRequest(b *testing.B) {
+	for _, reports := range []int{0, 1, 10, 100} {
+		b.Run(fmt.Sprintf("reports=%d", reports), func(b *testing.B) {
+			m := &tokenlease.TokenRequest{
+				Key: model.GroupKey{Region: "viti", Group: 3}, Customer: "herders", Want: 5, Sequence: 1 << 20,
+			}
+			for i := range reports {
+				m.Reports = append(m.Reports, tokenlease.Report{Grant: 1<<62 + uint64(i), Used: 10})
+			}
+			kind, body := encodeQuorum(b, m)
+			for b.Loop() {
+				_, frame, _ := EncodeQuorum(m)
+				_, _ = proto.Marshal(frame)
+				_, _ = DecodeQuorum(kind, body)
+			}
+			b.ReportMetric(float64(len(body)), "B")
+		})
+	}
+}
+
+// BenchmarkLoadReport reports the bytes of the load report in heartbeats and
+// answers.
+func BenchmarkLoadReport(b *testing.B) {
+	load := model.Load{InFlight: 60, Queued: 20, Limit: 120, Sojourn: 4 * time.Millisecond}
+	var body []byte
+	for b.Loop() {
+		body, _ = proto.Marshal(FromLoad(load))
+	}
+	b.ReportMetric(float64(len(body)), "B")
+}
