--- a/policy/membership/bench_test.go
+++ b/policy/membership/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
 )
@@ -73,3 +74,70 @@
 	}
 	return first
 }
+
+// BenchmarkRegionCut reports how often a node is removed, and how many nodes
+// are left in the members at worst, in the three minutes in which one region
+// of five is cut off from the other nodes while all reach the log. Each
+// removal is an append, and so is the join after it. The log answers at once,
+// so that no removal is appended twice.
+func BenchmarkRegionCut(b *testing.B) {
+	for _, each := range []int{1, 2, 4} {
+		b.Run(fmt.Sprintf("nodes=%d", 15*each), func(b *testing.B) {
+			for b.Loop() {
+				members := fleetMembers(15, each)
+				for i := range members {
+					members[i].Region = model.Region(fmt.Sprint("region-", i/each/3))
+				}
+				n := newNetwork(members)
+				n.run(5 * time.Second)
+				cut := func(i model.Instance) bool { return n.cores[i].self.Region == "region-0" }
+				n.cut = func(from, to model.Instance) bool { return cut(from) != cut(to) }
+				fewest := len(members)
+				for range 180 {
+					n.run(time.Second)
+					fewest = min(fewest, len(n.members))
+				}
+				inside := 0
+				for _, r := range n.removed {
+					if r.Member.Region == "region-0" {
+						inside++
+					}
+				}
+				b.ReportMetric(float64(inside)/float64(3*each), "removals/node-cut-off")
+				b.ReportMetric(float64(len(n.removed)-inside)/float64(12*each), "removals/other-node")
+				b.ReportMetric(float64(fewest)/float64(len(members)), "listed-at-worst")
+			}
+		})
+	}
+}
+
+// BenchmarkReports counts the suspicion reports that a node sends in the 30 s
+// in which an availability zone with so many of its peers is lost. Each is
+// sent to all links of the node.
+func BenchmarkReports(b *testing.B) {
+	for _, lost := range []int{6, 30, 186} {
+		b.Run(fmt.Sprintf("lost=%d", lost), func(b *testing.B) {
+			members := []model.Member{a, member("live-1", "nadi"), member("live-2", "lautoka")}
+			for i := range lost {
+				members = append(members, member(fmt.Sprint("lost-", i), "suva"))
+			}
+			for b.Loop() {
+				c, reports := newFleetCore(members...), 0
+				for now := epoch; now.Before(epoch.Add(36 * time.Second)); now = now.Add(tickPeriod) {
+					c.OnHeard(now, now, now, members[1])
+					c.OnHeard(now, now, now, members[2])
+					c.Tick(now)
+					for _, action := range c.Actions() {
+						switch action.Kind {
+						case Report:
+							reports++
+						case Ask:
+							c.OnProbeAnswer(now, action.Probe, false)
+						}
+					}
+				}
+				b.ReportMetric(float64(reports)/float64(lost), "reports/lost-peer")
+			}
+		})
+	}
+}
--- a/transport/wire/size_bench_test.go
+++ b/transport/wire/size_bench_test.go
@@ -22,7 +22,10 @@
 				_, _ = proto.Marshal(frame)
 				_, _ = DecodeQuorum(kind, body)
 			}
+			_, frame, _ := EncodeQuorum(m)
+			control, _ := NewPayload(kind, frame)
 			b.ReportMetric(float64(len(body)), "B")
+			b.ReportMetric(float64(proto.Size(control)), "frame-B")
 		})
 	}
 }
