Let a lost node's own service remove it first

Cause: each node that follows a service ranked itself only against the service's members, so that with 110 followers 11 nodes were first and appended the same leave record (BenchmarkRemovers). In the worst minute of a lost availability zone this multiplied the appends by 11.

--- a/policy/membership/suspicion.go
+++ b/policy/membership/suspicion.go
@@ -168,19 +168,29 @@
 	return removalDelay + time.Duration(p.rank())*rankDelay
 }
 
+// otherServiceSpread spaces the nodes of other services, which do not know of
+// each other, when a service has no live node left to remove one.
+const otherServiceSpread = 16
+
 // rank is the number of live nodes of the peer's service that come before
-// this node for this peer.
+// this node for this peer. Nodes of other services come after all of them:
+// some 100 of them follow a service at the target size, and each would
+// otherwise be the first in its own view.
 func (p *peer) rank() int {
 	own := weight(p.core.self.Instance, p.member.Instance)
+	foreign := p.core.self.Service != p.member.Service
 	n := 0
 	for _, other := range p.core.peers {
 		if other == p || !other.alive() || other.member.Service != p.member.Service {
 			continue
 		}
-		if weight(other.member.Instance, p.member.Instance) > own {
+		if foreign || weight(other.member.Instance, p.member.Instance) > own {
 			n++
 		}
 	}
+	if foreign {
+		n += int(own % otherServiceSpread)
+	}
 	return n
 }
 
