Remove nodes on the word of their own region only

Cause: docs/CAPACITY.md showed that regions which lose each other for minutes, several times a year, remove each other's nodes: each side sees the other silent from two zones, and nobody refutes it.

Ruled out: a majority of all zones, which the larger side of a cut still has.

--- a/policy/membership/fleet_test.go
+++ b/policy/membership/fleet_test.go
@@ -222,3 +222,19 @@
 		}
 	})
 }
+
+// Guards against two regions that remove each other's nodes when they lose
+// each other for minutes, with 850 appends a second at the target size.
+func TestRegionCutRemovesNobody(t *testing.T) {
+	members := fleetMembers(15, 1)
+	for i := range members {
+		members[i].Region = model.Region(fmt.Sprint("region-", i/3))
+	}
+	n := newNetwork(members)
+	n.run(5 * time.Second)
+	inside := func(i model.Instance) bool { return n.cores[i].self.Region == "region-0" }
+	n.cut = func(from, to model.Instance) bool { return inside(from) != inside(to) }
+	n.run(3 * time.Minute)
+	assert.Equal(t, len(n.removed), 0)
+	assert.Equal(t, len(n.members), len(members))
+}
--- a/policy/membership/suspicion.go
+++ b/policy/membership/suspicion.go
@@ -12,8 +12,9 @@
 
 // report is another node's suspicion of a peer.
 type report struct {
-	zone model.Zone
-	at   time.Time
+	zone   model.Zone
+	region model.Region
+	at     time.Time
 }
 
 // probe is one round of indirect probes for a peer.
@@ -123,7 +124,7 @@
 		delete(p.reports, from.Instance)
 		return
 	}
-	p.reports[from.Instance] = report{zone: from.Zone, at: now}
+	p.reports[from.Instance] = report{zone: from.Zone, region: from.Region, at: now}
 	if now.Sub(p.directAt) < silenceLimit {
 		p.emit(Action{Kind: Refute, To: from.Instance})
 	}
@@ -136,10 +137,13 @@
 	}
 }
 
-// agreed reports whether nodes in enough availability zones suspect the peer:
-// two, or all there are, and none of those that got the reports hears it.
+// agreed reports whether nodes in enough availability zones of the peer's own
+// region suspect it: two, or all there are, and none of those that got the
+// reports hears it. Regions lose each other for minutes several times a year;
+// counting the other region's observers, each side would remove the other.
 func (p *peer) agreed() bool {
-	if p.now.Sub(p.refutedAt) < reportLife {
+	region := p.member.Region
+	if p.core.self.Region != region || p.now.Sub(p.refutedAt) < reportLife {
 		return false
 	}
 	zones := map[model.Zone]bool{p.core.self.Zone: true}
@@ -148,16 +152,21 @@
 			delete(p.reports, from)
 			continue
 		}
-		zones[r.zone] = true
+		if r.region == region {
+			zones[r.zone] = true
+		}
 	}
-	return len(zones) >= min(removalZones, p.core.zoneCount())
+	return len(zones) >= min(removalZones, p.core.zoneCount(region))
 }
 
-// zoneCount returns the number of availability zones of the known nodes.
-func (c *Core) zoneCount() int {
+// zoneCount returns the number of availability zones of the known nodes of a
+// region, this node's own included.
+func (c *Core) zoneCount(region model.Region) int {
 	zones := map[model.Zone]bool{c.self.Zone: true}
 	for _, p := range c.peers {
-		zones[p.member.Zone] = true
+		if p.member.Region == region {
+			zones[p.member.Zone] = true
+		}
 	}
 	return len(zones)
 }
