--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -9,11 +9,9 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"gopkg.in/tomb.v2"
 
 	"github.com/oleanderworks/oleanderworks/agent/quorum"
-	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/logservice/memlog"
 	"github.com/oleanderworks/oleanderworks/model"
