--- a/agent/quorum/once_test.go
+++ b/agent/quorum/once_test.go
@@ -20,7 +20,7 @@
 type orders struct {
 	c       *cluster
 	targets map[*process]*record.Seen
-	handed  map[model.RequestID]int // hand-overs to targets
+	handed  map[model.RequestID]int // handoffs to targets
 	sends   map[model.RequestID]int
 	calls   model.CallID
 	results map[record.Outcome]int
@@ -194,7 +194,7 @@
 	return o
 }
 
-// Guards against a second hand-over of one request, against "not run" for a
+// Guards against a second handoff of one request, against "not run" for a
 // request that was handed over and against replays of another answer, with
 // lost and late answers, crossed sends, restarts, pauses, splits, changed
 // compositions and a log that is down.
--- /dev/null
+++ b/command/node/memory.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"cmp"
+	"os"
+	"runtime/debug"
+
+	"github.com/oleanderworks/oleanderworks/core/budget"
+)
+
+const (
+	// collectPercent lets the heap grow to five times its live part between
+	// two collections. At the runtime's 100 a node collects many times a
+	// second, which is part of the latency that it adds at p99.
+	collectPercent = 400
+	// controlBytes is the memory that a node may use besides the bodies of
+	// calls. Near the sum of both the runtime collects more often.
+	controlBytes = 256 << 20
+)
+
+// tuneCollector sets the garbage collector for a node that holds at most
+// heldBytes of bodies; 0 stands for the default bound. What the environment sets comes first.
+func tuneCollector(heldBytes int64) {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(controlBytes + cmp.Or(heldBytes, budget.DefaultBytes))
+	}
+}
--- a/command/node/node.go
+++ b/command/node/node.go
@@ -50,6 +50,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	tuneCollector(s.HeldBytes)
 	n.Start()
 	<-ctx.Done()
 	return n.Stop()
--- a/policy/admission/claim_test.go
+++ b/policy/admission/claim_test.go
@@ -11,9 +11,9 @@
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
-// Guards against a second hand-over of a request whose claim arrives twice,
+// Guards against a second handoff of a request whose claim arrives twice,
 // and against "not run" for one that was handed over: only a refusal before
-// the hand-over lets a later attempt pass.
+// the handoff lets a later attempt pass.
 func TestClaimIsHandedOverOnce(t *testing.T) {
 	f := newFixture(t, 1)
 	f.warm()
@@ -58,7 +58,7 @@
 
 // Guards against refused claims of a node that joined again after it was
 // wrongly removed, and against claims for the process before this one, whose
-// memory of hand-overs is lost.
+// memory of handoffs is lost.
 func TestClaimsFollowOwnAnnouncements(t *testing.T) {
 	self := model.Member{NodeID: model.NodeID{Instance: testInstance, Incarnation: 2}, Service: testService}
 	c := New(self, Options{Rand: rand.New(rand.NewPCG(1, 1))})
--- a/policy/admission/fence.go
+++ b/policy/admission/fence.go
@@ -9,7 +9,7 @@
 )
 
 // handOverTime bounds the time between the decision to run a call and its
-// hand-over. A process that was paused in between would otherwise hand over
+// handoff. A process that was paused in between would otherwise hand over
 // a call by a configuration that has changed since.
 const handOverTime = 2 * time.Second
 
@@ -52,7 +52,7 @@
 }
 
 // noteLife follows the node's own announcements. A node that was wrongly
-// removed joins again under another incarnation with its memory of hand-overs
+// removed joins again under another incarnation with its memory of handoffs
 // intact. Incarnations before its first own announcement are of processes that
 // have ended.
 func (c *Core) noteLife(s *model.Snapshot) {
@@ -71,7 +71,7 @@
 
 // fence judges again, at the target's node, what the entry node judged from
 // a configuration that may be older. It runs on arrival, on each change of
-// the configuration, and just before the hand-over. It returns a refusal or
+// the configuration, and just before the handoff. It returns a refusal or
 // nil.
 func (c *Core) fence(now time.Time, call *model.Call) *model.Answer {
 	if c.zoneOut() {
--- a/policy/admission/fence_test.go
+++ b/policy/admission/fence_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against queued calls that run by an older configuration: each change
-// must refuse them before the hand-over, as not run.
+// must refuse them before the handoff, as not run.
 func TestWaitingCallsAreJudgedAgain(t *testing.T) {
 	for name, test := range map[string]struct {
 		document string
--- a/policy/admission/outcome.go
+++ b/policy/admission/outcome.go
@@ -15,7 +15,7 @@
 	ResultGood     Result = iota // the target gave a whole answer
 	ResultOverload               // the target answered that it is overloaded
 	ResultLate                   // no whole answer by the deadline
-	ResultReset                  // the connection broke after the hand-over
+	ResultReset                  // the connection broke after the handoff
 	ResultRefused                // the target took no connection
 	ResultNeutral                // says nothing about the target, such as a cancelled call
 )
--- a/policy/admission/random_test.go
+++ b/policy/admission/random_test.go
@@ -12,7 +12,7 @@
 
 // Guards against a slot or a place in the queue that is counted wrongly, a
 // call that is answered twice or never, a limit that is exceeded, and "not
-// run" said after the hand-over, in any order of events. The checks are the
+// run" said after the handoff, in any order of events. The checks are the
 // invariants in the program and those of the fixture.
 func TestRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/policy/record/result.go
+++ b/policy/record/result.go
@@ -9,7 +9,7 @@
 
 // Outcomes of a claim.
 const (
-	// Granted allows the hand-over to the named target.
+	// Granted allows the handoff to the named target.
 	Granted Outcome = iota
 	// InProgress means that another claim stands and has no answer yet.
 	InProgress
--- a/policy/record/seen.go
+++ b/policy/record/seen.go
@@ -9,12 +9,12 @@
 // MaxSeen bounds the requests that a target's node remembers.
 const MaxSeen = 200_000
 
-// Verdict is the fence's judgement of a hand-over.
+// Verdict is the fence's judgement of a handoff.
 type Verdict uint8
 
 // Verdicts of Seen.Check.
 const (
-	// First allows the hand-over.
+	// First allows the handoff.
 	First Verdict = iota
 	// HandedOver means that the request was handed over, or still may be.
 	HandedOver
@@ -48,7 +48,7 @@
 	return &Seen{limit: limit, requests: make(map[Key]sighting)}
 }
 
-// Check judges the hand-over of a claim and remembers it when it is the first.
+// Check judges the handoff of a claim and remembers it when it is the first.
 // It is called once for each arrival, before the call may be queued.
 func (s *Seen) Check(now time.Time, c *model.Claim) Verdict {
 	s.expire(now)
--- a/policy/record/store_test.go
+++ b/policy/record/store_test.go
@@ -102,7 +102,7 @@
 	assert.Equal(t, v.claim(2, 1).Vote, VoteTooFar)
 }
 
-// Guards against a memory of hand-overs that forgets too early, grows without
+// Guards against a memory of handoffs that forgets too early, grows without
 // bound, or lets an old attempt pass.
 func TestSeenIsBounded(t *testing.T) {
 	now := time.Unix(1_770_000_000, 0)
