Read a questionnaire's documents in one place

Cause: config generate and config publish loaded a questionnaire and generated its documents with the same lines.

--- a/command/config/config.go
+++ b/command/config/config.go
@@ -13,6 +13,7 @@
 
 	"github.com/oleanderworks/oleanderworks/command/internal/operator"
 	"github.com/oleanderworks/oleanderworks/examples"
+	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/questionnaire"
 )
 
@@ -99,6 +100,19 @@
 	}
 }
 
+// generate reads the questionnaire that args name and returns its documents.
+func generate(args []string) ([]model.Document, error) {
+	path, err := operator.One(args, "one file name")
+	if err != nil {
+		return nil, err
+	}
+	q, err := questionnaire.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	return questionnaire.Generate(q)
+}
+
 func generateCommand(stdout io.Writer) *ff.Command {
 	return &ff.Command{
 		Name:      "generate",
@@ -106,15 +120,7 @@
 		ShortHelp: "print the documents that a questionnaire describes",
 		LongHelp:  "One document a line: its name and its JSON. The same questionnaire gives the same lines.",
 		Exec: func(_ context.Context, args []string) error {
-			path, err := operator.One(args, "one file name")
-			if err != nil {
-				return err
-			}
-			q, err := questionnaire.Load(path)
-			if err != nil {
-				return err
-			}
-			documents, err := questionnaire.Generate(q)
+			documents, err := generate(args)
 			if err != nil {
 				return err
 			}
--- a/command/config/publish.go
+++ b/command/config/publish.go
@@ -26,15 +26,7 @@
 			"the command again to publish from the new version. Keys and switches stay as they are.",
 		Flags: flags.Set,
 		Exec: func(ctx context.Context, args []string) error {
-			path, err := operator.One(args, "one file name")
-			if err != nil {
-				return err
-			}
-			q, err := questionnaire.Load(path)
-			if err != nil {
-				return err
-			}
-			wanted, err := questionnaire.Generate(q)
+			wanted, err := generate(args)
 			if err != nil {
 				return err
 			}
