Drop code that nothing uses any more

The reply of admission's Finish message has had no reader since the load report comes with the verdict, and each call still computed a report for it. tokenlease.Fresh was never called: the link subtracts the time on the way and the admission fence checks the expiry. chart.Machine.EventName had no caller.

The test of the duty waits for a SampleLoad instead of the reply and keeps its assertions.

--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -39,13 +39,11 @@
 	Load    model.Load // load report that goes with the answer
 }
 
-// Finish reports that a call that was to run has ended. Reply, which may be
-// the zero value, gets the load report that goes with the answer.
+// Finish reports that a call that was to run has ended.
 type Finish struct {
 	Answer *model.Answer
 	Start  string        // the target's start marker
 	Waited time.Duration // in which the call waited for its sub-calls
-	Reply  ring.Reply[model.Load]
 }
 
 // Probed reports the result of a connection attempt to the target.
@@ -143,7 +141,6 @@
 		outcome.Waited = m.Waited
 		h.core.OnFinished(now, outcome)
 		delete(h.waiting, m.Answer.ID)
-		m.Reply.Send(h.core.Load())
 	case *Cancel:
 		h.core.OnCanceled(now, m.CallID)
 	case *Probed:
--- a/agent/admission/duty_test.go
+++ b/agent/admission/duty_test.go
@@ -81,9 +81,10 @@
 
 func finish(t *testing.T, d *duty.Duty[Message], a *model.Answer) {
 	t.Helper()
-	done := &Finish{Answer: a, Reply: ring.NewReply[model.Load]()}
-	assert.Assert(t, d.Ring().Offer(done))
-	wait(t, done.Reply)
+	assert.Assert(t, d.Ring().Offer(&Finish{Answer: a}))
+	sampled := ring.NewReply[model.Load]()
+	assert.Assert(t, d.Ring().Offer(&SampleLoad{Deliver: func(l model.Load) { sampled.Send(l) }}))
+	wait(t, sampled)
 }
 
 // Guards against a shutdown that interrupts a running or waiting call, or that
--- a/core/chart/machine.go
+++ b/core/chart/machine.go
@@ -148,9 +148,6 @@
 // StateName returns the name of s.
 func (m *Machine[C]) StateName(s StateID) string { return m.states[s] }
 
-// EventName returns the name of e.
-func (m *Machine[C]) EventName(e EventID) string { return m.events[e] }
-
 func checkBinding[C any](def *Definition, b Binding[C]) error {
 	if !slices.Equal(def.Order, b.States) {
 		return errors.Errorf("states are %q in the chart, %q in the code", def.Order, b.States)
--- a/policy/tokenlease/balance.go
+++ b/policy/tokenlease/balance.go
@@ -232,10 +232,3 @@
 func (a *balance) demand() float64 {
 	return float64(slices.Min(a.counts[:])) / demandWindow.Seconds()
 }
-
-// Fresh reports whether a token may still be used at the target's node, when
-// the call arrived at received with the life that remained when it was sent,
-// and was at most transit on the way.
-func Fresh(now, received time.Time, remaining, transit time.Duration) bool {
-	return now.Sub(received) < remaining-transit
-}
