Serve the users' platform over a new node path

Cause: the product could not run on the platform. Its path needs a majority of nodes' memories (claims, token leases), loopback-only sub-calls and a stream for each call.

Change: the subcommand mesh runs a node whose callers and target share its instance. policy/dispatch (entry), policy/gate (target), policy/quota (rates) and policy/fleet (peers, documents) decide on three duties; transport/frame carries many calls on one link; transport/exchange speaks to the target and knows whether a call has left the node; platform/ translates.

Ruled out: extending agent.Node. Tokens, claims, chain budgets and the routes by service name would each have needed a second meaning, and the call path a stream and three goroutines a call.

--- /dev/null
+++ b/agent/mesh/node.go
@@ -0,0 +1,301 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+
+	"github.com/oleanderworks/oleanderworks/core/duty"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/fault"
+	"github.com/oleanderworks/oleanderworks/core/ring"
+	"github.com/oleanderworks/oleanderworks/logservice/keyed"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/gate"
+	"github.com/oleanderworks/oleanderworks/transport/exchange"
+	"github.com/oleanderworks/oleanderworks/transport/frame"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	// callerIdle is how long a caller's connection may stay idle. Callers reuse
+	// connections for less than the configured time, which is not known yet
+	// when the listener opens.
+	callerIdle = 60 * time.Second
+	// announceWait bounds the wait for the gate duty to take an announcement.
+	// Targets count a later answer as none.
+	announceWait = 900 * time.Millisecond
+)
+
+var (
+	errOtherNode = errors.New("another node has the address")
+	errWithdrawn = errors.New("the peer has left")
+	errStopped   = errors.New("the node stops")
+)
+
+// Node is one process beside a target.
+type Node struct {
+	settings *Settings
+	store    keyed.Log
+	decoder  Decoder
+	id       model.NodeID
+	log      *event.Log
+	metrics  *metrics
+
+	entry  *duty.Duty[entryMessage]
+	gate   *duty.Duty[gateMessage]
+	peers  *duty.Duty[peersMessage]
+	client *exchange.Client
+
+	configured atomic.Bool  // a configuration is known
+	idle       atomic.Bool  // no call waits or runs at the target
+	leaving    atomic.Bool  // the shutdown has begun
+	closing    atomic.Bool  // callers are told to close their connections
+	serving    atomic.Int64 // requests of callers in progress
+	documents  atomic.Int64 // end offset of the known documents
+
+	listener net.Listener // for peers
+	servers  []*http.Server
+	cancel   context.CancelFunc
+	tomb     tomb.Tomb
+}
+
+// New builds a node. Start runs it.
+func New(s *Settings, store keyed.Log, d Decoder, codec exchange.Codec, out hclog.Logger) *Node {
+	n := &Node{
+		settings: s,
+		store:    store,
+		decoder:  d,
+		id:       model.NodeID{Instance: s.Instance, Incarnation: model.Incarnation(rand.Uint64())},
+		log:      event.New(out),
+		metrics:  newMetrics(),
+		client:   exchange.New(s.TargetAddress, codec),
+	}
+	n.entry = newEntryDuty(n)
+	n.gate = newGateDuty(n, n.client)
+	n.peers = newPeersDuty(n)
+	n.metrics.vars.Set("entry", n.entry.Vars())
+	n.metrics.vars.Set("gate", n.gate.Vars())
+	n.metrics.vars.Set("peers", n.peers.Vars())
+	return n
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// Handlers are the HTTP handlers of a node's addresses.
+type Handlers struct {
+	Calls, Ready, Announcements http.Handler
+}
+
+// Start opens the listeners and runs the duties. The error names the address
+// that cannot be opened.
+func (n *Node) Start(h Handlers) error {
+	var err error
+	if n.listener, err = net.Listen("tcp", string(n.settings.Instance)); err != nil {
+		return fault.At("listen", string(n.settings.Instance), err)
+	}
+	n.gate.Start(&n.tomb)
+	n.entry.Start(&n.tomb)
+	n.peers.Start(&n.tomb)
+	served := []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.CallAddress, h.Calls},
+		{n.settings.ReadyAddress, h.Ready},
+		{n.settings.AnnounceAddress, h.Announcements},
+		{n.settings.MetricsAddress, n.metricsHandler()},
+	}
+	for _, s := range served {
+		if err := n.listen(s.address, s.handler); err != nil {
+			return err
+		}
+	}
+	var ctx context.Context
+	ctx, n.cancel = context.WithCancel(context.Background())
+	go n.accept()
+	n.follow(ctx)
+	n.log.Emit(event.MeshStarted, "name", n.settings.Name, "instance", n.settings.Instance, "service", n.settings.Service,
+		"zone", n.settings.Zone, "calls", n.settings.CallAddress)
+	return nil
+}
+
+func (n *Node) listen(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.At("listen", address, err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdle}
+	n.servers = append(n.servers, server)
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Emit(event.MeshServeFailed, "address", address, "error", err)
+		}
+	}()
+	return nil
+}
+
+func (n *Node) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(n.metrics.vars.String()))
+	})
+}
+
+// follow starts the threads that read and write the log.
+func (n *Node) follow(ctx context.Context) {
+	operator := &follower{node: n, stream: keyed.StreamOperator, deliver: func(r []keyed.Record, end int64, whole bool) {
+		_ = n.peers.Ring().Put(ctx, documentsRead{records: r, end: end, whole: whole})
+	}}
+	nodes := &follower{node: n, stream: keyed.StreamNodes, deliver: func(r []keyed.Record, _ int64, _ bool) {
+		_ = n.peers.Ring().Put(ctx, foundNodes{records: r})
+	}}
+	go operator.run(ctx)
+	go nodes.run(ctx)
+	go n.announceSelf(ctx)
+}
+
+// Serve answers a request. It returns nil when the caller has gone first.
+func (n *Node) Serve(ctx context.Context, req *model.Request) *model.Answer {
+	n.serving.Add(1)
+	defer n.serving.Add(-1)
+	b := &begin{request: req, reply: ring.NewReply[*model.Answer]()}
+	if !n.entry.Ring().Offer(b) {
+		return model.Refusal(req.ID, model.ReasonNodeBusy, "the entry duty's ring is full")
+	}
+	answer, err := b.reply.Wait(ctx)
+	if err != nil {
+		_ = n.entry.Ring().Put(context.Background(), canceled{id: req.ID})
+		return nil
+	}
+	return answer
+}
+
+// Announce takes what the target says of itself. It reports whether the node
+// has taken it in.
+func (n *Node) Announce(a gate.Announcement) bool {
+	m := announced{announcement: a, reply: ring.NewReply[bool]()}
+	return n.tell(m, m.reply)
+}
+
+// Deregister takes the target's last word.
+func (n *Node) Deregister(id model.Instance, born int64) bool {
+	m := deregistered{id: id, born: born, reply: ring.NewReply[bool]()}
+	return n.tell(m, m.reply)
+}
+
+func (n *Node) tell(m gateMessage, reply ring.Reply[bool]) bool {
+	if !n.gate.Ring().Offer(m) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceWait)
+	defer cancel()
+	ok, err := reply.Wait(ctx)
+	return ok && err == nil
+}
+
+// Rejected logs a message that could not be read.
+func (n *Node) Rejected(what, id, detail string) {
+	n.log.Emit(event.MeshAnnouncementRejected, "what", what, "id", id, "detail", detail)
+}
+
+// Ready reports whether callers may use the node.
+func (n *Node) Ready() bool { return n.configured.Load() && !n.leaving.Load() }
+
+// Leaving reports whether callers are to close their connections.
+func (n *Node) Leaving() bool { return n.closing.Load() }
+
+// accept takes the links that peers open.
+func (n *Node) accept() {
+	for {
+		conn, err := n.listener.Accept()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				n.log.Emit(event.MeshServeFailed, "address", n.settings.Instance, "error", err)
+			}
+			return
+		}
+		go n.greet(conn)
+	}
+}
+
+func (n *Node) hello() frame.Hello {
+	return frame.Hello{Node: n.id, Zone: n.settings.Zone, Service: n.settings.Service}
+}
+
+func (n *Node) greet(conn net.Conn) {
+	peer, err := greet(conn, n.hello())
+	if err != nil {
+		conn.Close()
+		n.log.Emit(event.MeshDialFailed, "peer", conn.RemoteAddr(), "error", err)
+		return
+	}
+	l := &link{peer: peer, conn: conn}
+	l.read = func(m frame.Message) { n.onCallerFrame(l, m) }
+	l.unsent = func(model.CallID) {}
+	l.closed = func(err error) {
+		_ = n.gate.Ring().Put(context.Background(), originLost{link: l})
+		_ = n.peers.Ring().Put(context.Background(), originClosed{link: l, err: err})
+	}
+	l.start()
+	_ = n.peers.Ring().Put(context.Background(), accepted{link: l})
+}
+
+func (n *Node) dial(peer model.Instance) {
+	conn, hello, err := dial(string(peer), n.hello())
+	if n.peers.Ring().Put(context.Background(), dialed{peer: peer, conn: conn, hello: hello, err: err}) != nil && conn != nil {
+		conn.Close()
+	}
+}
+
+// onCallerFrame takes what arrives on a link that a peer has opened.
+func (n *Node) onCallerFrame(l *link, m frame.Message) {
+	switch m := m.(type) {
+	case frame.Call:
+		call := m.Arrived(time.Now())
+		if !n.gate.Ring().Offer(arrived{call: call, origin: l}) {
+			l.send(frame.Answer{Answer: model.Refusal(call.ID, model.ReasonNodeBusy, "the gate duty's ring is full")})
+		}
+	case frame.Cancel:
+		_ = n.gate.Ring().Put(context.Background(), gone{id: m.ID})
+	case frame.Want:
+		n.peers.Ring().Offer(wanted{link: l, end: m.End})
+	}
+}
+
+// onTargetFrame takes what arrives on a link that this node has opened.
+func (n *Node) onTargetFrame(l *link, m frame.Message) {
+	switch m := m.(type) {
+	case frame.Answer:
+		n.onAnswer(l.peer.Node.Instance, m.Answer)
+	case frame.Report:
+		n.entry.Ring().Offer(reported{report: m.Report})
+		if m.Report.Documents > n.documents.Load() {
+			n.peers.Ring().Offer(peerDocuments{peer: l.peer.Node.Instance, end: m.Report.Documents})
+		}
+	case frame.Documents:
+		_ = n.peers.Ring().Put(context.Background(), documentsRead{records: m.List, end: m.End, whole: true})
+	}
+}
+
+func (n *Node) onAnswer(peer model.Instance, a *model.Answer) {
+	_ = n.entry.Ring().Put(context.Background(), answered{peer: peer, answer: a})
+}
+
+func (n *Node) onLinkClosed(l *link, err error) {
+	_ = n.entry.Ring().Put(context.Background(), unlinked{peer: l.peer.Node.Instance, link: l})
+	_ = n.peers.Ring().Put(context.Background(), linkClosed{link: l, err: err})
+}
+
+// Reloaded logs that the settings were read again. A node's addresses and its
+// place do not change while it runs.
+func (n *Node) Reloaded(err error) {
+	n.log.Emit(event.MeshReloaded, "error", err)
+}
--- /dev/null
+++ b/agent/mesh/settings.go
@@ -0,0 +1,65 @@
+// Package mesh builds the node of a service call graph in which callers and
+// targets share their instances: requests begin at the node of their own
+// instance and reach a target only through the node beside it.
+package mesh
+
+import (
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	// defaultGrace is the time between the signal to stop and the end of the
+	// process, if the settings do not state it.
+	defaultGrace = 6 * time.Second
+)
+
+// Settings are the settings of one node.
+type Settings struct {
+	Name     string
+	Instance model.Instance // address for other nodes, IP:port
+	Service  model.Service  // of the target beside the node
+	Zone     model.Zone
+
+	CallAddress     string // for callers and the target's own calls
+	ReadyAddress    string // tells whether callers may use the node
+	AnnounceAddress string // for the target's announcements
+	MetricsAddress  string
+	TargetAddress   string
+
+	AnnounceInterval time.Duration // usual time between two announcements
+	Grace            time.Duration // from the signal to stop to the end
+	MemoryBytes      int64         // bound of the process; 0 for none
+}
+
+// Check reports the first setting that is missing or malformed, and fills in
+// defaults.
+func (s *Settings) Check() error {
+	if s.Service == "" {
+		return errors.New("the service is missing")
+	}
+	if s.Zone == "" {
+		return errors.New("the availability zone is missing")
+	}
+	addresses := []struct{ name, address string }{
+		{"the address for nodes", string(s.Instance)},
+		{"the address for callers", s.CallAddress},
+		{"the address for readiness", s.ReadyAddress},
+		{"the address for announcements", s.AnnounceAddress},
+		{"the address for metrics", s.MetricsAddress},
+		{"the target's address", s.TargetAddress},
+	}
+	for _, a := range addresses {
+		if _, _, err := net.SplitHostPort(a.address); err != nil {
+			return errors.Wrapf(err, "%s is %q, want IP:port", a.name, a.address)
+		}
+	}
+	if s.Grace <= 0 {
+		s.Grace = defaultGrace
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/mesh/shutdown.go
@@ -0,0 +1,55 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/core/event"
+)
+
+const (
+	// gateOpenTime is how long the target still takes calls after the signal to
+	// stop: callers elsewhere need not notice the node's end before it is near.
+	gateOpenTime = time.Second
+	// callersLeaveTime is how long callers are served as before. They are told
+	// by two readiness checks, one second apart, that the node leaves.
+	callersLeaveTime = 2300 * time.Millisecond
+	// endMargin is kept free at the end of the grace period.
+	endMargin = 400 * time.Millisecond
+	// idleCheck is how often the node looks whether its last requests have
+	// ended.
+	idleCheck = 20 * time.Millisecond
+)
+
+// Stop shuts the node down without cutting requests: it says that it is not
+// ready, lets callers and peers go elsewhere, and ends when its requests have
+// ended or the grace period is over.
+func (n *Node) Stop() error {
+	began := time.Now()
+	end := began.Add(n.settings.Grace - endMargin)
+	n.leaving.Store(true)
+	n.log.Emit(event.MeshStopping, "requests", n.serving.Load())
+	time.Sleep(gateOpenTime)
+	_ = n.gate.Ring().Put(context.Background(), stopping{})
+	time.Sleep(callersLeaveTime - gateOpenTime)
+	n.closing.Store(true)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	n.waitIdle(ctx)
+	for _, s := range n.servers {
+		_ = s.Shutdown(ctx) // ends at the deadline at the latest
+	}
+	n.cancel()
+	n.listener.Close()
+	n.tomb.Kill(nil)
+	n.log.Emit(event.MeshStopped, "took", time.Since(began), "requests", n.serving.Load())
+	return nil
+}
+
+// waitIdle waits until no request of a caller and no call at the target is in
+// progress.
+func (n *Node) waitIdle(ctx context.Context) {
+	for ctx.Err() == nil && (n.serving.Load() > 0 || !n.idle.Load()) {
+		sleep(ctx, idleCheck)
+	}
+}
--- /dev/null
+++ b/command/mesh/mesh.go
@@ -0,0 +1,93 @@
+// Package mesh implements the subcommand "mesh".
+package mesh
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/oleanderworks/oleanderworks/agent/mesh"
+	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/platform"
+)
+
+const (
+	// collectPercent lets the heap grow to four times its live part between two
+	// collections: processor time is scarcer on an instance than memory.
+	collectPercent = 300
+	// memoryPart is the part of the process's memory bound at which the runtime
+	// collects more often.
+	memoryPart = 0.7
+	// flushTime bounds the writing of the last log lines.
+	flushTime = 200 * time.Millisecond
+)
+
+// New returns the subcommand.
+func New(stdout io.Writer) *ff.Command {
+	flags := ff.NewFlagSet("mesh")
+	level := flags.String('l', "log-level", "info", "least level of log lines: debug, info, warn or error")
+	return &ff.Command{
+		Name:      "mesh",
+		Usage:     "oleanderworks mesh [--log-level LEVEL]",
+		ShortHelp: "run the node of a platform's instance, with the settings that the platform provides",
+		Flags:     flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			return run(ctx, *level, stdout)
+		},
+	}
+}
+
+func run(ctx context.Context, level string, stdout io.Writer) error {
+	s, store, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	tuneCollector(s.MemoryBytes)
+	writer := event.NewAsyncWriter(stdout)
+	defer flush(writer)
+	out := hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(level), Output: writer, JSONFormat: true})
+	n := mesh.New(s, platform.NewStore(store), platform.Documents{}, platform.TargetCodec{}, out)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go func() {
+		for range reload {
+			_, _, err := platform.LoadSettings()
+			n.Reloaded(err)
+		}
+	}()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := n.Start(mesh.Handlers{
+		Calls:         platform.Frontend(n),
+		Ready:         platform.Ready(n),
+		Announcements: platform.Control(n),
+	}); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return n.Stop()
+}
+
+func flush(w *event.AsyncWriter) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	w.Close(ctx)
+}
+
+// tuneCollector sets the garbage collector. What the environment sets comes
+// first.
+func tuneCollector(memory int64) {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" && memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(memory)))
+	}
+}
--- a/command/root.go
+++ b/command/root.go
@@ -16,6 +16,7 @@
 	"github.com/oleanderworks/oleanderworks/command/dev"
 	"github.com/oleanderworks/oleanderworks/command/events"
 	"github.com/oleanderworks/oleanderworks/command/key"
+	"github.com/oleanderworks/oleanderworks/command/mesh"
 	"github.com/oleanderworks/oleanderworks/command/node"
 	"github.com/oleanderworks/oleanderworks/command/status"
 	"github.com/oleanderworks/oleanderworks/command/target"
@@ -37,6 +38,7 @@
 		ShortHelp: "overload control for service call graphs",
 		Subcommands: []*ff.Command{
 			node.New(stdout, stderr),
+			mesh.New(stdout),
 			dev.New(stdout, stderr),
 			config.New(stdout),
 			key.New(os.Stdin, stdout),
--- a/model/call.go
+++ b/model/call.go
@@ -18,6 +18,8 @@
 	Header  http.Header
 	Body    []byte
 
+	Host          string        // host of the route
+	AttemptID     string        // the caller's id of this attempt, passed on unchanged
 	Key           string        // the customer's key; empty when none was sent
 	HasKey        bool          // a key was sent
 	Parent        string        // value of Oleander-Context; empty for an outside call
@@ -72,6 +74,13 @@
 	Token       *Token
 	Claim       *Claim
 	Entry       NodeID
+
+	Host      string    // host of the route
+	AttemptID string    // the caller's id of this attempt, passed on unchanged
+	Origin    Service   // service of the instance on which the request began
+	Priority  int       // 0 is the highest
+	Inner     bool      // made by a target while it runs another call
+	Objective time.Time // an answer earns its full credit until then
 }
 
 // Answer is the result of a call. When Reason is empty it holds the target's
--- /dev/null
+++ b/policy/dispatch/core.go
@@ -0,0 +1,205 @@
+// Package dispatch decides, at the node of the caller, whether a request is
+// accepted, which target gets it and whether it is sent again.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/charts"
+	"github.com/oleanderworks/oleanderworks/core/chart"
+	"github.com/oleanderworks/oleanderworks/core/timers"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/model/graph"
+	"github.com/oleanderworks/oleanderworks/policy/quota"
+)
+
+// Decision is what the node does next for a request. Exactly one of Call,
+// Recall and Answer is set.
+type Decision struct {
+	ID     model.CallID
+	Call   *model.Call    // send it to Peer
+	Peer   model.Instance // node of the chosen target
+	Recall bool           // tell Peer that the caller has gone
+	Answer *model.Answer  // for the caller
+
+	Route  string // of Answer and Call, for logs
+	After  model.Reason
+	Config uint64 // version by which the request was judged
+	Age    time.Duration
+}
+
+// Core holds the requests of one node's callers. All methods run on one
+// thread.
+type Core struct {
+	self     model.Instance
+	zone     model.Zone
+	service  model.Service
+	rng      *rand.Rand
+	machine  *chart.Machine[*request]
+	config   *graph.Config
+	out      map[model.Zone]bool // availability zones out of service
+	requests map[model.CallID]*request
+	expiry   *timers.Queue[model.CallID]
+	targets  *targets
+	rates    *quota.Ledger
+	budgets  map[model.Service]*budget
+	splits   map[string]*split
+	dec      []Decision
+}
+
+// New returns a core that knows no configuration yet. Callers' requests
+// originate at a target of service on the instance self.
+func New(self model.Instance, zone model.Zone, service model.Service, rng *rand.Rand) *Core {
+	return &Core{
+		self:     self,
+		zone:     zone,
+		service:  service,
+		rng:      rng,
+		machine:  newMachine(),
+		out:      make(map[model.Zone]bool),
+		requests: make(map[model.CallID]*request),
+		expiry:   timers.New[model.CallID](),
+		targets:  newTargets(self, zone, rng),
+		rates:    quota.New(),
+		budgets:  make(map[model.Service]*budget),
+		splits:   make(map[string]*split),
+	}
+}
+
+func newMachine() *chart.Machine[*request] {
+	return chart.MustCompile(charts.MustRead("dispatch"), chart.Binding[*request]{
+		States: []string{"received", "sent", "ended"},
+		Events: []string{"admitted", "rejected", "answered", "not_run", "failed", "canceled", "expired"},
+		Guards: map[string]func(*request) bool{
+			"may_move":  (*request).mayMove,
+			"may_retry": (*request).mayRetry,
+		},
+		Actions: map[string]func(*request){
+			"send":        (*request).send,
+			"count_move":  (*request).countMove,
+			"spend_retry": (*request).spendRetry,
+			"recall":      (*request).recall,
+			"answer":      (*request).reply,
+			"settle":      (*request).settle,
+		},
+	})
+}
+
+// Decisions returns the decisions made since the last call. The slice is valid
+// until the next call of a method.
+func (c *Core) Decisions() []Decision {
+	out := c.dec
+	c.dec = c.dec[:0]
+	return out
+}
+
+// OnConfig takes a configuration into use, with the availability zones that
+// are out of service.
+func (c *Core) OnConfig(now time.Time, config *graph.Config, out []model.Zone) {
+	clear(c.out)
+	for _, zone := range out {
+		c.out[zone] = true
+	}
+	if config == nil || config == c.config {
+		return
+	}
+	c.config = config
+	clear(c.splits)
+	for name, u := range config.Customers {
+		c.rates.SetLimit(now, name, u.Rate, u.Burst)
+	}
+	c.rates.Keep(func(name model.Customer) bool { return config.Customers[name] != nil })
+}
+
+// OnPeers replaces the nodes among which rates are divided.
+func (c *Core) OnPeers(peers []model.Instance) { c.rates.SetPeers(peers) }
+
+// OnReport takes what a node says of itself and its target.
+func (c *Core) OnReport(now time.Time, r *model.Report) {
+	c.targets.onReport(now, r)
+	if r.Node.Instance != c.self {
+		c.rates.OnReport(now, r.Node, r.Usage)
+	}
+}
+
+// Usage returns what this node's customers use, for its peers.
+func (c *Core) Usage(now time.Time) []model.Usage { return c.rates.Report(now) }
+
+// OnRequest takes a request of a caller.
+func (c *Core) OnRequest(now time.Time, req *model.Request) {
+	r := &request{core: c, now: now, state: c.machine.Initial(), id: req.ID, arrived: now}
+	c.requests[req.ID] = r
+	if r.answer = r.judge(req); r.answer != nil {
+		r.step(now, eventRejected)
+		return
+	}
+	c.expiry.Set(r.id, r.call.Deadline)
+	c.budget(r.call.Service).onFirst()
+	r.step(now, eventAdmitted)
+}
+
+// OnAnswer takes the result of a call from the node that had it.
+func (c *Core) OnAnswer(now time.Time, peer model.Instance, a *model.Answer) {
+	r := c.requests[a.ID]
+	if r == nil || r.target == nil || r.target.peer != peer {
+		return
+	}
+	r.answer = a
+	r.target.onAnswer(now, a)
+	switch {
+	case a.Run == model.NotRun:
+		r.step(now, eventNotRun)
+	case a.Refused() || r.wantsOther(a):
+		r.step(now, eventFailed)
+	default:
+		r.step(now, eventAnswered)
+	}
+}
+
+// OnPeerLost ends the calls that a peer had when the link to it broke.
+func (c *Core) OnPeerLost(now time.Time, peer model.Instance) {
+	c.targets.onLost(peer)
+	for id, r := range c.requests {
+		if r.target != nil && r.target.peer == peer {
+			c.OnAnswer(now, peer, model.Failure(id, model.ReasonPeerUnreachable, "the link to the target's node broke"))
+		}
+	}
+}
+
+// OnCanceled ends a request whose caller has gone.
+func (c *Core) OnCanceled(now time.Time, id model.CallID) {
+	if r := c.requests[id]; r != nil {
+		r.step(now, eventCanceled)
+	}
+}
+
+// Tick runs timers and returns the time of the next one; zero for none.
+func (c *Core) Tick(now time.Time) time.Time {
+	for {
+		id, due := c.expiry.PopDue(now)
+		if !due {
+			return c.expiry.Next()
+		}
+		r := c.requests[id]
+		if r == nil {
+			continue
+		}
+		r.answer = model.Failure(id, model.ReasonDeadline, "the time limit passed while a target's node had the request")
+		r.step(now, eventExpired)
+	}
+}
+
+// Len returns the number of requests in progress.
+func (c *Core) Len() int { return len(c.requests) }
+
+// Ready reports whether the node knows enough to serve callers.
+func (c *Core) Ready() bool { return c.config != nil }
+
+// Config returns the version of the configuration in use.
+func (c *Core) Config() uint64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
--- /dev/null
+++ b/policy/dispatch/target.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	// crossZonePenalty is the wait in the own availability zone that is worth
+	// the price of sending a request to another one.
+	crossZonePenalty = 80 * time.Millisecond
+	// choiceJitter spreads the choices of nodes that see the same loads.
+	choiceJitter = 0.1
+	// defaultRunTime stands for a run time that is not known yet.
+	defaultRunTime = 50 * time.Millisecond
+	// staleReport is the age at which a target's report is not trusted any
+	// more. Its node reports four times a second and with each answer.
+	staleReport = 2 * time.Second
+	// lostPenalty is added to the cost of a target whose node has fallen
+	// silent but whose link is open.
+	lostPenalty = 500 * time.Millisecond
+)
+
+// target is a target as this node sees it.
+type target struct {
+	peer        model.Instance
+	zone        model.Zone
+	service     model.Service
+	state       model.TargetState
+	linked      bool
+	cold        bool
+	coldRate    float64
+	limit       int
+	runTime     time.Duration
+	reported    time.Time
+	load        int // running and queued at its node, of other nodes
+	outstanding int // of this node
+}
+
+type targets struct {
+	self      model.Instance
+	zone      model.Zone
+	rng       *rand.Rand
+	byPeer    map[model.Instance]*target
+	byService map[model.Service][]*target
+}
+
+func newTargets(self model.Instance, zone model.Zone, rng *rand.Rand) *targets {
+	return &targets{
+		self:      self,
+		zone:      zone,
+		rng:       rng,
+		byPeer:    make(map[model.Instance]*target),
+		byService: make(map[model.Service][]*target),
+	}
+}
+
+func (s *targets) onReport(now time.Time, r *model.Report) {
+	t := s.byPeer[r.Node.Instance]
+	if t != nil && t.service != r.Service {
+		s.remove(t)
+		t = nil
+	}
+	if t == nil {
+		t = &target{peer: r.Node.Instance, service: r.Service}
+		s.byPeer[t.peer] = t
+		s.byService[t.service] = append(s.byService[t.service], t)
+	}
+	t.zone, t.state, t.linked = r.Zone, r.State, true
+	t.cold, t.coldRate = r.Cold, r.ColdRate
+	t.limit, t.runTime, t.reported = r.Limit, r.RunTime, now
+	t.load = max(r.Running+r.Queued-t.outstanding, 0)
+}
+
+func (s *targets) remove(t *target) {
+	delete(s.byPeer, t.peer)
+	list := s.byService[t.service]
+	s.byService[t.service] = slices.DeleteFunc(list, func(o *target) bool { return o == t })
+}
+
+func (s *targets) onLost(peer model.Instance) {
+	if t := s.byPeer[peer]; t != nil {
+		t.linked = false
+	}
+}
+
+// onAnswer learns the load that came with an answer, and the state that a
+// refusal shows.
+func (t *target) onAnswer(now time.Time, a *model.Answer) {
+	if a.Load.InFlight > 0 || a.Load.Queued > 0 {
+		t.load = max(a.Load.InFlight+a.Load.Queued-t.outstanding, 0)
+	}
+	if a.Run != model.NotRun {
+		return
+	}
+	switch a.Reason {
+	case model.ReasonTargetLeaving:
+		t.state = model.TargetLeaving
+	case model.ReasonTargetFailed:
+		t.state = model.TargetLost
+	case model.ReasonZoneOut, model.ReasonNoTarget:
+		t.state = model.TargetUnknown
+	}
+}
+
+func (t *target) age(now time.Time) time.Duration { return now.Sub(t.reported) }
+
+// choose returns the target of the call's service at which it can expect the
+// earliest end, or nil. A target in another availability zone is taken only if
+// the wait in the own zone is worth the price of the way.
+func (s *targets) choose(now time.Time, call *model.Call, tried []*target, out map[model.Zone]bool) *target {
+	var best *target
+	var least float64
+	for _, t := range s.byService[call.Service] {
+		if !t.linked || t.state != model.TargetServing || out[t.zone] || slices.Contains(tried, t) {
+			continue
+		}
+		cost := s.cost(now, t) * (1 + choiceJitter*s.rng.Float64())
+		if best == nil || cost < least {
+			best, least = t, cost
+		}
+	}
+	return best
+}
+
+// cost estimates the time until the end of a request at a target, in seconds.
+func (s *targets) cost(now time.Time, t *target) float64 {
+	runTime := t.runTime
+	if runTime <= 0 {
+		runTime = defaultRunTime
+	}
+	use := float64(t.load+t.outstanding+1) / float64(max(t.limit, 1))
+	cost := runTime.Seconds() * (1 + 0.2*use)
+	if use > 1 {
+		cost += runTime.Seconds() * (use - 1)
+	}
+	if t.cold && t.coldRate > 0 {
+		cost += float64(t.load+t.outstanding+1) / t.coldRate
+	}
+	if t.zone != s.zone {
+		cost += crossZonePenalty.Seconds()
+	}
+	if t.peer != s.self && now.Sub(t.reported) > staleReport {
+		cost += lostPenalty.Seconds()
+	}
+	return cost
+}
--- /dev/null
+++ b/policy/quota/ledger.go
@@ -0,0 +1,254 @@
+// Package quota divides each customer's rate among the nodes, so that the sum
+// over all of them stays within the rate although no request asks anyone.
+//
+// Each node refills its own bucket with a part of the rate. The parts follow
+// the demand that the nodes report to each other; a node that falls silent
+// keeps its part until it is known to have ended, since it may still admit
+// requests. A node may borrow a few requests beyond its part while the fleet
+// as a whole is far from the limit.
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	// equalPart is the portion of a rate that is divided equally, so that a
+	// customer's first requests at a node find tokens.
+	equalPart = 0.4
+	// demandTime is the averaging time of demand: long against the interval
+	// between reports, short against a change of a customer's habits.
+	demandTime = 4 * time.Second
+	// startFill is the part of a bucket that is full when the node starts.
+	// With full buckets a restart of all nodes would grant the burst twice.
+	startFill = 0.1
+	// borrowLevel is the part of the burst that must be left in the fleet's
+	// bucket before a node borrows.
+	borrowLevel = 0.5
+	// overWindow, overPart and overBase describe what the fleet may admit
+	// beyond the rate in a window: overPart of rate x overWindow + burst, plus
+	// overBase requests. Operators accept 10% and 20 requests in 5 s; half of
+	// that is left for clocks and restarts.
+	overWindow = 5 // seconds
+	overPart   = 0.05
+	overBase   = 10 // requests
+	// minBorrow lets a small customer's requests come in pairs at one node.
+	minBorrow = 2 // requests between two reports
+	// minNodes is the least number of nodes among which a rate is divided. A
+	// node that has just started may not know the others yet.
+	minNodes = 3
+)
+
+// Ledger holds the accounts of one node. All methods run on one thread.
+type Ledger struct {
+	accounts map[model.Customer]*account
+	peers    map[model.Instance]bool
+}
+
+type peerUse struct {
+	start    model.Incarnation
+	admitted uint64
+	demand   float64
+}
+
+// account is one customer at this node.
+type account struct {
+	name        model.Customer
+	rate, burst float64 // 0 for no limit
+	at          time.Time
+	level       float64 // tokens of this node
+	fleet       float64 // estimated tokens of the whole fleet
+	borrowed    float64 // since the last report
+	admitted    uint64
+	demand      float64 // requests a second
+	reported    float64 // demand as last told to the peers
+	peers       map[model.Instance]*peerUse
+	others      float64 // sum of the peers' demand
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{accounts: make(map[model.Customer]*account), peers: make(map[model.Instance]bool)}
+}
+
+// SetLimit sets a customer's rate in requests a second and its burst in
+// requests. A rate of 0 means no limit.
+func (l *Ledger) SetLimit(now time.Time, name model.Customer, rate, burst float64) {
+	a := l.accounts[name]
+	if a == nil {
+		a = &account{name: name, at: now, peers: make(map[model.Instance]*peerUse)}
+		a.rate, a.burst = rate, burst
+		a.level = startFill * l.depth(a)
+		a.fleet = startFill * burst
+		l.accounts[name] = a
+		return
+	}
+	l.refill(now, a)
+	a.rate, a.burst = rate, burst
+	a.level = min(a.level, l.depth(a))
+	a.fleet = min(a.fleet, burst)
+}
+
+// Keep drops the accounts of customers that are not configured any more.
+func (l *Ledger) Keep(configured func(model.Customer) bool) {
+	for name := range l.accounts {
+		if !configured(name) {
+			delete(l.accounts, name)
+		}
+	}
+}
+
+// SetPeers replaces the nodes among which rates are divided, besides this one.
+func (l *Ledger) SetPeers(peers []model.Instance) {
+	clear(l.peers)
+	for _, p := range peers {
+		l.peers[p] = true
+	}
+	for _, a := range l.accounts {
+		for p := range a.peers {
+			if !l.peers[p] {
+				delete(a.peers, p)
+			}
+		}
+		a.sumOthers()
+	}
+}
+
+func (a *account) sumOthers() {
+	a.others = 0
+	for _, p := range a.peers {
+		a.others += p.demand
+	}
+}
+
+// part is the portion of the rate that belongs to this node.
+func (l *Ledger) part(a *account) float64 {
+	nodes := float64(max(len(l.peers)+1, minNodes))
+	total := a.reported + a.others
+	if total <= 0 {
+		return 1 / nodes
+	}
+	return equalPart/nodes + (1-equalPart)*a.reported/total
+}
+
+// depth is the size of this node's bucket: its part of the burst and of the
+// requests that operators accept beyond it. It holds at least one request.
+func (l *Ledger) depth(a *account) float64 {
+	nodes := float64(max(len(l.peers)+1, minNodes))
+	return max(l.part(a)*a.burst+overBase/nodes, 1)
+}
+
+func (l *Ledger) refill(now time.Time, a *account) {
+	elapsed := now.Sub(a.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	a.at = now
+	a.level = min(a.level+elapsed*a.rate*l.part(a), l.depth(a))
+	a.fleet = min(a.fleet+elapsed*a.rate, a.burst)
+	a.demand *= math.Exp(-elapsed / demandTime.Seconds())
+}
+
+// Take draws one request from a customer's rate. If it is used up, it returns
+// false and the time after which another request may pass.
+func (l *Ledger) Take(now time.Time, name model.Customer) (bool, time.Duration) {
+	a := l.accounts[name]
+	if a == nil || a.rate <= 0 {
+		return true, 0
+	}
+	l.refill(now, a)
+	a.demand += 1 / demandTime.Seconds()
+	switch {
+	case a.level >= 1:
+		a.level--
+	case l.mayBorrow(a):
+		a.borrowed++
+	default:
+		return false, l.wait(a)
+	}
+	a.fleet--
+	a.admitted++
+	return true, 0
+}
+
+// Return gives back a request that was admitted and did not run.
+func (l *Ledger) Return(now time.Time, name model.Customer) {
+	a := l.accounts[name]
+	if a == nil || a.rate <= 0 {
+		return
+	}
+	l.refill(now, a)
+	a.level = min(a.level+1, l.depth(a))
+	a.fleet = min(a.fleet+1, a.burst)
+	if a.admitted > 0 {
+		a.admitted--
+	}
+}
+
+// mayBorrow bounds what all nodes together borrow between two reports by what
+// operators accept beyond the rate.
+func (l *Ledger) mayBorrow(a *account) bool {
+	if a.fleet < borrowLevel*a.burst || a.burst <= 0 {
+		return false
+	}
+	nodes := float64(max(len(l.peers)+1, minNodes))
+	over := overPart*(overWindow*a.rate+a.burst) + overBase
+	fill := a.fleet / a.burst
+	return a.borrowed+1 <= max(2*fill*over/nodes, minBorrow)
+}
+
+func (l *Ledger) wait(a *account) time.Duration {
+	refill := a.rate * l.part(a)
+	if refill <= 0 {
+		return time.Second
+	}
+	return time.Duration((1 - a.level) / refill * float64(time.Second))
+}
+
+// Report returns this node's use for its peers. From now on the node's part
+// follows the demand that it states.
+func (l *Ledger) Report(now time.Time) []model.Usage {
+	var out []model.Usage
+	for name, a := range l.accounts {
+		l.refill(now, a)
+		a.borrowed = 0
+		a.reported = a.demand
+		if a.admitted > 0 || a.demand > 0 {
+			out = append(out, model.Usage{Customer: name, Admitted: a.admitted, Demand: a.demand})
+		}
+	}
+	slices.SortFunc(out, func(a, b model.Usage) int {
+		if a.Customer < b.Customer {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// OnReport takes a peer's use.
+func (l *Ledger) OnReport(now time.Time, peer model.NodeID, use []model.Usage) {
+	for _, u := range use {
+		a := l.accounts[u.Customer]
+		if a == nil {
+			continue
+		}
+		l.refill(now, a)
+		p := a.peers[peer.Instance]
+		if p == nil {
+			p = &peerUse{start: peer.Incarnation, admitted: u.Admitted}
+			a.peers[peer.Instance] = p
+		}
+		if p.start != peer.Incarnation {
+			p.start, p.admitted = peer.Incarnation, 0
+		}
+		a.fleet = min(a.fleet-float64(int64(u.Admitted-p.admitted)), a.burst)
+		p.admitted = u.Admitted
+		a.others += u.Demand - p.demand
+		p.demand = u.Demand
+	}
+}
--- /dev/null
+++ b/policy/quota/ledger_test.go
@@ -0,0 +1,147 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	nodes    = 14
+	rate     = 171.0
+	burst    = 171.0
+	interval = 250 * time.Millisecond
+	customer = model.Customer("herders")
+)
+
+// fleet plays one customer's requests at several nodes that report to each
+// other.
+type fleet struct {
+	rng     *rand.Rand
+	ledgers []*Ledger
+	now     time.Time
+	admits  []time.Time
+	asked   int
+}
+
+func newFleet(seed uint64, rate, burst float64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0)}
+	for i := range nodes {
+		f.ledgers = append(f.ledgers, f.newLedger(i, rate, burst))
+	}
+	return f
+}
+
+func (f *fleet) newLedger(self int, rate, burst float64) *Ledger {
+	l := New()
+	var peers []model.Instance
+	for p := range nodes {
+		if p != self {
+			peers = append(peers, instance(p))
+		}
+	}
+	l.SetPeers(peers)
+	l.SetLimit(f.now, customer, rate, burst)
+	return l
+}
+
+func instance(i int) model.Instance { return model.Instance(fmt.Sprintf("n%d", i)) }
+
+// play sends perSecond requests for a time, each to a random node.
+func (f *fleet) play(length time.Duration, perSecond float64) {
+	const step = 10 * time.Millisecond
+	end := f.now.Add(length)
+	for f.now.Before(end) {
+		f.now = f.now.Add(step)
+		for range poisson(f.rng, perSecond*step.Seconds()) {
+			f.asked++
+			if ok, _ := f.ledgers[f.rng.IntN(nodes)].Take(f.now, customer); ok {
+				f.admits = append(f.admits, f.now)
+			}
+		}
+		for i, l := range f.ledgers {
+			elapsed := f.now.Sub(time.Unix(1000, 0)) + time.Duration(i)*interval/nodes
+			if elapsed/interval != (elapsed-step)/interval {
+				f.report(i, l)
+			}
+		}
+	}
+}
+
+func (f *fleet) report(i int, l *Ledger) {
+	use := l.Report(f.now)
+	for p, other := range f.ledgers {
+		if p != i {
+			other.OnReport(f.now, model.NodeID{Instance: instance(i), Incarnation: 1}, use)
+		}
+	}
+}
+
+func poisson(rng *rand.Rand, mean float64) int {
+	n := 0
+	for t := rng.ExpFloat64(); t < mean; t += rng.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// worst returns the largest number of admitted requests in 5 s.
+func (f *fleet) worst() int {
+	most, first := 0, 0
+	for i, at := range f.admits {
+		for at.Sub(f.admits[first]) > 5*time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against a customer that gets more than its rate and burst when its
+// demand rises at all nodes at once.
+func TestHotCustomerStaysWithinRate(t *testing.T) {
+	for _, size := range []float64{rate, 40, 12} {
+		for seed := range uint64(20) {
+			f := newFleet(seed, size, size)
+			f.play(5*time.Second, size/1.6)
+			f.play(8*time.Second, size/1.6*8)
+			limit := (size*5+size)*1.1 + 20
+			assert.Assert(t, float64(f.worst()) <= limit, "rate %.0f, seed %d: %d requests in 5 s, limit %.0f", size, seed, f.worst(), limit)
+		}
+	}
+}
+
+// Guards against refusals of customers that keep to their rate, large and
+// small ones.
+func TestCustomerWithinRateIsServed(t *testing.T) {
+	for _, size := range []float64{171, 40, 12} {
+		for seed := range uint64(10) {
+			f := newFleet(seed, size, size)
+			f.play(2*time.Second, size/1.6) // the start is judged apart
+			asked, admitted := f.asked, len(f.admits)
+			f.play(20*time.Second, size/1.6)
+			refused := float64(f.asked-asked-len(f.admits)+admitted) / float64(f.asked-asked)
+			assert.Assert(t, refused < 0.01, "rate %.0f, seed %d: %.2f%% refused", size, seed, 100*refused)
+		}
+	}
+}
+
+// Guards against a restart of all nodes that grants the burst twice.
+func TestRestartOfAllNodes(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(seed, rate, burst)
+		f.play(3*time.Second, rate/1.6)
+		f.play(2*time.Second, rate*3)
+		for i := range f.ledgers {
+			f.ledgers[i] = f.newLedger(i, rate, burst)
+		}
+		f.play(5*time.Second, rate*3)
+		limit := (rate*5+burst)*1.1 + 20
+		assert.Assert(t, float64(f.worst()) <= limit, "seed %d: %d requests in 5 s, limit %.0f", seed, f.worst(), limit)
+	}
+}
--- /dev/null
+++ b/transport/frame/messages.go
@@ -0,0 +1,318 @@
+package frame
+
+import (
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/logservice/keyed"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+func (m Hello) append(b []byte) []byte {
+	b = appendText(b, 1, string(m.Node.Instance))
+	b = appendFixed(b, 2, uint64(m.Node.Incarnation))
+	b = appendText(b, 3, string(m.Zone))
+	return appendText(b, 4, string(m.Service))
+}
+
+func decodeHello(b []byte) (Message, error) {
+	var m Hello
+	err := fields(b, func(f field) error {
+		switch f.number {
+		case 1:
+			m.Node.Instance = model.Instance(f.text())
+		case 2:
+			m.Node.Incarnation = model.Incarnation(f.value)
+		case 3:
+			m.Zone = model.Zone(f.text())
+		case 4:
+			m.Service = model.Service(f.text())
+		}
+		return nil
+	})
+	return m, err
+}
+
+func (m Call) append(b []byte) []byte {
+	c := m.Call
+	b = appendFixed(b, 1, uint64(c.ID))
+	b = appendText(b, 2, string(c.Service))
+	b = appendText(b, 3, c.Method)
+	b = appendText(b, 4, c.Path)
+	b = appendText(b, 5, c.Host)
+	b = appendText(b, 6, c.AttemptID)
+	b = appendText(b, 7, string(c.Customer))
+	b = appendText(b, 8, string(c.Origin))
+	b = appendUint(b, 9, uint64(c.Priority))
+	b = appendFlag(b, 10, c.Inner)
+	b = appendFlag(b, 11, c.Idempotent)
+	b = appendUint(b, 12, uint64(c.Attempt))
+	b = appendDuration(b, 13, m.Remaining)
+	b = appendDuration(b, 14, m.Objective)
+	b = appendHeader(b, 15, 16, c.Header)
+	return appendBytes(b, 17, c.Body)
+}
+
+func decodeCall(b []byte) (Message, error) {
+	c := &model.Call{Header: make(http.Header)}
+	m := Call{Call: c}
+	var name string
+	err := fields(b, func(f field) error {
+		switch f.number {
+		case 1:
+			c.ID = model.CallID(f.value)
+		case 2:
+			c.Service = model.Service(f.text())
+		case 3:
+			c.Method = f.text()
+		case 4:
+			c.Path = f.text()
+		case 5:
+			c.Host = f.text()
+		case 6:
+			c.AttemptID = f.text()
+		case 7:
+			c.Customer = model.Customer(f.text())
+		case 8:
+			c.Origin = model.Service(f.text())
+		case 9:
+			c.Priority = int(f.value)
+		case 10:
+			c.Inner = f.flag()
+		case 11:
+			c.Idempotent = f.flag()
+		case 12:
+			c.Attempt = int(f.value)
+		case 13:
+			m.Remaining = f.duration()
+		case 14:
+			m.Objective = f.duration()
+		case 15:
+			name = f.text()
+		case 16:
+			c.Header[name] = append(c.Header[name], f.text())
+		case 17:
+			c.Body = f.bytes
+		}
+		return nil
+	})
+	return m, err
+}
+
+func (m Cancel) append(b []byte) []byte { return appendFixed(b, 1, uint64(m.ID)) }
+
+func decodeCancel(b []byte) (Message, error) {
+	var m Cancel
+	err := fields(b, func(f field) error {
+		if f.number == 1 {
+			m.ID = model.CallID(f.value)
+		}
+		return nil
+	})
+	return m, err
+}
+
+func (m Answer) append(b []byte) []byte {
+	a := m.Answer
+	b = appendFixed(b, 1, uint64(a.ID))
+	b = appendUint(b, 2, uint64(a.Run))
+	b = appendText(b, 3, string(a.Reason))
+	b = appendText(b, 4, a.Detail)
+	b = appendUint(b, 5, uint64(a.Status))
+	b = appendDuration(b, 6, a.RetryAfter)
+	b = appendUint(b, 7, uint64(a.Load.InFlight))
+	b = appendUint(b, 8, uint64(a.Load.Queued))
+	b = appendHeader(b, 9, 10, a.Header)
+	return appendBytes(b, 11, a.Body)
+}
+
+func decodeAnswer(b []byte) (Message, error) {
+	a := &model.Answer{}
+	var name string
+	err := fields(b, func(f field) error {
+		switch f.number {
+		case 1:
+			a.ID = model.CallID(f.value)
+		case 2:
+			a.Run = model.Run(f.value)
+		case 3:
+			a.Reason = model.Reason(f.text())
+		case 4:
+			a.Detail = f.text()
+		case 5:
+			a.Status = int(f.value)
+		case 6:
+			a.RetryAfter = f.duration()
+		case 7:
+			a.Load.InFlight = int(f.value)
+		case 8:
+			a.Load.Queued = int(f.value)
+		case 9:
+			name = f.text()
+		case 10:
+			if a.Header == nil {
+				a.Header = make(http.Header)
+			}
+			a.Header[name] = append(a.Header[name], f.text())
+		case 11:
+			a.Body = f.bytes
+		}
+		return nil
+	})
+	return Answer{Answer: a}, err
+}
+
+func (m Report) append(b []byte) []byte {
+	r := m.Report
+	b = appendText(b, 1, string(r.Node.Instance))
+	b = appendFixed(b, 2, uint64(r.Node.Incarnation))
+	b = appendText(b, 3, string(r.Target))
+	b = appendText(b, 4, string(r.Service))
+	b = appendText(b, 5, string(r.Zone))
+	b = appendUint(b, 6, uint64(r.State))
+	b = appendFlag(b, 7, r.Cold)
+	b = appendFixed(b, 8, math.Float64bits(r.ColdRate))
+	b = appendUint(b, 9, uint64(r.Limit))
+	b = appendUint(b, 10, uint64(r.Running))
+	b = appendUint(b, 11, uint64(r.Queued))
+	b = appendDuration(b, 12, r.RunTime)
+	b = appendUint(b, 13, uint64(r.Documents))
+	b = appendFlag(b, 14, r.UsageKnown)
+	for _, u := range r.Usage {
+		b = appendNested(b, 15, func(b []byte) []byte {
+			b = appendText(b, 1, string(u.Customer))
+			b = appendUint(b, 2, u.Admitted)
+			return appendFixed(b, 3, math.Float64bits(u.Demand))
+		})
+	}
+	return b
+}
+
+func decodeReport(b []byte) (Message, error) {
+	r := &model.Report{}
+	err := fields(b, func(f field) error {
+		switch f.number {
+		case 1:
+			r.Node.Instance = model.Instance(f.text())
+		case 2:
+			r.Node.Incarnation = model.Incarnation(f.value)
+		case 3:
+			r.Target = model.Instance(f.text())
+		case 4:
+			r.Service = model.Service(f.text())
+		case 5:
+			r.Zone = model.Zone(f.text())
+		case 6:
+			r.State = model.TargetState(f.value)
+		case 7:
+			r.Cold = f.flag()
+		case 8:
+			r.ColdRate = math.Float64frombits(f.value)
+		case 9:
+			r.Limit = int(f.value)
+		case 10:
+			r.Running = int(f.value)
+		case 11:
+			r.Queued = int(f.value)
+		case 12:
+			r.RunTime = f.duration()
+		case 13:
+			r.Documents = int64(f.value)
+		case 14:
+			r.UsageKnown = f.flag()
+		case 15:
+			return decodeUsage(r, f.bytes)
+		}
+		return nil
+	})
+	return Report{Report: r}, err
+}
+
+func decodeUsage(r *model.Report, b []byte) error {
+	var u model.Usage
+	err := fields(b, func(f field) error {
+		switch f.number {
+		case 1:
+			u.Customer = model.Customer(f.text())
+		case 2:
+			u.Admitted = f.value
+		case 3:
+			u.Demand = math.Float64frombits(f.value)
+		}
+		return nil
+	})
+	r.Usage = append(r.Usage, u)
+	return err
+}
+
+func (m Want) append(b []byte) []byte { return appendUint(b, 1, uint64(m.End)) }
+
+func decodeWant(b []byte) (Message, error) {
+	var m Want
+	err := fields(b, func(f field) error {
+		if f.number == 1 {
+			m.End = int64(f.value)
+		}
+		return nil
+	})
+	return m, err
+}
+
+func (m Documents) append(b []byte) []byte {
+	b = appendUint(b, 1, uint64(m.End))
+	for _, d := range m.List {
+		b = appendNested(b, 2, func(b []byte) []byte {
+			b = appendText(b, 1, d.Key)
+			b = appendBytes(b, 2, d.Value)
+			return appendUint(b, 3, uint64(d.Offset))
+		})
+	}
+	return b
+}
+
+func decodeDocuments(b []byte) (Message, error) {
+	var m Documents
+	err := fields(b, func(f field) error {
+		switch f.number {
+		case 1:
+			m.End = int64(f.value)
+		case 2:
+			d, err := decodeDocument(f.bytes)
+			m.List = append(m.List, d)
+			return err
+		}
+		return nil
+	})
+	return m, err
+}
+
+func decodeDocument(b []byte) (keyed.Record, error) {
+	var d keyed.Record
+	err := fields(b, func(f field) error {
+		switch f.number {
+		case 1:
+			d.Key = f.text()
+		case 2:
+			d.Value = f.bytes
+		case 3:
+			d.Offset = int64(f.value)
+		}
+		return nil
+	})
+	return d, err
+}
+
+func (Ping) append(b []byte) []byte { return b }
+
+// NewCall returns the message for a call that is sent at now.
+func NewCall(now time.Time, c *model.Call) Call {
+	return Call{Call: c, Remaining: c.Deadline.Sub(now), Objective: c.Objective.Sub(now)}
+}
+
+// Arrived returns the call with its times on the receiver's clock.
+func (m Call) Arrived(now time.Time) *model.Call {
+	m.Call.Deadline = now.Add(m.Remaining)
+	m.Call.Objective = now.Add(m.Objective)
+	return m.Call
+}
