Keep calls in their availability zone unless another is faster by a third of the objective

Targets of one service differ in speed by two, so a fixed penalty of 80 ms sent whole zones elsewhere; reports to far peers were sent four times a second in full; a target without a run time counted as slower than the others.

Ruled out: the operator's documents (1 kB a version) and the calls of the store, which are not bytes between zones.

Change: the penalty is 0.35 of the time to the objective; reports leave out what the link has carried and go far only with news; a target that has run nothing lately counts as the usual one.

--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -288,7 +288,7 @@
 		return
 	}
 	h.reportAt = now.Add(reportInterval)
-	r := &model.Report{Node: h.node.id}
+	r := &model.Report{Place: model.Place{Node: h.node.id}}
 	h.core.Report(now, r)
 	h.node.idle.Store(h.core.Idle())
 	h.node.entry.Ring().Offer(reported{report: r})
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -276,6 +276,10 @@
 	case frame.Answer:
 		n.onAnswer(l.peer.Node.Instance, m.Answer)
 	case frame.Report:
+		if m.Brief {
+			m.Report.Place = l.place
+		}
+		l.place = m.Report.Place
 		n.entry.Ring().Offer(reported{report: m.Report})
 		if m.Report.Documents > n.documents.Load() {
 			n.peers.Ring().Offer(peerDocuments{peer: l.peer.Node.Instance, end: m.Report.Documents})
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -18,6 +18,9 @@
 	// reportInterval separates the reports of a node to its peers. Rates are
 	// divided by them: within it a hot customer may exceed its rate.
 	reportInterval = 250 * time.Millisecond
+	// farLoadChange is the part of the target's limit by which its load must
+	// have changed before peers in other availability zones are told.
+	farLoadChange = 0.25
 	// quietInterval separates the reports that say nothing new.
 	quietInterval = time.Second
 )
@@ -85,12 +88,22 @@
 	node    *Node
 	core    *fleet.Core
 	links   map[model.Instance]*link // opened by this node
-	origins map[*link]bool           // opened by peers
-	report  model.Report
-	sentAt  time.Time
-	dirty   bool
-	urgent  bool
+	origins map[*link]*sentReport    // opened by peers
 	configs configReader
+
+	report   model.Report // without usage
+	usage    map[model.Customer]model.Usage
+	unsent   map[model.Customer]bool // usage that peers do not have yet
+	urgent   bool                    // peers have to know at once
+	reportAt time.Time
+	pingedAt time.Time
+}
+
+// sentReport is what a peer was told last.
+type sentReport struct {
+	at    time.Time
+	place model.Place
+	load  int
 }
 
 func newPeersDuty(n *Node) *duty.Duty[peersMessage] {
@@ -98,7 +111,9 @@
 		node:    n,
 		core:    fleet.New(n.settings.Instance, newRand()),
 		links:   make(map[model.Instance]*link),
-		origins: make(map[*link]bool),
+		origins: make(map[*link]*sentReport),
+		usage:   make(map[model.Customer]model.Usage),
+		unsent:  make(map[model.Customer]bool),
 		configs: configReader{node: n},
 	})
 }
@@ -115,12 +130,12 @@
 func (h *peersDuty) Tick(now time.Time) time.Time {
 	next := h.core.Tick(now)
 	h.act(now)
-	due := h.sentAt.Add(quietInterval)
-	if h.dirty {
-		due = h.sentAt.Add(reportInterval)
+	if !now.Before(h.reportAt) {
+		h.reportAt = now.Add(reportInterval)
+		h.sendReports(now)
 	}
-	if next.IsZero() || due.Before(next) {
-		return due
+	if next.IsZero() || h.reportAt.Before(next) {
+		return h.reportAt
 	}
 	return next
 }
@@ -132,10 +147,10 @@
 	case dialed:
 		h.onDialed(now, m)
 	case accepted:
-		h.origins[m.link] = true
+		h.origins[m.link] = new(sentReport)
 		h.core.OnFound(now, m.link.peer.Node.Instance)
 		h.node.log.Emit(event.MeshLinkOpened, "peer", m.link.peer.Node.Instance, "by", "peer")
-		m.link.send(frame.Report{Report: h.compose()})
+		h.sendTo(m.link, h.allUsage())
 	case linkClosed:
 		h.onLinkClosed(now, m)
 	case originClosed:
@@ -152,8 +167,7 @@
 	case ownReport:
 		h.onOwnReport(m.report)
 	case usage:
-		h.report.Usage, h.report.UsageKnown = m.list, true
-		h.dirty = h.dirty || len(m.list) > 0
+		h.onUsage(m.list)
 	}
 }
 
@@ -172,14 +186,26 @@
 	}
 }
 
+func (h *peersDuty) onUsage(list []model.Usage) {
+	for _, u := range list {
+		h.usage[u.Customer] = u
+		h.unsent[u.Customer] = true
+	}
+}
+
+func (h *peersDuty) allUsage() []model.Usage {
+	out := make([]model.Usage, 0, len(h.usage))
+	for _, u := range h.usage {
+		out = append(out, u)
+	}
+	return out
+}
+
 func (h *peersDuty) onOwnReport(r *model.Report) {
-	before := h.report
-	h.report = *r
-	h.report.Usage, h.report.UsageKnown = before.Usage, before.UsageKnown
-	if r.State != before.State || r.Target != before.Target || r.Cold != before.Cold {
+	if r.Place != h.report.Place || r.Cold != h.report.Cold {
 		h.urgent = true
 	}
-	h.dirty = h.dirty || r.Running != before.Running || r.Queued != before.Queued
+	h.report = *r
 }
 
 func (h *peersDuty) onDialed(now time.Time, m dialed) {
@@ -236,7 +262,9 @@
 	if peers, changed := h.core.Peers(); changed {
 		h.node.entry.Ring().Offer(peersChanged{peers: peers})
 	}
-	h.sendReport(now)
+	if h.urgent {
+		h.sendReports(now)
+	}
 }
 
 func (h *peersDuty) carryOut(a fleet.Action) {
@@ -255,26 +283,48 @@
 	}
 }
 
-func (h *peersDuty) compose() *model.Report {
-	r := h.report
-	r.Node = h.node.id
-	r.Service, r.Zone = h.node.settings.Service, h.node.settings.Zone
-	_, r.Documents = h.core.Documents()
-	return &r
-}
-
-// sendReport tells the peers what is new, and that the node lives.
-func (h *peersDuty) sendReport(now time.Time) {
-	age := now.Sub(h.sentAt)
-	if !h.urgent && !(h.dirty && age >= reportInterval) && age < quietInterval {
-		return
+// sendReports tells the peers what is new, and that the node lives. Bytes
+// between availability zones are dear: peers there get the load only when it
+// has changed much, since they seldom choose the target.
+func (h *peersDuty) sendReports(now time.Time) {
+	h.report.Documents = h.core.End()
+	if h.report.Node != h.node.id {
+		h.report.Node = h.node.id
+		h.report.Service, h.report.Zone = h.node.settings.Service, h.node.settings.Zone
+	}
+	var news []model.Usage
+	for name := range h.unsent {
+		news = append(news, h.usage[name])
+	}
+	clear(h.unsent)
+	for l, sent := range h.origins {
+		if h.urgent || len(news) > 0 || h.moved(l, sent) || now.Sub(sent.at) >= quietInterval {
+			h.sendTo(l, news)
+			sent.at = now
+		}
 	}
-	h.sentAt, h.dirty, h.urgent = now, false, false
-	report := frame.Report{Report: h.compose()}
-	for l := range h.origins {
-		l.send(report)
+	if now.Sub(h.pingedAt) >= quietInterval {
+		h.pingedAt = now
+		for _, l := range h.links {
+			l.send(frame.Ping{})
+		}
 	}
-	for _, l := range h.links {
-		l.send(frame.Ping{})
+	h.urgent = false
+}
+
+// moved reports whether the load has changed so much that a peer has to know.
+func (h *peersDuty) moved(l *link, sent *sentReport) bool {
+	change := h.report.Running + h.report.Queued - sent.load
+	if l.peer.Zone == h.node.settings.Zone {
+		return change != 0
 	}
+	return max(change, -change) > max(int(farLoadChange*float64(h.report.Limit)), 1)
+}
+
+func (h *peersDuty) sendTo(l *link, use []model.Usage) {
+	sent := h.origins[l]
+	r := h.report
+	r.Usage = use
+	l.send(frame.Report{Report: &r, Brief: sent.place == r.Place})
+	sent.place, sent.load = r.Place, r.Running+r.Queued
 }
--- a/model/fleet.go
+++ b/model/fleet.go
@@ -37,27 +37,24 @@
 	Demand   float64 // requests a second, admitted or not
 }
 
-// Report is what a node tells its peers about itself.
-type Report struct {
-	Node       NodeID
-	Target     Instance // id of the target's incarnation; empty when unknown
-	Service    Service
-	Zone       Zone
-	State      TargetState
-	Cold       bool
-	ColdRate   float64 // requests a second that the target bears while cold
-	Limit      int     // requests that may run at once
-	Running    int
-	Queued     int
-	RunTime    time.Duration // recent mean time that a request takes at the target
-	Documents  int64         // end offset of the operator's documents that the node has
-	UsageKnown bool          // Usage holds all customers with traffic
-	Usage      []Usage
+// Place is what a node says of itself and its target that seldom changes.
+type Place struct {
+	Node     NodeID
+	Target   Instance // id of the target's incarnation; empty when unknown
+	Service  Service
+	Zone     Zone
+	State    TargetState
+	Limit    int     // requests that may run at once
+	ColdRate float64 // requests a second that the target bears while cold
 }
 
-// Peer is a node as others find it.
-type Peer struct {
-	Address string // IP:port for other nodes
-	Zone    Zone
-	Service Service
+// Report is what a node tells its peers about itself.
+type Report struct {
+	Place
+	Cold      bool
+	Running   int
+	Queued    int
+	RunTime   time.Duration // recent mean time of a request at the target; 0 if none ran
+	Documents int64         // end offset of the operator's documents that the node has
+	Usage     []Usage       // customers whose use has changed
 }
--- a/policy/dispatch/target.go
+++ b/policy/dispatch/target.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// crossZonePenalty is the wait in the own availability zone that is worth
-	// the price of sending a request to another one.
-	crossZonePenalty = 80 * time.Millisecond
+	// farPenalty is the part of the time until a call's objective by which a
+	// target in another availability zone must be faster to be chosen. Bytes
+	// between zones are dear: two of the deployments price those of a call of
+	// some kilobytes like a third of a request's worth.
+	farPenalty = 0.35
 	// choiceJitter spreads the choices of nodes that see the same loads.
 	choiceJitter = 0.1
 	// defaultRunTime stands for a run time that is not known yet.
@@ -114,11 +116,13 @@
 func (s *targets) choose(now time.Time, call *model.Call, tried []*target, out map[model.Zone]bool) *target {
 	var best *target
 	var least float64
+	usual := usualRunTime(s.byService[call.Service])
+	far := farPenalty * max(call.Objective.Sub(now), 0).Seconds()
 	for _, t := range s.byService[call.Service] {
 		if !t.linked || t.state != model.TargetServing || out[t.zone] || slices.Contains(tried, t) {
 			continue
 		}
-		cost := s.cost(now, t) * (1 + choiceJitter*s.rng.Float64())
+		cost := s.cost(now, t, usual, far) * (1 + choiceJitter*s.rng.Float64())
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -126,11 +130,28 @@
 	return best
 }
 
+// usualRunTime is the least run time of a service's targets. It stands for the
+// run time of a target that has run nothing lately, so that one that is new, or
+// was slow, is tried.
+func usualRunTime(list []*target) time.Duration {
+	usual := time.Duration(0)
+	for _, t := range list {
+		if t.runTime > 0 && (usual == 0 || t.runTime < usual) {
+			usual = t.runTime
+		}
+	}
+	if usual == 0 {
+		return defaultRunTime
+	}
+	return usual
+}
+
 // cost estimates the time until the end of a request at a target, in seconds.
-func (s *targets) cost(now time.Time, t *target) float64 {
+// far is added for one in another availability zone.
+func (s *targets) cost(now time.Time, t *target, usual time.Duration, far float64) float64 {
 	runTime := t.runTime
 	if runTime <= 0 {
-		runTime = defaultRunTime
+		runTime = usual
 	}
 	use := float64(t.load+t.outstanding+1) / float64(max(t.limit, 1))
 	cost := runTime.Seconds() * (1 + 0.2*use)
@@ -141,7 +162,7 @@
 		cost += float64(t.load+t.outstanding+1) / t.coldRate
 	}
 	if t.zone != s.zone {
-		cost += crossZonePenalty.Seconds()
+		cost += far
 	}
 	if t.peer != s.self && now.Sub(t.reported) > staleReport {
 		cost += lostPenalty.Seconds()
--- a/policy/fleet/core.go
+++ b/policy/fleet/core.go
@@ -262,3 +262,6 @@
 	})
 	return out, c.end
 }
+
+// End returns the end offset as of which the documents are complete.
+func (c *Core) End() int64 { return c.end }
--- a/policy/gate/core.go
+++ b/policy/gate/core.go
@@ -34,6 +34,9 @@
 	runTimeWeight = 0.05
 	// firstRunTime is the assumed run time before any call has ended.
 	firstRunTime = 50 * time.Millisecond
+	// runTimeAge is the age at which the mean run time is not reported any
+	// more: a target that was slow and gets nothing would stay slow for ever.
+	runTimeAge = 3 * time.Second
 	// coldDepth is the part of a second's calls that a cold target gets at once.
 	coldDepth = 0.25
 	// defaultColdRate is the rate of a cold target whose service is not
@@ -63,6 +66,7 @@
 	scanAt  time.Time
 	running int
 	runTime time.Duration
+	ranAt   time.Time // when runTime was last measured
 	target  target
 
 	out     []Decision
@@ -126,6 +130,10 @@
 	l.step(now, eventFinished)
 	if e == EndAnswered {
 		sample := now.Sub(l.started)
+		if c.ranAt.IsZero() {
+			c.runTime = sample
+		}
+		c.ranAt = now
 		c.runTime += time.Duration(runTimeWeight * float64(sample-c.runTime))
 	}
 	c.target.onEnd(now, e)
@@ -217,7 +225,9 @@
 	r.Limit = c.limit()
 	r.Running = c.running
 	r.Queued = c.queue.length
-	r.RunTime = c.runTime
+	if now.Sub(c.ranAt) < runTimeAge {
+		r.RunTime = c.runTime
+	}
 }
 
 // Idle reports whether no call waits or runs.
--- a/policy/quota/ledger.go
+++ b/policy/quota/ledger.go
@@ -9,6 +9,7 @@
 package quota
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -38,6 +39,12 @@
 	overBase   = 10 // requests
 	// minBorrow lets a small customer's requests come in pairs at one node.
 	minBorrow = 2 // requests between two reports
+	// A customer's use is reported when it has changed by demandChange of what
+	// was reported, when the fleet's bucket is below reportLevel of the burst,
+	// when the node has borrowed, or after quietTime.
+	demandChange = 0.2
+	reportLevel  = 0.7
+	quietTime    = time.Second
 	// minNodes is the least number of nodes among which a rate is divided. A
 	// node that has just started may not know the others yet.
 	minNodes = 3
@@ -66,6 +73,7 @@
 	admitted    uint64
 	demand      float64 // requests a second
 	reported    float64 // demand as last told to the peers
+	reportedAt  time.Time
 	peers       map[model.Instance]*peerUse
 	others      float64 // sum of the peers' demand
 }
@@ -209,27 +217,34 @@
 	return time.Duration((1 - a.level) / refill * float64(time.Second))
 }
 
-// Report returns this node's use for its peers. From now on the node's part
-// follows the demand that it states.
+// Report returns what peers have to know of this node's use. From now on the
+// node's part follows the demand that it states.
 func (l *Ledger) Report(now time.Time) []model.Usage {
 	var out []model.Usage
 	for name, a := range l.accounts {
 		l.refill(now, a)
-		a.borrowed = 0
-		a.reported = a.demand
-		if a.admitted > 0 || a.demand > 0 {
-			out = append(out, model.Usage{Customer: name, Admitted: a.admitted, Demand: a.demand})
+		if !a.news(now) {
+			continue
 		}
+		a.borrowed = 0
+		a.reported, a.reportedAt = a.demand, now
+		out = append(out, model.Usage{Customer: name, Admitted: a.admitted, Demand: a.demand})
 	}
-	slices.SortFunc(out, func(a, b model.Usage) int {
-		if a.Customer < b.Customer {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b model.Usage) int { return cmp.Compare(a.Customer, b.Customer) })
 	return out
 }
 
+// news reports whether peers have to know the account's use now.
+func (a *account) news(now time.Time) bool {
+	if a.admitted == 0 && a.demand == 0 {
+		return false
+	}
+	return a.borrowed > 0 ||
+		a.fleet < reportLevel*a.burst ||
+		math.Abs(a.demand-a.reported) > demandChange*max(a.reported, 0.5) ||
+		now.Sub(a.reportedAt) >= quietTime
+}
+
 // OnReport takes a peer's use.
 func (l *Ledger) OnReport(now time.Time, peer model.NodeID, use []model.Usage) {
 	for _, u := range use {
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -70,7 +70,10 @@
 type Answer struct{ Answer *model.Answer }
 
 // Report is a node's report about itself.
-type Report struct{ Report *model.Report }
+type Report struct {
+	Report *model.Report
+	Brief  bool // without the place
+}
 
 // Want asks for the operator's documents if they are newer than End.
 type Want struct{ End int64 }
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -163,70 +163,90 @@
 	return Answer{Answer: a}, err
 }
 
+// The place is left out of a report when the link has carried it before; the
+// usual report is then some twenty bytes.
 func (m Report) append(b []byte) []byte {
 	r := m.Report
-	b = appendText(b, 1, string(r.Node.Instance))
-	b = appendFixed(b, 2, uint64(r.Node.Incarnation))
-	b = appendText(b, 3, string(r.Target))
-	b = appendText(b, 4, string(r.Service))
-	b = appendText(b, 5, string(r.Zone))
-	b = appendUint(b, 6, uint64(r.State))
-	b = appendFlag(b, 7, r.Cold)
-	b = appendFixed(b, 8, math.Float64bits(r.ColdRate))
-	b = appendUint(b, 9, uint64(r.Limit))
-	b = appendUint(b, 10, uint64(r.Running))
-	b = appendUint(b, 11, uint64(r.Queued))
-	b = appendDuration(b, 12, r.RunTime)
-	b = appendUint(b, 13, uint64(r.Documents))
-	b = appendFlag(b, 14, r.UsageKnown)
+	if !m.Brief {
+		b = appendNested(b, 1, func(b []byte) []byte { return appendPlace(b, &r.Place) })
+	}
+	b = appendFlag(b, 2, r.Cold)
+	b = appendUint(b, 3, uint64(r.Running))
+	b = appendUint(b, 4, uint64(r.Queued))
+	b = appendUint(b, 5, uint64(r.RunTime.Milliseconds()))
+	b = appendUint(b, 6, uint64(r.Documents))
 	for _, u := range r.Usage {
-		b = appendNested(b, 15, func(b []byte) []byte {
+		b = appendNested(b, 7, func(b []byte) []byte {
 			b = appendText(b, 1, string(u.Customer))
 			b = appendUint(b, 2, u.Admitted)
-			return appendFixed(b, 3, math.Float64bits(u.Demand))
+			return appendUint(b, 3, uint64(u.Demand*demandUnit))
 		})
 	}
 	return b
 }
 
+// demandUnit is the number of units of a stated demand in one request a second.
+const demandUnit = 100
+
+func appendPlace(b []byte, p *model.Place) []byte {
+	b = appendText(b, 1, string(p.Node.Instance))
+	b = appendFixed(b, 2, uint64(p.Node.Incarnation))
+	b = appendText(b, 3, string(p.Target))
+	b = appendText(b, 4, string(p.Service))
+	b = appendText(b, 5, string(p.Zone))
+	b = appendUint(b, 6, uint64(p.State))
+	b = appendUint(b, 7, uint64(p.Limit))
+	return appendFixed(b, 8, math.Float64bits(p.ColdRate))
+}
+
 func decodeReport(b []byte) (Message, error) {
 	r := &model.Report{}
+	m := Report{Report: r, Brief: true}
 	err := fields(b, func(f field) error {
 		switch f.number {
 		case 1:
-			r.Node.Instance = model.Instance(f.text())
+			m.Brief = false
+			return decodePlace(&r.Place, f.bytes)
 		case 2:
-			r.Node.Incarnation = model.Incarnation(f.value)
+			r.Cold = f.flag()
 		case 3:
-			r.Target = model.Instance(f.text())
+			r.Running = int(f.value)
 		case 4:
-			r.Service = model.Service(f.text())
+			r.Queued = int(f.value)
 		case 5:
-			r.Zone = model.Zone(f.text())
+			r.RunTime = time.Duration(f.value) * time.Millisecond
 		case 6:
-			r.State = model.TargetState(f.value)
-		case 7:
-			r.Cold = f.flag()
-		case 8:
-			r.ColdRate = math.Float64frombits(f.value)
-		case 9:
-			r.Limit = int(f.value)
-		case 10:
-			r.Running = int(f.value)
-		case 11:
-			r.Queued = int(f.value)
-		case 12:
-			r.RunTime = f.duration()
-		case 13:
 			r.Documents = int64(f.value)
-		case 14:
-			r.UsageKnown = f.flag()
-		case 15:
+		case 7:
 			return decodeUsage(r, f.bytes)
 		}
 		return nil
 	})
-	return Report{Report: r}, err
+	return m, err
+}
+
+func decodePlace(p *model.Place, b []byte) error {
+	return fields(b, func(f field) error {
+		switch f.number {
+		case 1:
+			p.Node.Instance = model.Instance(f.text())
+		case 2:
+			p.Node.Incarnation = model.Incarnation(f.value)
+		case 3:
+			p.Target = model.Instance(f.text())
+		case 4:
+			p.Service = model.Service(f.text())
+		case 5:
+			p.Zone = model.Zone(f.text())
+		case 6:
+			p.State = model.TargetState(f.value)
+		case 7:
+			p.Limit = int(f.value)
+		case 8:
+			p.ColdRate = math.Float64frombits(f.value)
+		}
+		return nil
+	})
 }
 
 func decodeUsage(r *model.Report, b []byte) error {
@@ -238,7 +258,7 @@
 		case 2:
 			u.Admitted = f.value
 		case 3:
-			u.Demand = math.Float64frombits(f.value)
+			u.Demand = float64(f.value) / demandUnit
 		}
 		return nil
 	})
