Give the calls of targets their parent's priority, and bound fresh calls by what ends in time

Change: a target's call has the priority and the customer's turn of the request that the node's own gate has running for it; calls of repeated requests draw on the retry budget; each gate has a window of fresh calls for each priority that shrinks when calls end late and grows when they do not.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -32,6 +32,10 @@
 		peer   model.Instance
 		answer *model.Answer
 	}
+	// parentBegan tells that a call is about to run at the node's own target.
+	parentBegan struct{ call *model.Call }
+	// parentEnded tells that it has ended there.
+	parentEnded struct{ call *model.Call }
 	// reported is what a node says of itself.
 	reported struct{ report *model.Report }
 	// linked gives the link on which calls to a peer are sent.
@@ -57,6 +61,8 @@
 func (*begin) entryMessage()       {}
 func (canceled) entryMessage()     {}
 func (answered) entryMessage()     {}
+func (parentBegan) entryMessage()  {}
+func (parentEnded) entryMessage()  {}
 func (reported) entryMessage()     {}
 func (linked) entryMessage()       {}
 func (unlinked) entryMessage()     {}
@@ -121,6 +127,10 @@
 		h.core.OnCanceled(now, m.id)
 	case answered:
 		h.core.OnAnswer(now, m.peer, m.answer)
+	case parentBegan:
+		h.core.OnParent(m.call)
+	case parentEnded:
+		h.core.OnParentEnded(m.call)
 	case reported:
 		h.core.OnReport(now, m.report)
 	case linked:
--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -38,8 +38,9 @@
 	gone struct{ id model.CallID }
 	// finished is the end of a call at the target.
 	finished struct {
-		id  model.CallID
-		end gate.End
+		id     model.CallID
+		end    gate.End
+		status int // of the target's answer
 	}
 	// originLost tells that the link to the node of callers has ended.
 	originLost struct{ link *link }
@@ -140,7 +141,7 @@
 	case finished:
 		delete(h.cancels, m.id)
 		delete(h.origins, m.id)
-		h.core.OnFinished(now, m.id, m.end)
+		h.core.OnFinished(now, m.id, m.end, m.status)
 	case originLost:
 		h.loseOrigin(now, m.link)
 	case announced:
@@ -243,6 +244,9 @@
 	origin := h.origins[d.ID]
 	h.node.log.Emit(event.MeshRun, "id", d.Run.AttemptID, "call", d.ID, "target", d.Target,
 		"left", d.Run.Deadline.Sub(now), "customer", d.Run.Customer, "origin", d.Run.Origin)
+	// The target's own calls come through the entry duty, which must know their
+	// parent by then. A full ring costs them the parent's priority only.
+	h.node.entry.Ring().Offer(parentBegan{call: d.Run})
 	go h.exchange(ctx, cancel, d, origin)
 }
 
@@ -250,12 +254,13 @@
 	defer cancel()
 	answer, end := h.client.Do(ctx, d.Run, d.Target)
 	h.node.deliver(origin, answer)
+	_ = h.node.entry.Ring().Put(context.Background(), parentEnded{call: d.Run})
 	if answer.Refused() {
 		h.node.log.Emit(event.MeshRunFailed, "id", d.Run.AttemptID, "call", d.ID, "target", d.Target,
 			"reason", answer.Reason, "run", answer.Run, "detail", answer.Detail)
 	}
 	// Waits for room: a lost message would hold the slot for ever.
-	_ = h.node.gate.Ring().Put(context.Background(), finished{id: d.ID, end: endOf(end)})
+	_ = h.node.gate.Ring().Put(context.Background(), finished{id: d.ID, end: endOf(end), status: answer.Status})
 }
 
 var ends = map[exchange.End]gate.End{
--- a/model/call.go
+++ b/model/call.go
@@ -81,6 +81,8 @@
 	Priority  int       // 0 is the highest
 	Inner     bool      // made by a target while it runs another call
 	Objective time.Time // an answer earns its full credit until then
+	Share     Customer  // customer for whom the call is made, also by a target
+	Repeat    bool      // made for a request that was sent before
 }
 
 // Answer is the result of a call. When Reason is empty it holds the target's
--- a/policy/dispatch/budget.go
+++ b/policy/dispatch/budget.go
@@ -7,11 +7,14 @@
 
 const (
 	// retryRatio is the part of a service's requests that this node may send
-	// again. Operators accept 0.2 over the whole fleet; a retry's own calls
-	// count as retries at the services that they reach.
-	retryRatio = 0.1
-	// retryDepth bounds the retries that a node has saved up, in requests.
-	retryDepth = 3
+	// again. Operators accept 0.2 over the whole fleet, with some fifty requests
+	// more; the rest is kept for the calls of repeated requests, which count as
+	// repeats at the services that they reach and cannot be held back.
+	retryRatio = 0.15
+	// retryDepth bounds the retries that a node has saved up, and the debt from
+	// repeated requests' calls, in requests.
+	retryDepth = 2
+	retryDebt  = 20
 )
 
 // budget bounds the retries to one service.
@@ -26,9 +29,17 @@
 	return b
 }
 
-func (b *budget) onFirst()  { b.tokens = min(b.tokens+retryRatio, retryDepth) }
+// onFirst counts the first send of a request. One that is made for a repeated
+// request is itself a repeat.
+func (b *budget) onFirst(repeat bool) {
+	b.tokens = min(b.tokens+retryRatio, retryDepth)
+	if repeat {
+		b.take()
+	}
+}
+
 func (b *budget) has() bool { return b.tokens >= 1 }
-func (b *budget) take()     { b.tokens-- }
+func (b *budget) take()     { b.tokens = max(b.tokens-1, -retryDebt) }
 
 // split divides the requests of a route among its parts in proportion to
 // their weights: each part's credit grows by its weight, and the part with the
--- a/policy/dispatch/core.go
+++ b/policy/dispatch/core.go
@@ -45,6 +45,7 @@
 	rates    *quota.Ledger
 	budgets  map[model.Service]*budget
 	splits   map[string]*split
+	parents  map[string]*model.Call // calls that run at the node's own target
 	dec      []Decision
 }
 
@@ -64,6 +65,7 @@
 		rates:    quota.New(),
 		budgets:  make(map[model.Service]*budget),
 		splits:   make(map[string]*split),
+		parents:  make(map[string]*model.Call),
 	}
 }
 
@@ -135,7 +137,7 @@
 		return
 	}
 	c.expiry.Set(r.id, r.call.Deadline)
-	c.budget(r.call.Service).onFirst()
+	c.budget(r.call.Service).onFirst(r.call.Repeat)
 	r.step(now, eventAdmitted)
 }
 
@@ -167,6 +169,18 @@
 	}
 }
 
+// OnParent takes a call that the node's own target is about to run. The calls
+// that the target makes for it have its priority and belong to its customer:
+// refusing them would waste what was done for it.
+func (c *Core) OnParent(call *model.Call) { c.parents[call.AttemptID] = call }
+
+// OnParentEnded forgets a call that has ended at the own target.
+func (c *Core) OnParentEnded(call *model.Call) {
+	if c.parents[call.AttemptID] == call {
+		delete(c.parents, call.AttemptID)
+	}
+}
+
 // OnCanceled ends a request whose caller has gone.
 func (c *Core) OnCanceled(now time.Time, id model.CallID) {
 	if r := c.requests[id]; r != nil {
--- a/policy/dispatch/request.go
+++ b/policy/dispatch/request.go
@@ -125,16 +125,21 @@
 		Open:       r.route.Open,
 		Idempotent: r.route.Idempotent,
 		Priority:   r.route.Priority,
-		Inner:      customer == nil,
+		Inner:      req.Parent != "",
 		Deadline:   r.now.Add(limit),
 		Objective:  r.now.Add(min(r.route.Objective, limit)),
 	}
 	if customer != nil {
-		call.Customer = customer.Name
+		call.Customer, call.Share = customer.Name, customer.Name
 		if customer.HasPriority {
 			call.Priority = customer.Priority
 		}
 	}
+	if parent := r.core.parents[req.Parent]; parent != nil {
+		call.Inner = true
+		call.Priority, call.Share = parent.Priority, parent.Share
+		call.Repeat = parent.Repeat
+	}
 	return call
 }
 
@@ -147,6 +152,7 @@
 	r.tried = append(r.tried, t)
 	r.sends++
 	attempt := *r.call
+	attempt.Repeat = attempt.Repeat || r.ran
 	d := r.decision()
 	d.Call, d.Peer = &attempt, t.peer
 	if r.answer != nil {
--- a/policy/gate/call.go
+++ b/policy/gate/call.go
@@ -33,7 +33,7 @@
 		Events: []string{"admit", "slot_free", "shut", "expired", "canceled", "finished"},
 		Guards: map[string]func(*call) bool{
 			"open":          func(l *call) bool { return l.core.target.open() },
-			"slot_free_now": func(l *call) bool { return l.core.queue.length == 0 && l.core.slotFree(l.now) },
+			"slot_free_now": (*call).slotFreeNow,
 			"in_time":       (*call).inTime,
 			"repeatable":    func(l *call) bool { return l.call.Idempotent },
 		},
@@ -59,12 +59,17 @@
 	}
 }
 
+func (l *call) slotFreeNow() bool {
+	c := l.core
+	return c.queue.length == 0 && c.slotFree(l.now) && (l.call.Inner || c.mayRunFresh(l.call.Priority))
+}
+
 // inTime reports whether the call can expect a slot early enough. A call that
 // a target makes for one it runs may use all of its time: work was already
 // done for it, and its refusal wastes that.
 func (l *call) inTime() bool {
 	c := l.core
-	wait := c.waitAhead(l.now, l.call.Priority)
+	wait := c.waitAhead(l.now, l)
 	left := l.call.Deadline.Sub(l.now) - c.runTime
 	if l.call.Inner {
 		return wait < left
@@ -77,6 +82,9 @@
 	c := l.core
 	l.started = l.now
 	c.running++
+	if !l.call.Inner {
+		c.window(l.call.Priority).running++
+	}
 	c.target.countCold(l.now)
 	l.decide(Decision{Run: l.call, Target: c.target.id})
 }
@@ -88,7 +96,7 @@
 
 func (l *call) refuseFull() {
 	c := l.core
-	l.refuse(model.ReasonShed, "the queue for the target is too long", c.waitAhead(l.now, l.call.Priority))
+	l.refuse(model.ReasonShed, "the queue for the target is too long", c.waitAhead(l.now, l))
 }
 
 func (l *call) refuse(reason model.Reason, detail string, after time.Duration) {
--- a/policy/gate/core.go
+++ b/policy/gate/core.go
@@ -39,6 +39,9 @@
 	runTimeAge = 3 * time.Second
 	// coldDepth is the part of a second's calls that a cold target gets at once.
 	coldDepth = 0.25
+	// coldPart is the part of the stated rate that a cold target gets. Operators
+	// accept 1.5 times the rate and some calls more in any second.
+	coldPart = 1.2
 	// defaultColdRate is the rate of a cold target whose service is not
 	// configured yet, in requests a second.
 	defaultColdRate = 10
@@ -65,6 +68,7 @@
 	queue   queue
 	scanAt  time.Time
 	running int
+	windows map[int]*window // by priority
 	runTime time.Duration
 	ranAt   time.Time // when runTime was last measured
 	target  target
@@ -79,6 +83,7 @@
 		service: service,
 		zone:    zone,
 		byID:    make(map[model.CallID]*call),
+		windows: make(map[int]*window),
 		runTime: firstRunTime,
 		calls:   newCallMachine(),
 		targets: newTargetMachine(),
@@ -112,6 +117,7 @@
 	l := &call{core: c, now: now, state: c.calls.Initial(), call: m, arrived: now}
 	c.byID[m.ID] = l
 	l.step(now, eventAdmit)
+	c.admitWaiting(now)
 }
 
 // OnCanceled ends a call whose caller has gone.
@@ -122,12 +128,16 @@
 }
 
 // OnFinished frees the slot of a call that ran.
-func (c *Core) OnFinished(now time.Time, id model.CallID, e End) {
+// status is that of the target's answer, 0 without one.
+func (c *Core) OnFinished(now time.Time, id model.CallID, e End, status int) {
 	l := c.byID[id]
 	if l == nil {
 		return
 	}
 	l.step(now, eventFinished)
+	if !l.call.Inner {
+		c.window(l.call.Priority).onEnd(c.limit(), isGood(now, l, e, status))
+	}
 	if e == EndAnswered {
 		sample := now.Sub(l.started)
 		if c.ranAt.IsZero() {
@@ -172,7 +182,10 @@
 // admitWaiting hands free slots to waiting calls.
 func (c *Core) admitWaiting(now time.Time) {
 	for c.queue.length > 0 && c.slotFree(now) {
-		l := c.queue.next()
+		l := c.queue.next(c.mayRunFresh)
+		if l == nil {
+			return
+		}
 		if !now.Before(l.call.Deadline.Add(-expiryMargin)) {
 			l.step(now, eventExpired)
 			continue
@@ -199,10 +212,14 @@
 	return max(int(math.Floor(slotPart*float64(c.target.slots))), 1)
 }
 
-// waitAhead estimates how long a call of a priority waits for a slot.
-func (c *Core) waitAhead(now time.Time, priority int) time.Duration {
-	ahead := float64(c.queue.ahead(priority) + 1)
-	wait := ahead * float64(c.runTime) / float64(c.limit())
+// waitAhead estimates how long a call waits for a slot.
+func (c *Core) waitAhead(now time.Time, l *call) time.Duration {
+	ahead := float64(c.queue.ahead(l.call.Priority) + 1)
+	slots := float64(c.limit())
+	if !l.call.Inner {
+		slots = min(slots, max(c.window(l.call.Priority).size, minWindow))
+	}
+	wait := ahead * float64(c.runTime) / slots
 	if c.target.cold(now) {
 		wait = max(wait, ahead/c.target.coldRate*float64(time.Second))
 	}
--- a/policy/gate/queue.go
+++ b/policy/gate/queue.go
@@ -7,8 +7,8 @@
 )
 
 // queue holds the waiting calls by priority. Within a priority customers take
-// turns, so that one that sends much delays only itself. The calls that
-// targets make count as one customer.
+// turns, so that one that sends much delays only itself. What callers send and
+// what targets send for a customer take turns as well.
 type queue struct {
 	length int
 	ranks  []*rank // best priority first
@@ -18,18 +18,25 @@
 	priority int
 	length   int
 	turns    []*line // customers with waiting calls, in order of their turn
-	lines    map[model.Customer]*line
+	lines    map[lineKey]*line
 }
 
-type line struct {
+type lineKey struct {
 	customer model.Customer
-	calls    []*call
+	inner    bool
+}
+
+type line struct {
+	key   lineKey
+	calls []*call
 }
 
+func keyOf(l *call) lineKey { return lineKey{customer: l.call.Share, inner: l.call.Inner} }
+
 func (q *queue) rank(priority int) *rank {
 	i, found := slices.BinarySearchFunc(q.ranks, priority, func(r *rank, p int) int { return r.priority - p })
 	if !found {
-		r := &rank{priority: priority, lines: make(map[model.Customer]*line)}
+		r := &rank{priority: priority, lines: make(map[lineKey]*line)}
 		q.ranks = slices.Insert(q.ranks, i, r)
 	}
 	return q.ranks[i]
@@ -37,10 +44,11 @@
 
 func (q *queue) add(l *call) {
 	r := q.rank(l.call.Priority)
-	n := r.lines[l.call.Customer]
+	key := keyOf(l)
+	n := r.lines[key]
 	if n == nil {
-		n = &line{customer: l.call.Customer}
-		r.lines[l.call.Customer] = n
+		n = &line{key: key}
+		r.lines[key] = n
 		r.turns = append(r.turns, n)
 	}
 	n.calls = append(n.calls, l)
@@ -48,12 +56,19 @@
 	q.length++
 }
 
-// next returns the call whose turn it is. The customer's turn passes when the
-// call leaves the queue.
-func (q *queue) next() *call {
+// next returns the call whose turn it is, or nil. mayRun tells whether fresh
+// calls of a priority may run now; calls that targets make always may. The
+// customer's turn passes when the call leaves the queue.
+func (q *queue) next(mayRun func(priority int) bool) *call {
 	for _, r := range q.ranks {
-		if r.length > 0 {
-			return r.turns[0].calls[0]
+		if r.length == 0 {
+			continue
+		}
+		fresh := mayRun(r.priority)
+		for _, n := range r.turns {
+			if fresh || n.key.inner {
+				return n.calls[0]
+			}
 		}
 	}
 	return nil
@@ -61,7 +76,7 @@
 
 func (q *queue) remove(l *call) {
 	r := q.rank(l.call.Priority)
-	n := r.lines[l.call.Customer]
+	n := r.lines[keyOf(l)]
 	i := slices.Index(n.calls, l)
 	n.calls = slices.Delete(n.calls, i, i+1)
 	r.length--
@@ -69,7 +84,7 @@
 	place := slices.Index(r.turns, n)
 	r.turns = slices.Delete(r.turns, place, place+1)
 	if len(n.calls) == 0 {
-		delete(r.lines, n.customer)
+		delete(r.lines, n.key)
 		return
 	}
 	r.turns = append(r.turns, n)
--- a/policy/gate/target.go
+++ b/policy/gate/target.go
@@ -294,7 +294,7 @@
 	if !t.cold(now) {
 		return true
 	}
-	t.coldTokens = min(t.coldTokens+now.Sub(t.coldAt).Seconds()*t.coldRate, max(coldDepth*t.coldRate, 1))
+	t.coldTokens = min(t.coldTokens+now.Sub(t.coldAt).Seconds()*coldPart*t.coldRate, max(coldDepth*t.coldRate, 1))
 	t.coldAt = now
 	return t.coldTokens >= 1
 }
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -51,7 +51,11 @@
 	b = appendDuration(b, 13, m.Remaining)
 	b = appendDuration(b, 14, m.Objective)
 	b = appendHeader(b, 15, 16, c.Header)
-	return appendBytes(b, 17, c.Body)
+	b = appendBytes(b, 17, c.Body)
+	if c.Share != c.Customer {
+		b = appendText(b, 18, string(c.Share))
+	}
+	return appendFlag(b, 19, c.Repeat)
 }
 
 func decodeCall(b []byte) (Message, error) {
@@ -94,9 +98,16 @@
 			c.Header[name] = append(c.Header[name], f.text())
 		case 17:
 			c.Body = f.bytes
+		case 18:
+			c.Share = model.Customer(f.text())
+		case 19:
+			c.Repeat = f.flag()
 		}
 		return nil
 	})
+	if c.Share == "" {
+		c.Share = c.Customer
+	}
 	return m, err
 }
 
