Order requests by their customer's priority, then by their route's

Cause: customers' priorities take precedence, and most customers have the same.

Change: the route's priority decides between equal customers; calls of better priorities find their usual number of slots free; a window shrinks on late ends only, the worst priority's first.

--- a/policy/dispatch/request.go
+++ b/policy/dispatch/request.go
@@ -24,6 +24,9 @@
 	// maxMoves bounds how often a request that has not run is sent elsewhere.
 	// A refusal by a target's node reaches no target.
 	maxMoves = 3
+	// priorityLevels separates the priorities of customers, so that those of
+	// routes decide between requests of equal customers.
+	priorityLevels = 16
 	// minRetryAfter and maxRetryAfter bound the time after which a caller is
 	// asked to come back; retrySpread is the random part of it, which keeps
 	// callers that were refused together from returning together.
@@ -124,7 +127,7 @@
 		Origin:     r.core.service,
 		Open:       r.route.Open,
 		Idempotent: r.route.Idempotent,
-		Priority:   r.route.Priority,
+		Priority:   r.route.Priority * (1 + priorityLevels),
 		Inner:      req.Parent != "",
 		Deadline:   r.now.Add(limit),
 		Objective:  r.now.Add(min(r.route.Objective, limit)),
@@ -132,7 +135,7 @@
 	if customer != nil {
 		call.Customer, call.Share = customer.Name, customer.Name
 		if customer.HasPriority {
-			call.Priority = customer.Priority
+			call.Priority = customer.Priority*priorityLevels + min(r.route.Priority, priorityLevels-1)
 		}
 	}
 	if parent := r.core.parents[req.Parent]; parent != nil {
--- a/policy/gate/core.go
+++ b/policy/gate/core.go
@@ -68,6 +68,7 @@
 	queue   queue
 	scanAt  time.Time
 	running int
+	shares  shares
 	windows map[int]*window // by priority
 	runTime time.Duration
 	ranAt   time.Time // when runTime was last measured
@@ -114,6 +115,7 @@
 		// Only a fault of the sender repeats an id; the first one runs.
 		return
 	}
+	c.shares.onArrival(m.Priority)
 	l := &call{core: c, now: now, state: c.calls.Initial(), call: m, arrived: now}
 	c.byID[m.ID] = l
 	l.step(now, eventAdmit)
@@ -136,7 +138,7 @@
 	}
 	l.step(now, eventFinished)
 	if !l.call.Inner {
-		c.window(l.call.Priority).onEnd(c.limit(), isGood(now, l, e, status))
+		c.endFresh(l.call.Priority, judge(now, l, e, status))
 	}
 	if e == EndAnswered {
 		sample := now.Sub(l.started)
@@ -181,8 +183,8 @@
 
 // admitWaiting hands free slots to waiting calls.
 func (c *Core) admitWaiting(now time.Time) {
-	for c.queue.length > 0 && c.slotFree(now) {
-		l := c.queue.next(c.mayRunFresh)
+	for c.queue.length > 0 && c.running < c.limit() && c.target.coldAllows(now) {
+		l := c.queue.next(c.hasSlot, c.mayRunFresh)
 		if l == nil {
 			return
 		}
@@ -201,8 +203,9 @@
 	}
 }
 
-func (c *Core) slotFree(now time.Time) bool {
-	return c.running < c.limit() && c.target.coldAllows(now)
+// hasSlot reports whether a call of a priority may take another slot.
+func (c *Core) hasSlot(priority int) bool {
+	return c.running+c.shares.reserved(priority, c.limit()) < c.limit()
 }
 
 func (c *Core) limit() int {
--- a/policy/gate/window.go
+++ b/policy/gate/window.go
@@ -40,26 +40,59 @@
 	return float64(w.running) < max(w.size, minWindow)
 }
 
-// onEnd learns from the end of a fresh call.
-func (w *window) onEnd(limit int, good bool) {
+// endFresh learns from the end of a fresh call. One that ends late shrinks the
+// window of the worst priority that can shrink.
+func (c *Core) endFresh(priority int, v verdict) {
+	limit := float64(c.limit())
+	w := c.window(priority)
 	used := float64(w.running) >= windowUse*w.size
 	w.running--
 	switch {
-	case !good:
-		w.size = max(w.size-windowCut, windowFloor*float64(limit), minWindow)
-	case used:
-		w.size = min(w.size+1/w.size, float64(limit))
+	case v == verdictLate:
+		w = c.shrinkable(priority)
+		w.size = max(w.size-windowCut, windowFloor*limit, minWindow)
+	case v == verdictGood && used:
+		w.size = min(w.size+1/w.size, limit)
 	}
 }
 
+// shrinkable returns the window of the worst priority, down to the given one,
+// that is in use and above its floor.
+func (c *Core) shrinkable(priority int) *window {
+	worst := priority
+	for p, w := range c.windows {
+		if p > worst && w.running > 0 && w.size > max(windowFloor*float64(c.limit()), minWindow) {
+			worst = p
+		}
+	}
+	return c.windows[worst]
+}
+
+// lateEnd is the part of the time until its objective after which the end of a
+// call counts as late. A failure that comes earlier is no sign of load: the
+// target or one behind it has broken off.
+const lateEnd = 0.9
+
 // serverError is the least status with which a target reports that it failed.
 const serverError = 500
 
-// isGood reports whether a call ended in time and well. A broken connection is
-// no sign of load.
-func isGood(now time.Time, l *call, e End, status int) bool {
-	if now.After(l.call.Objective) {
-		return false
+// verdict tells what the end of a fresh call says about the load.
+type verdict uint8
+
+const (
+	verdictNone verdict = iota
+	verdictGood
+	verdictLate
+)
+
+func judge(now time.Time, l *call, e End, status int) verdict {
+	limit := time.Duration(lateEnd * float64(l.call.Objective.Sub(l.arrived)))
+	switch {
+	case now.Sub(l.arrived) > limit:
+		return verdictLate
+	case e == EndAnswered && status < serverError:
+		return verdictGood
+	default:
+		return verdictNone
 	}
-	return e != EndAnswered || status < serverError
 }
