Test the new policies, the target's client, the platform's formats and the whole path

A waiting call that a leaving target sheds was refused with the reason of the state before (no_target): the chart's action ran before the state had changed. Found by TestLeavingTargetShedsItsQueue; the queue is shed after the step now.

--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -70,6 +70,8 @@
 	ownReport struct{ report *model.Report }
 	// usage is what the node's callers use of the customers' rates.
 	usage struct{ list []model.Usage }
+	// ended closes all links.
+	ended struct{}
 )
 
 func (foundNodes) peersMessage()    {}
@@ -82,6 +84,7 @@
 func (wanted) peersMessage()        {}
 func (ownReport) peersMessage()     {}
 func (usage) peersMessage()         {}
+func (ended) peersMessage()         {}
 
 // peersDuty runs the fleet policy on its own thread.
 type peersDuty struct {
@@ -168,6 +171,8 @@
 		h.onOwnReport(m.report)
 	case usage:
 		h.onUsage(m.list)
+	case ended:
+		h.closeLinks()
 	}
 }
 
@@ -186,6 +191,15 @@
 	}
 }
 
+func (h *peersDuty) closeLinks() {
+	for _, l := range h.links {
+		l.close(errStopped)
+	}
+	for l := range h.origins {
+		l.close(errStopped)
+	}
+}
+
 func (h *peersDuty) onUsage(list []model.Usage) {
 	for _, u := range list {
 		h.usage[u.Customer] = u
--- a/agent/mesh/shutdown.go
+++ b/agent/mesh/shutdown.go
@@ -39,11 +39,21 @@
 	for _, s := range n.servers {
 		_ = s.Shutdown(ctx) // ends at the deadline at the latest
 	}
+	err := n.Close()
+	n.log.Emit(event.MeshStopped, "took", time.Since(began), "requests", n.serving.Load())
+	return err
+}
+
+// Close ends the node at once.
+func (n *Node) Close() error {
+	for _, s := range n.servers {
+		s.Close()
+	}
 	n.cancel()
 	n.listener.Close()
+	n.peers.Ring().Offer(ended{})
 	n.tomb.Kill(nil)
-	n.log.Emit(event.MeshStopped, "took", time.Since(began), "requests", n.serving.Load())
-	return nil
+	return n.tomb.Wait()
 }
 
 // waitIdle waits until no request of a caller and no call at the target is in
--- /dev/null
+++ b/policy/fleet/core_test.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/logservice/keyed"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	self  = model.Instance("10.0.0.1:7000")
+	peer1 = model.Instance("10.0.0.2:7000")
+)
+
+var start = time.Unix(1000, 0)
+
+func newCore() *Core { return New(self, rand.New(rand.NewPCG(1, 1))) }
+
+func record(key, value string, offset int64) keyed.Record {
+	return keyed.Record{Key: key, Value: []byte(value), Offset: offset}
+}
+
+// Guards against a node that connects to itself, or twice to a peer.
+func TestDialsEachPeerOnce(t *testing.T) {
+	c := newCore()
+	c.OnFound(start, self)
+	c.OnFound(start, peer1)
+	c.OnFound(start, peer1)
+	c.Tick(start)
+	assert.DeepEqual(t, c.Actions(), []Action{Dial{Peer: peer1}})
+	c.OnConnected(start, peer1)
+	c.OnFound(start, peer1)
+	c.Tick(start.Add(time.Minute))
+	assert.Equal(t, len(c.Actions()), 0)
+}
+
+// Guards against a storm of connections to a peer that is down, and against
+// pauses that keep out one that has started again.
+func TestBackOff(t *testing.T) {
+	c := newCore()
+	c.OnFound(start, peer1)
+	now := start
+	dials := 0
+	for now.Before(start.Add(20 * time.Second)) {
+		now = now.Add(10 * time.Millisecond)
+		c.Tick(now)
+		for range c.Actions() {
+			dials++
+			c.OnFailed(now, peer1)
+		}
+	}
+	assert.Assert(t, dials >= 15 && dials <= 45, "%d dials in 20 s", dials)
+}
+
+// Guards against a link that stays closed after it broke.
+func TestClosedLinkIsOpenedAgain(t *testing.T) {
+	c := newCore()
+	c.OnFound(start, peer1)
+	c.Tick(start)
+	c.Actions()
+	c.OnConnected(start, peer1)
+	c.OnClosed(start, peer1)
+	c.Tick(start)
+	assert.DeepEqual(t, c.Actions(), []Action{Dial{Peer: peer1}})
+}
+
+// Guards against documents that return to an older state when a slow read ends
+// after a peer's newer documents.
+func TestDocumentsNeverGoBack(t *testing.T) {
+	c := newCore()
+	assert.Assert(t, c.OnDocuments([]keyed.Record{record("config", "v2", 5)}, 6))
+	assert.Assert(t, !c.OnDocuments([]keyed.Record{record("config", "v1", 3)}, 4))
+	assert.Assert(t, !c.OnRecords([]keyed.Record{record("config", "v1", 3)}, 4))
+	list, end := c.Documents()
+	assert.Equal(t, string(list[0].Value), "v2")
+	assert.Equal(t, end, int64(6))
+}
+
+// Guards against an availability zone that stays out of service after its
+// document was dropped.
+func TestDroppedDocument(t *testing.T) {
+	c := newCore()
+	c.OnDocuments([]keyed.Record{record("config", "v1", 0), record("zone", "out", 1)}, 2)
+	assert.Assert(t, c.OnRecords([]keyed.Record{record("zone", "", 2)}, 3))
+	list, _ := c.Documents()
+	assert.Equal(t, len(list), 1)
+}
+
+// Guards against a node that the log turns away and that never learns what its
+// peers know, and against questions while its own read is about to bring it.
+func TestAsksPeerThatIsAhead(t *testing.T) {
+	c := newCore()
+	c.OnFound(start, peer1)
+	c.Tick(start)
+	c.Actions()
+	c.OnConnected(start, peer1)
+	c.OnAhead(start, peer1, 3)
+	c.Tick(start.Add(behindTime / 2))
+	assert.Equal(t, len(c.Actions()), 0)
+	c.Tick(start.Add(behindTime))
+	assert.DeepEqual(t, c.Actions(), []Action{Want{Peer: peer1, End: 0}})
+	c.OnDocuments([]keyed.Record{record("config", "v1", 0)}, 3)
+	c.Tick(start.Add(time.Minute))
+	assert.Equal(t, len(c.Actions()), 0)
+}
+
+// Guards against a peer that has left and is dialed for ever.
+func TestWithdrawnPeer(t *testing.T) {
+	c := newCore()
+	c.OnFound(start, peer1)
+	_, changed := c.Peers()
+	assert.Assert(t, changed)
+	c.OnWithdrawn(start, peer1)
+	peers, changed := c.Peers()
+	assert.Assert(t, changed)
+	assert.Equal(t, len(peers), 0)
+	c.Tick(start.Add(time.Minute))
+	assert.Equal(t, len(c.Actions()), 0)
+}
--- /dev/null
+++ b/policy/gate/core_test.go
@@ -0,0 +1,368 @@
+package gate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	service  = model.Service("registry")
+	interval = 1500 * time.Millisecond
+)
+
+var start = time.Unix(1000, 0)
+
+func announcement(sequence uint64) Announcement {
+	return Announcement{ID: "t1", Service: service, Born: 100, Sequence: sequence, Slots: 20, Interval: interval}
+}
+
+// newCore returns a core whose target serves.
+func newCore(t *testing.T) *Core {
+	t.Helper()
+	c := New(service, "north")
+	assert.Assert(t, c.Announced(start, announcement(1)))
+	c.Changed()
+	return c
+}
+
+var nextID model.CallID
+
+func newCall(now time.Time) *model.Call {
+	nextID++
+	return &model.Call{
+		ID: nextID, AttemptID: fmt.Sprint(nextID), Service: service, Idempotent: true, Priority: 2, Share: "herders",
+		Deadline: now.Add(2 * time.Second), Objective: now.Add(time.Second),
+	}
+}
+
+// outcome returns what was decided for a call.
+func outcome(t *testing.T, c *Core, id model.CallID) Decision {
+	t.Helper()
+	for _, d := range c.Decisions() {
+		if d.ID == id {
+			return d
+		}
+	}
+	return Decision{}
+}
+
+func isRun(d Decision) bool { return d.Run != nil }
+
+func refusal(d Decision) model.Reason {
+	if d.Answer == nil {
+		return model.ReasonNone
+	}
+	return d.Answer.Reason
+}
+
+// Guards against calls that reach a target before its node has heard of it.
+func TestUnknownTargetGetsNothing(t *testing.T) {
+	c := New(service, "north")
+	call := newCall(start)
+	c.OnCall(start, call)
+	d := outcome(t, c, call.ID)
+	assert.Equal(t, refusal(d), model.ReasonNoTarget)
+	assert.Equal(t, d.Answer.Run, model.NotRun)
+}
+
+// Guards against new work for a target after its node has acknowledged that it
+// leaves, also when an older announcement arrives late.
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	c := newCore(t)
+	leaving := announcement(3)
+	leaving.Leaving = true
+	assert.Assert(t, c.Announced(start, leaving))
+	assert.Assert(t, c.Announced(start, announcement(2)))
+	call := newCall(start)
+	c.OnCall(start, call)
+	assert.Equal(t, refusal(outcome(t, c, call.ID)), model.ReasonTargetLeaving)
+}
+
+// Guards against waiting calls that still reach a target after it has said that
+// it leaves.
+func TestLeavingTargetShedsItsQueue(t *testing.T) {
+	c := newCore(t)
+	for range c.limit() {
+		c.OnCall(start, newCall(start))
+	}
+	waiting := newCall(start)
+	c.OnCall(start, waiting)
+	c.Decisions()
+	c.Deregistered(start, "t1", 100)
+	assert.Equal(t, refusal(outcome(t, c, waiting.ID)), model.ReasonTargetLeaving)
+}
+
+// Guards against the deregistration of an ended incarnation that removes its
+// successor.
+func TestLateDeregistrationOfOldIncarnation(t *testing.T) {
+	c := newCore(t)
+	renewed := announcement(1)
+	renewed.ID, renewed.Born = "t2", 200
+	assert.Assert(t, c.Announced(start, renewed))
+	c.Deregistered(start, "t1", 100)
+	assert.Equal(t, c.State(), "serving")
+	assert.Assert(t, !c.Announced(start, announcement(9)), "an announcement of the old incarnation was taken")
+	call := newCall(start)
+	c.OnCall(start, call)
+	assert.Equal(t, outcome(t, c, call.ID).Target, model.Instance("t2"))
+}
+
+// Guards against an incarnation that starts again under its old id and is taken
+// for the one that was leaving.
+func TestSameIDStartsAgain(t *testing.T) {
+	c := newCore(t)
+	leaving := announcement(7)
+	leaving.Leaving = true
+	assert.Assert(t, c.Announced(start, leaving))
+	again := announcement(1)
+	again.Born = 300
+	assert.Assert(t, c.Announced(start, again))
+	assert.Equal(t, c.State(), "serving")
+}
+
+// Guards against announcements that name another service or no slots.
+func TestForeignAnnouncementsAreRefused(t *testing.T) {
+	c := New(service, "north")
+	foreign := announcement(1)
+	foreign.Service = "tally"
+	assert.Assert(t, !c.Announced(start, foreign))
+	empty := announcement(1)
+	empty.Slots = 0
+	assert.Assert(t, !c.Announced(start, empty))
+	assert.Equal(t, c.State(), "unknown")
+}
+
+// Guards against more calls at a target than its slots.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	c := newCore(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := start
+	var running []model.CallID
+	for range 5000 {
+		now = now.Add(time.Millisecond)
+		if rng.IntN(2) == 0 || len(running) == 0 {
+			call := newCall(now)
+			call.Inner = rng.IntN(2) == 0
+			call.Priority = rng.IntN(3)
+			c.OnCall(now, call)
+		} else {
+			i := rng.IntN(len(running))
+			id := running[i]
+			running = append(running[:i], running[i+1:]...)
+			c.OnFinished(now, id, EndAnswered, 200)
+		}
+		for _, d := range c.Decisions() {
+			if isRun(d) {
+				running = append(running, d.ID)
+			}
+		}
+		assert.Assert(t, len(running) <= c.limit(), "%d run, limit %d", len(running), c.limit())
+	}
+}
+
+// Guards against a cold target that gets more calls in a second than it bears.
+func TestColdTargetGetsItsRate(t *testing.T) {
+	c := New(service, "north")
+	c.SetService(25)
+	cold := announcement(1)
+	cold.Slots = 143
+	cold.ColdLeft = 3 * time.Second
+	assert.Assert(t, c.Announced(start, cold))
+	var runs []time.Time
+	for ms := range 2900 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		c.OnCall(now, newCall(now))
+		c.Tick(now)
+		for _, d := range c.Decisions() {
+			if isRun(d) {
+				runs = append(runs, now)
+				c.OnFinished(now, d.ID, EndAnswered, 200)
+			}
+		}
+	}
+	bound := 25*1.5 + 5
+	first := 0
+	for i, at := range runs {
+		for at.Sub(runs[first]) > time.Second {
+			first++
+		}
+		assert.Assert(t, float64(i-first+1) <= bound, "%d calls in a second, bound %.0f", i-first+1, bound)
+	}
+	assert.Assert(t, len(runs) >= 60, "only %d calls in 2.9 s", len(runs))
+}
+
+// Guards against calls to an availability zone that is out of service, and
+// against full load on its return, before it is known whether the target is
+// cold.
+func TestZoneOutAndBack(t *testing.T) {
+	c := newCore(t)
+	c.SetOut(start, true)
+	call := newCall(start)
+	c.OnCall(start, call)
+	assert.Equal(t, refusal(outcome(t, c, call.ID)), model.ReasonZoneOut)
+	c.SetOut(start, false)
+	c.Tick(start)
+	assert.Assert(t, c.WantsProbe())
+	call = newCall(start)
+	c.OnCall(start, call)
+	assert.Equal(t, refusal(outcome(t, c, call.ID)), model.ReasonNoTarget)
+	c.OnProbe(start, ProbeResult{OK: true, ID: "t1", ColdLeft: time.Second})
+	assert.Equal(t, c.State(), "serving")
+	assert.Assert(t, c.target.cold(start))
+}
+
+// Guards against a target that is taken for lost after one broken connection,
+// and against one that is not noticed when it takes none.
+func TestBrokenAndRefusedConnections(t *testing.T) {
+	c := newCore(t)
+	broken, refused := newCall(start), newCall(start)
+	c.OnCall(start, broken)
+	c.OnCall(start, refused)
+	c.OnFinished(start, broken.ID, EndBroken, 0)
+	assert.Equal(t, c.State(), "serving")
+	c.Tick(start)
+	assert.Assert(t, c.WantsProbe())
+	c.OnFinished(start, refused.ID, EndRefused, 0)
+	assert.Equal(t, c.State(), "lost")
+	c.OnProbe(start, ProbeResult{OK: true, ID: "t2"})
+	assert.Equal(t, c.State(), "serving")
+}
+
+// Guards against a request that must not be repeated and is broken off because
+// its caller has gone.
+func TestCanceledCalls(t *testing.T) {
+	c := newCore(t)
+	once, repeatable := newCall(start), newCall(start)
+	once.Idempotent = false
+	c.OnCall(start, once)
+	c.OnCall(start, repeatable)
+	c.Decisions()
+	c.OnCanceled(start, once.ID)
+	c.OnCanceled(start, repeatable.ID)
+	decisions := c.Decisions()
+	assert.Equal(t, len(decisions), 1)
+	assert.Equal(t, decisions[0].ID, repeatable.ID)
+	assert.Assert(t, decisions[0].Cancel)
+}
+
+// Guards against less urgent calls that go first, and against one customer that
+// delays the others of its priority.
+func TestQueueOrder(t *testing.T) {
+	c := newCore(t)
+	var running []model.CallID
+	for range c.limit() {
+		call := newCall(start)
+		c.OnCall(start, call)
+		running = append(running, call.ID)
+	}
+	add := func(priority int, customer model.Customer) model.CallID {
+		call := newCall(start)
+		call.Priority, call.Share = priority, customer
+		c.OnCall(start, call)
+		return call.ID
+	}
+	greedy1, greedy2 := add(2, "greedy"), add(2, "greedy")
+	modest := add(2, "modest")
+	urgent := add(0, "modest")
+	c.Decisions()
+	var order []model.CallID
+	for _, id := range running[:4] {
+		c.OnFinished(start, id, EndAnswered, 200)
+		for _, d := range c.Decisions() {
+			order = append(order, d.ID)
+		}
+	}
+	assert.DeepEqual(t, order, []model.CallID{urgent, greedy1, modest, greedy2})
+}
+
+// Guards against fresh calls that fill a target with chains which end late
+// behind a saturated service.
+func TestWindowShrinksOnLateEnds(t *testing.T) {
+	c := newCore(t)
+	now := start
+	for range 200 {
+		call := newCall(now)
+		c.OnCall(now, call)
+		if isRun(outcome(t, c, call.ID)) {
+			c.OnFinished(now.Add(1500*time.Millisecond), call.ID, EndAnswered, 200)
+		}
+	}
+	assert.Assert(t, c.window(2).size < 5, "%.1f", c.window(2).size)
+	inner := newCall(now)
+	inner.Inner = true
+	for range 5 {
+		c.OnCall(now, newCall(now))
+	}
+	c.Decisions()
+	c.OnCall(now, inner)
+	assert.Assert(t, isRun(outcome(t, c, inner.ID)), "the window must not hold back the calls of targets")
+}
+
+// Guards against a window that shrinks because connections break.
+func TestWindowIgnoresEarlyFailures(t *testing.T) {
+	c := newCore(t)
+	for range 200 {
+		call := newCall(start)
+		c.OnCall(start, call)
+		if isRun(outcome(t, c, call.ID)) {
+			c.OnFinished(start.Add(10*time.Millisecond), call.ID, EndAnswered, 500)
+		}
+	}
+	assert.Equal(t, c.window(2).size, float64(c.limit()))
+}
+
+// Guards against slots that are all held by calls of a worse priority when one
+// of a better priority arrives.
+func TestSlotsKeptForBetterPriority(t *testing.T) {
+	c := newCore(t)
+	now := start
+	var urgent []model.CallID
+	for range 400 {
+		now = now.Add(10 * time.Millisecond)
+		call := newCall(now)
+		call.Priority = 0
+		c.OnCall(now, call)
+		urgent = append(urgent, call.ID)
+		if len(urgent) > 5 {
+			c.OnFinished(now, urgent[0], EndAnswered, 200)
+			urgent = urgent[1:]
+		}
+	}
+	c.Decisions()
+	for range 30 {
+		c.OnCall(now, newCall(now))
+	}
+	for _, id := range urgent {
+		c.OnFinished(now, id, EndAnswered, 200)
+	}
+	c.Decisions()
+	call := newCall(now)
+	call.Priority = 0
+	c.OnCall(now, call)
+	assert.Assert(t, isRun(outcome(t, c, call.ID)))
+}
+
+// Guards against a waiting call whose refusal comes after its deadline.
+func TestWaitingCallExpires(t *testing.T) {
+	c := newCore(t)
+	for range c.limit() {
+		call := newCall(start)
+		call.Inner = true
+		c.OnCall(start, call)
+	}
+	waiting := newCall(start)
+	waiting.Inner = true
+	waiting.Deadline = start.Add(200 * time.Millisecond)
+	c.OnCall(start, waiting)
+	c.Decisions()
+	c.Tick(start.Add(190 * time.Millisecond))
+	d := outcome(t, c, waiting.ID)
+	assert.Equal(t, refusal(d), model.ReasonDeadline)
+	assert.Equal(t, d.Answer.Run, model.NotRun)
+}
--- a/policy/gate/target.go
+++ b/policy/gate/target.go
@@ -84,6 +84,7 @@
 	core  *Core
 	state chart.StateID
 	now   time.Time // of the current step
+	shut  bool      // the waiting calls are to be refused after the step
 
 	id       model.Instance
 	born     int64
@@ -111,7 +112,7 @@
 		Guards: map[string]func(*target) bool{},
 		Actions: map[string]func(*target){
 			"open":          func(t *target) {},
-			"close_waiting": func(t *target) { t.core.shutWaiting(t.now) },
+			"close_waiting": func(t *target) { t.shut = true },
 			"probe_soon":    func(t *target) { t.probes.Set(probe{}, t.now) },
 			"probe_later":   func(t *target) { t.probes.Set(probe{}, t.now.Add(probePause)) },
 			"report":        func(t *target) { t.core.changed = true },
@@ -122,6 +123,10 @@
 func (t *target) step(now time.Time, e chart.EventID) {
 	t.now = now
 	t.state = t.core.targets.Step(t, t.state, e)
+	if t.shut {
+		t.shut = false
+		t.core.shutWaiting(now) // the refusals state the new state
+	}
 }
 
 func (t *target) open() bool { return t.state == stateServing }
--- /dev/null
+++ b/transport/frame/frame_test.go
@@ -0,0 +1,92 @@
+package frame
+
+import (
+	"bytes"
+	"encoding/binary"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/logservice/keyed"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+func messages() []Message {
+	return []Message{
+		Hello{Node: model.NodeID{Instance: "10.0.0.1:7000", Incarnation: 1 << 63}, Zone: "north", Service: "registry"},
+		Call{
+			Call: &model.Call{
+				ID: 7, Service: "registry", Method: "POST", Path: "/a?b=c", Host: "h.example", AttemptID: "a.b",
+				Customer: "herders", Share: "herders", Origin: "tally", Priority: 18, Inner: true, Idempotent: true,
+				Attempt: 2, Repeat: true, Body: []byte("body"),
+				Header: http.Header{"Accept": {"a", "b"}, "X": {""}},
+			},
+			Remaining: 1500 * time.Millisecond, Objective: -time.Second,
+		},
+		Cancel{ID: 9},
+		Answer{Answer: &model.Answer{
+			ID: 7, Run: model.Completed, Reason: "shed", Detail: "d", Status: 503, RetryAfter: time.Second,
+			Load: model.Load{InFlight: 3, Queued: 4}, Header: http.Header{"A": {"b"}}, Body: []byte("answer"),
+		}},
+		Report{Report: &model.Report{
+			Place: model.Place{
+				Node: model.NodeID{Instance: "10.0.0.1:7000", Incarnation: 5}, Target: "t1", Service: "registry",
+				Zone: "north", State: model.TargetLeaving, Limit: 16, ColdRate: 25,
+			},
+			Cold: true, Running: 3, Queued: 2, RunTime: 20 * time.Millisecond, Documents: 12,
+			Usage: []model.Usage{{Customer: "herders", Admitted: 7, Demand: 1.25}},
+		}},
+		Report{Report: &model.Report{Running: 1}, Brief: true},
+		Want{End: 3},
+		Documents{End: 4, List: []keyed.Record{{Key: "config", Value: []byte("{}"), Offset: 3}}},
+		Ping{},
+	}
+}
+
+// Guards against fields that are lost or changed on the way.
+func TestRoundTrip(t *testing.T) {
+	var b []byte
+	for _, m := range messages() {
+		b = Append(b, m)
+	}
+	r := bytes.NewReader(b)
+	for _, want := range messages() {
+		got, err := Read(r)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, want)
+	}
+	assert.Equal(t, r.Len(), 0)
+}
+
+// Guards against a node of an earlier release that fails on a new field.
+func TestUnknownFieldIsSkipped(t *testing.T) {
+	b := Append(nil, Cancel{ID: 9})
+	b = appendText(b, 99, "new")
+	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	m, err := Read(bytes.NewReader(b))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, m, Message(Cancel{ID: 9}))
+}
+
+// Guards against a length that makes the receiver reserve all of its memory.
+func TestTooLongFrame(t *testing.T) {
+	_, err := Read(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff, 1}))
+	assert.ErrorContains(t, err, "frame of")
+}
+
+// Guards against input that makes the decoder panic.
+func FuzzRead(f *testing.F) {
+	for _, m := range messages() {
+		f.Add(Append(nil, m))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := bytes.NewReader(b)
+		for {
+			if _, err := Read(r); err != nil {
+				return
+			}
+		}
+	})
+}
