Answer the requests that are left at the end of the grace period; drop the slots kept free

A node that was told to stop closed the connections of requests that waited longer than its grace period.

Change: the reserve is gone, since a free slot goes to the best priority within milliseconds; requests left at the end of the grace period get 504.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -50,6 +50,8 @@
 	}
 	// peersChanged gives the nodes among which rates are divided.
 	peersChanged struct{ peers []model.Instance }
+	// giveUp answers the requests that are still in progress.
+	giveUp struct{}
 	// configured gives the configuration and the availability zones that are
 	// out of service.
 	configured struct {
@@ -68,6 +70,7 @@
 func (unlinked) entryMessage()     {}
 func (peersChanged) entryMessage() {}
 func (configured) entryMessage()   {}
+func (giveUp) entryMessage()       {}
 
 // entryDuty runs the dispatch policy on its own thread.
 type entryDuty struct {
@@ -140,6 +143,8 @@
 			delete(h.links, m.peer)
 		}
 		h.core.OnPeerLost(now, m.peer)
+	case giveUp:
+		h.core.GiveUp(now)
 	case peersChanged:
 		h.core.OnPeers(m.peers)
 	case configured:
--- a/agent/mesh/shutdown.go
+++ b/agent/mesh/shutdown.go
@@ -14,8 +14,12 @@
 	// callersLeaveTime is how long callers are served as before. They are told
 	// by two readiness checks, one second apart, that the node leaves.
 	callersLeaveTime = 2300 * time.Millisecond
-	// endMargin is kept free at the end of the grace period.
-	endMargin = 400 * time.Millisecond
+	// answerMargin is how long before the end of the grace period the requests
+	// that are still in progress are answered: a connection that closes without
+	// an answer tells its caller less.
+	answerMargin = 800 * time.Millisecond
+	// answerTime bounds the writing of these answers.
+	answerTime = 300 * time.Millisecond
 	// idleCheck is how often the node looks whether its last requests have
 	// ended.
 	idleCheck = 20 * time.Millisecond
@@ -26,18 +30,20 @@
 // ended or the grace period is over.
 func (n *Node) Stop() error {
 	began := time.Now()
-	end := began.Add(n.settings.Grace - endMargin)
 	n.leaving.Store(true)
 	n.log.Emit(event.MeshStopping, "requests", n.serving.Load())
 	time.Sleep(gateOpenTime)
 	_ = n.gate.Ring().Put(context.Background(), stopping{})
 	time.Sleep(callersLeaveTime - gateOpenTime)
 	n.closing.Store(true)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.Grace-answerMargin))
 	defer cancel()
 	n.waitIdle(ctx)
+	_ = n.entry.Ring().Put(context.Background(), giveUp{})
+	ctx, cancel = context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
 	for _, s := range n.servers {
-		_ = s.Shutdown(ctx) // ends at the deadline at the latest
+		_ = s.Shutdown(ctx) // ends after answerTime at the latest
 	}
 	err := n.Close()
 	n.log.Emit(event.MeshStopped, "took", time.Since(began), "requests", n.serving.Load())
--- a/policy/dispatch/core.go
+++ b/policy/dispatch/core.go
@@ -188,6 +188,15 @@
 	}
 }
 
+// GiveUp answers every request in progress, since the node ends. They may have
+// run.
+func (c *Core) GiveUp(now time.Time) {
+	for id, r := range c.requests {
+		r.answer = model.Failure(id, model.ReasonDeadline, "the node of the caller ends")
+		r.step(now, eventExpired)
+	}
+}
+
 // Tick runs timers and returns the time of the next one; zero for none.
 func (c *Core) Tick(now time.Time) time.Time {
 	for {
--- a/policy/dispatch/core_test.go
+++ b/policy/dispatch/core_test.go
@@ -352,3 +352,23 @@
 	c.OnConfig(start, config(t, 2, func(r *graph.Route) { r.Priority = 0 }), nil)
 	assert.Assert(t, priority("/tags/1", "key-h") < lookup)
 }
+
+// Guards against callers whose connections close without an answer when their
+// node ends.
+func TestGiveUp(t *testing.T) {
+	c := newCore(t)
+	for range 3 {
+		c.OnRequest(start, newRequest("/marks/1"))
+	}
+	c.Decisions()
+	c.GiveUp(start)
+	answers := 0
+	for _, d := range c.Decisions() {
+		if d.Answer != nil {
+			assert.Equal(t, d.Answer.Run, model.RunUnknown)
+			answers++
+		}
+	}
+	assert.Equal(t, answers, 3)
+	assert.Equal(t, c.Len(), 0)
+}
--- a/policy/gate/call.go
+++ b/policy/gate/call.go
@@ -45,7 +45,7 @@
 			"refuse_full": (*call).refuseFull,
 			"refuse_late": func(l *call) { l.refuse(model.ReasonDeadline, "no slot became free before the deadline", 0) },
 			"cancel_run":  func(l *call) { l.decide(Decision{Cancel: true}) },
-			"release":     (*call).release,
+			"release":     func(l *call) { l.core.running-- },
 		},
 	})
 }
@@ -61,7 +61,7 @@
 
 func (l *call) slotFreeNow() bool {
 	c := l.core
-	return c.queue.length == 0 && c.hasSlot(l.call.Priority) && c.target.coldAllows(l.now) && (l.call.Inner || c.mayRunFresh(l.call.Priority))
+	return c.queue.length == 0 && c.slotFree(l.now) && (l.call.Inner || c.mayRunFresh(l.call.Priority))
 }
 
 // inTime reports whether the call can expect a slot early enough. A call that
@@ -82,7 +82,6 @@
 	c := l.core
 	l.started = l.now
 	c.running++
-	c.shares.of(l.call.Priority).running++
 	if !l.call.Inner {
 		c.window(l.call.Priority).running++
 	}
@@ -90,12 +89,6 @@
 	l.decide(Decision{Run: l.call, Target: c.target.id})
 }
 
-func (l *call) release() {
-	c := l.core
-	c.running--
-	c.shares.of(l.call.Priority).running--
-}
-
 func (l *call) refuseShut() {
 	reason, detail := l.core.target.refusal()
 	l.refuse(reason, detail, 0)
--- a/policy/gate/core.go
+++ b/policy/gate/core.go
@@ -68,7 +68,6 @@
 	queue   queue
 	scanAt  time.Time
 	running int
-	shares  shares
 	windows map[int]*window // by priority
 	runTime time.Duration
 	ranAt   time.Time // when runTime was last measured
@@ -115,7 +114,6 @@
 		// Only a fault of the sender repeats an id; the first one runs.
 		return
 	}
-	c.shares.onArrival(m.Priority)
 	l := &call{core: c, now: now, state: c.calls.Initial(), call: m, arrived: now}
 	c.byID[m.ID] = l
 	l.step(now, eventAdmit)
@@ -183,8 +181,8 @@
 
 // admitWaiting hands free slots to waiting calls.
 func (c *Core) admitWaiting(now time.Time) {
-	for c.queue.length > 0 && c.running < c.limit() && c.target.coldAllows(now) {
-		l := c.queue.next(c.hasSlot, c.mayRunFresh)
+	for c.queue.length > 0 && c.slotFree(now) {
+		l := c.queue.next(c.mayRunFresh)
 		if l == nil {
 			return
 		}
@@ -203,9 +201,8 @@
 	}
 }
 
-// hasSlot reports whether a call of a priority may take another slot.
-func (c *Core) hasSlot(priority int) bool {
-	return c.running+c.shares.reserved(priority, c.limit()) < c.limit()
+func (c *Core) slotFree(now time.Time) bool {
+	return c.running < c.limit() && c.target.coldAllows(now)
 }
 
 func (c *Core) limit() int {
--- a/policy/gate/queue.go
+++ b/policy/gate/queue.go
@@ -56,13 +56,12 @@
 	q.length++
 }
 
-// next returns the call whose turn it is, or nil. hasSlot tells whether a
-// priority may take a slot, mayRun whether its fresh calls may run; calls that
-// targets make always may. The customer's turn passes when the call leaves the
-// queue.
-func (q *queue) next(hasSlot, mayRun func(priority int) bool) *call {
+// next returns the call whose turn it is, or nil. mayRun tells whether fresh
+// calls of a priority may run now; calls that targets make always may. The
+// customer's turn passes when the call leaves the queue.
+func (q *queue) next(mayRun func(priority int) bool) *call {
 	for _, r := range q.ranks {
-		if r.length == 0 || !hasSlot(r.priority) {
+		if r.length == 0 {
 			continue
 		}
 		fresh := mayRun(r.priority)
