--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -10,7 +10,7 @@
 // catalogue holds every event. Numbers are never reused. Ranges: 100 node,
 // 200 routing, 300 admission, 400 quorum, tokens and records, 500
 // membership, 600 configuration and log, 700 links and transport, 800 keys
-// and quarantine, 900 drain.
+// and quarantine, 900 drain, 1000 nodes of a service call graph.
 var catalogue []*Def
 
 // All returns every event in order of number.
@@ -26,6 +26,12 @@
 	return d
 }
 
+func detailed(number int, name string, level hclog.Level, text, action string) *Def {
+	d := define(number, name, level, text, action)
+	d.Detailed = true
+	return d
+}
+
 // Events of the node itself.
 var (
 	NodeStarted = define(100, "node_started", hclog.Info,
--- a/core/event/catalogue_test.go
+++ b/core/event/catalogue_test.go
@@ -36,12 +36,12 @@
 	now := time.Unix(1000, 0)
 	written := 0
 	for range maxPerSecond + 5 {
-		if ok, _ := r.allow(now); ok {
+		if ok, _ := r.allow(now, maxPerSecond); ok {
 			written++
 		}
 	}
 	assert.Equal(t, written, maxPerSecond)
-	ok, suppressed := r.allow(now.Add(time.Second))
+	ok, suppressed := r.allow(now.Add(time.Second), maxPerSecond)
 	assert.Assert(t, ok)
 	assert.Equal(t, suppressed, int64(5))
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -3,6 +3,8 @@
 package event
 
 import (
+	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,9 +13,12 @@
 )
 
 // maxPerSecond bounds the lines that one event writes in a second at a level
-// above debug. Decisions happen thousands of times a second, and a line costs
-// more than the decision itself.
-const maxPerSecond = 20
+// above debug, maxDetailedPerSecond those of a detailed event. Decisions happen
+// thousands of times a second, and a line costs more than the decision itself.
+const (
+	maxPerSecond         = 20
+	maxDetailedPerSecond = 200
+)
 
 // Def declares one event.
 type Def struct {
@@ -22,6 +27,16 @@
 	Level  hclog.Level
 	Text   string // what happened, in one sentence
 	Action string // what an operator does about it
+	// Detailed events end a request badly. An operator looks for the line of
+	// one id, so that more of them are written.
+	Detailed bool
+}
+
+func (d *Def) perSecond() int64 {
+	if d.Detailed {
+		return maxDetailedPerSecond
+	}
+	return maxPerSecond
 }
 
 // Log writes events. It is safe for use by several threads.
@@ -48,19 +63,31 @@
 	}
 	var left int64
 	if l.out.GetLevel() > hclog.Debug {
-		allowed, suppressed := l.limiter(d).allow(time.Now())
+		allowed, suppressed := l.limiter(d).allow(time.Now(), d.perSecond())
 		if !allowed {
 			return
 		}
 		left = suppressed
 	}
-	args = append([]any{"event", d.Number}, args...)
+	args = append([]any{"event", d.Number}, texts(args)...)
 	if left > 0 {
 		args = append(args, "suppressed", left)
 	}
 	l.out.Log(d.Level, d.Name, args...)
 }
 
+// texts renders values that have a form for people, such as durations, which
+// a JSON line would otherwise hold as bare numbers.
+func texts(args []any) []any {
+	out := slices.Clone(args)
+	for i, v := range out {
+		if s, ok := v.(fmt.Stringer); ok {
+			out[i] = s.String()
+		}
+	}
+	return out
+}
+
 func (l *Log) limiter(d *Def) *limiter {
 	if found, ok := l.limiters.Load(d.Number); ok {
 		return found.(*limiter)
@@ -76,12 +103,12 @@
 	suppressed atomic.Int64
 }
 
-func (r *limiter) allow(now time.Time) (bool, int64) {
+func (r *limiter) allow(now time.Time, limit int64) (bool, int64) {
 	second := now.Unix()
 	if r.second.Swap(second) != second {
 		r.written.Store(0)
 	}
-	if r.written.Add(1) > maxPerSecond {
+	if r.written.Add(1) > limit {
 		r.suppressed.Add(1)
 		return false, 0
 	}
--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -17,20 +17,20 @@
 
 	MeshSent = define(1010, "mesh_sent", hclog.Info,
 		"A target was chosen for a request and its node was sent the call.", "None.")
-	MeshSentAgain = define(1011, "mesh_sent_again", hclog.Info,
+	MeshSentAgain = detailed(1011, "mesh_sent_again", hclog.Info,
 		"A call was sent to another target.", "See the reason in the field after.")
 	MeshRecalled = define(1012, "mesh_recalled", hclog.Info,
 		"The caller has gone or its time is over; the target's node was told.", "None.")
 	MeshAnswered = define(1013, "mesh_answered", hclog.Info,
 		"A caller got a target's answer.", "None.")
-	MeshRefused = define(1014, "mesh_refused", hclog.Info,
+	MeshRefused = detailed(1014, "mesh_refused", hclog.Info,
 		"A caller got a refusal or a failure of the system.", "See the fields reason, run and detail.")
 
 	MeshRun = define(1020, "mesh_run", hclog.Info,
 		"The target was handed a call.", "None.")
-	MeshRunFailed = define(1021, "mesh_run_failed", hclog.Info,
+	MeshRunFailed = detailed(1021, "mesh_run_failed", hclog.Info,
 		"A call ended at the target without its answer.", "See the fields reason and detail.")
-	MeshGateRefused = define(1022, "mesh_gate_refused", hclog.Info,
+	MeshGateRefused = detailed(1022, "mesh_gate_refused", hclog.Info,
 		"The target's node refused a call, which has not run.", "See the fields reason, queued and limit.")
 	MeshTargetChanged = define(1023, "mesh_target_changed", hclog.Warn,
 		"What the node believes of its target has changed.", "If the target is lost, look at its own logs.")
