Take no requests late in a shutdown; carry the load with each answer

The shutdown lasted as long as callers sent, 5 s at each node in turn, so that the target beside it was away for 4 s.

Ruled out: the order of priorities and the windows, which shrank because calls ended late and not the other way round (no refusal from 36 s on).

Change: after 2.3 s a stopping node refuses its callers and its target's calls from peers, ends when it is idle, and its target takes calls until then; answers carry the target's load; calls of targets leave the zone for 0.2 of their objective.

--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -218,6 +218,9 @@
 			h.refuse(d)
 		}
 	}
+	load := h.core.Load()
+	h.node.running.Store(int64(load.InFlight))
+	h.node.queued.Store(int64(load.Queued))
 	if h.core.WantsProbe() {
 		go h.probe(h.health)
 	}
@@ -253,6 +256,7 @@
 func (h *gateDuty) exchange(ctx context.Context, cancel context.CancelFunc, d gate.Decision, origin *link) {
 	defer cancel()
 	answer, end := h.client.Do(ctx, d.Run, d.Target)
+	answer.Load = h.node.targetLoad()
 	h.node.deliver(origin, answer)
 	_ = h.node.entry.Ring().Put(context.Background(), parentEnded{call: d.Run})
 	if answer.Refused() {
@@ -300,6 +304,12 @@
 	h.node.peers.Ring().Offer(ownReport{report: r})
 }
 
+// targetLoad returns the load of the target for the answers to calls: at a busy
+// target they tell it sooner than the reports.
+func (n *Node) targetLoad() model.Load {
+	return model.Load{InFlight: int(n.running.Load()), Queued: int(n.queued.Load())}
+}
+
 // deliver sends the result of a call to the node of its caller.
 func (n *Node) deliver(origin *link, a *model.Answer) {
 	if origin == nil {
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -59,6 +59,8 @@
 	leaving    atomic.Bool  // the shutdown has begun
 	closing    atomic.Bool  // callers are told to close their connections
 	serving    atomic.Int64 // requests of callers in progress
+	running    atomic.Int64 // calls at the target
+	queued     atomic.Int64 // calls that wait for it
 	documents  atomic.Int64 // end offset of the known documents
 
 	listener net.Listener // for peers
@@ -164,6 +166,10 @@
 
 // Serve answers a request. It returns nil when the caller has gone first.
 func (n *Node) Serve(ctx context.Context, req *model.Request) *model.Answer {
+	if n.closing.Load() && req.Parent == "" {
+		// One that is taken now may not end before the node does.
+		return model.Refusal(req.ID, model.ReasonNodeBusy, "the node of the caller stops")
+	}
 	n.serving.Add(1)
 	defer n.serving.Add(-1)
 	b := &begin{request: req, reply: ring.NewReply[*model.Answer]()}
--- a/agent/mesh/shutdown.go
+++ b/agent/mesh/shutdown.go
@@ -8,12 +8,10 @@
 )
 
 const (
-	// gateOpenTime is how long the target still takes calls after the signal to
-	// stop: callers elsewhere need not notice the node's end before it is near.
-	gateOpenTime = time.Second
-	// callersLeaveTime is how long callers are served as before. They are told
-	// by two readiness checks, one second apart, that the node leaves.
-	callersLeaveTime = 2300 * time.Millisecond
+	// serveTime is how long the node serves as before. Callers are told by two
+	// readiness checks, one second apart, that it leaves; the target takes calls
+	// meanwhile, since it runs on and the others would have to bear its part.
+	serveTime = 2300 * time.Millisecond
 	// answerMargin is how long before the end of the grace period the requests
 	// that are still in progress are answered: a connection that closes without
 	// an answer tells its caller less.
@@ -32,10 +30,9 @@
 	began := time.Now()
 	n.leaving.Store(true)
 	n.log.Emit(event.MeshStopping, "requests", n.serving.Load())
-	time.Sleep(gateOpenTime)
-	_ = n.gate.Ring().Put(context.Background(), stopping{})
-	time.Sleep(callersLeaveTime - gateOpenTime)
+	time.Sleep(serveTime)
 	n.closing.Store(true)
+	_ = n.gate.Ring().Put(context.Background(), stopping{})
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.Grace-answerMargin))
 	defer cancel()
 	n.waitIdle(ctx)
--- a/policy/dispatch/target.go
+++ b/policy/dispatch/target.go
@@ -14,6 +14,9 @@
 	// between zones are dear: two of the deployments price those of a call of
 	// some kilobytes like a third of a request's worth.
 	farPenalty = 0.35
+	// farPenaltyInner is the same for calls that targets make. A request waits
+	// for several of them, one after the other.
+	farPenaltyInner = 0.2
 	// choiceJitter spreads the choices of nodes that see the same loads.
 	choiceJitter = 0.1
 	// defaultRunTime stands for a run time that is not known yet.
@@ -117,7 +120,11 @@
 	var best *target
 	var least float64
 	usual := usualRunTime(s.byService[call.Service])
-	far := farPenalty * max(call.Objective.Sub(now), 0).Seconds()
+	far := farPenalty
+	if call.Inner {
+		far = farPenaltyInner
+	}
+	far *= max(call.Objective.Sub(now), 0).Seconds()
 	for _, t := range s.byService[call.Service] {
 		if !t.linked || t.state != model.TargetServing || out[t.zone] || slices.Contains(tried, t) {
 			continue
