Judge a fresh call's time at the target without its wait for the window

Change: lateness counts from the start of the run. Cold targets get 1.35 of their stated rate, within the 1.5 and some calls that operators accept. The ends of a call and the answer to a probe are one type each.

--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -39,7 +39,7 @@
 	// finished is the end of a call at the target.
 	finished struct {
 		id     model.CallID
-		end    gate.End
+		end    model.RunEnd
 		status int // of the target's answer
 	}
 	// originLost tells that the link to the node of callers has ended.
@@ -57,7 +57,7 @@
 	}
 	// probed is the result of a probe.
 	probed struct {
-		result gate.ProbeResult
+		result model.Health
 		err    error
 	}
 	// gateConfigured gives the configuration to the gate.
@@ -264,31 +264,19 @@
 			"reason", answer.Reason, "run", answer.Run, "detail", answer.Detail)
 	}
 	// Waits for room: a lost message would hold the slot for ever.
-	_ = h.node.gate.Ring().Put(context.Background(), finished{id: d.ID, end: endOf(end), status: answer.Status})
+	_ = h.node.gate.Ring().Put(context.Background(), finished{id: d.ID, end: end, status: answer.Status})
 }
 
-var ends = map[exchange.End]gate.End{
-	exchange.EndAnswered: gate.EndAnswered,
-	exchange.EndRefused:  gate.EndRefused,
-	exchange.EndBroken:   gate.EndBroken,
-	exchange.EndOther:    gate.EndOtherTarget,
-	exchange.EndFull:     gate.EndFull,
-	exchange.EndFailed:   gate.EndFailed,
-}
-
-func endOf(e exchange.End) gate.End { return ends[e] }
-
 func (h *gateDuty) probe(path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	health, err := h.client.Probe(ctx, path)
-	result := gate.ProbeResult{OK: health.OK, ID: health.Target, ColdLeft: health.ColdLeft}
-	_ = h.node.gate.Ring().Put(context.Background(), probed{result: result, err: err})
+	_ = h.node.gate.Ring().Put(context.Background(), probed{result: health, err: err})
 }
 
 func (h *gateDuty) logProbe(m probed) {
 	h.node.metrics.probes.Add(1)
-	h.node.log.Emit(event.MeshProbed, "ok", m.result.OK, "target", m.result.ID, "cold_left", m.result.ColdLeft, "error", m.err)
+	h.node.log.Emit(event.MeshProbed, "ok", m.result.OK, "target", m.result.Target, "cold_left", m.result.ColdLeft, "error", m.err)
 }
 
 // report tells the peers of the target, at once when its state has changed.
--- a/model/fleet.go
+++ b/model/fleet.go
@@ -58,3 +58,23 @@
 	Documents int64         // end offset of the operator's documents that the node has
 	Usage     []Usage       // customers whose use has changed
 }
+
+// RunEnd tells how a call ended at the target.
+type RunEnd uint8
+
+// Ends of a call.
+const (
+	EndAnswered    RunEnd = iota // the target answered
+	EndRefused                   // the target took no connection
+	EndBroken                    // the connection broke
+	EndOtherTarget               // another incarnation has the address
+	EndFull                      // the target said that it has no room
+	EndFailed                    // any other end without an answer
+)
+
+// Health is the target's answer to a probe.
+type Health struct {
+	OK       bool
+	Target   Instance      // incarnation that answered
+	ColdLeft time.Duration // how long it stays cold
+}
--- a/policy/gate/call.go
+++ b/policy/gate/call.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oleanderworks/oleanderworks/charts"
 	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/model"
 )
@@ -28,7 +29,7 @@
 }
 
 func newCallMachine() *chart.Machine[*call] {
-	return chart.MustCompile(mustRead("gate_call"), chart.Binding[*call]{
+	return chart.MustCompile(charts.MustRead("gate_call"), chart.Binding[*call]{
 		States: []string{"arrived", "waiting", "running", "ended"},
 		Events: []string{"admit", "slot_free", "shut", "expired", "canceled", "finished"},
 		Guards: map[string]func(*call) bool{
--- a/policy/gate/core.go
+++ b/policy/gate/core.go
@@ -7,7 +7,6 @@
 	"math"
 	"time"
 
-	"github.com/oleanderworks/oleanderworks/charts"
 	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
@@ -41,7 +40,7 @@
 	coldDepth = 0.25
 	// coldPart is the part of the stated rate that a cold target gets. Operators
 	// accept 1.5 times the rate and some calls more in any second.
-	coldPart = 1.2
+	coldPart = 1.35
 	// defaultColdRate is the rate of a cold target whose service is not
 	// configured yet, in requests a second.
 	defaultColdRate = 10
@@ -129,7 +128,7 @@
 
 // OnFinished frees the slot of a call that ran.
 // status is that of the target's answer, 0 without one.
-func (c *Core) OnFinished(now time.Time, id model.CallID, e End, status int) {
+func (c *Core) OnFinished(now time.Time, id model.CallID, e model.RunEnd, status int) {
 	l := c.byID[id]
 	if l == nil {
 		return
@@ -138,7 +137,7 @@
 	if !l.call.Inner {
 		c.endFresh(l.call.Priority, judge(now, l, e, status))
 	}
-	if e == EndAnswered {
+	if e == model.EndAnswered {
 		sample := now.Sub(l.started)
 		if c.ranAt.IsZero() {
 			c.runTime = sample
@@ -252,6 +251,3 @@
 
 // State returns the name of the target's state in its chart.
 func (c *Core) State() string { return c.targets.StateName(c.target.state) }
-
-// mustRead keeps the package's charts in one place.
-func mustRead(name string) []byte { return charts.MustRead(name) }
--- a/policy/gate/target.go
+++ b/policy/gate/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oleanderworks/oleanderworks/charts"
 	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
@@ -43,19 +44,6 @@
 	overdueBeats = 3
 )
 
-// End tells how a call ended at the target.
-type End uint8
-
-// Ends of a call.
-const (
-	EndAnswered    End = iota // the target answered
-	EndRefused                // the target took no connection
-	EndBroken                 // the connection broke
-	EndOtherTarget            // another incarnation has the address
-	EndFull                   // the target said that it is full
-	EndFailed                 // any other end without an answer
-)
-
 // Announcement is what a target says of itself.
 type Announcement struct {
 	ID       model.Instance
@@ -69,13 +57,6 @@
 	Interval time.Duration // usual time between two announcements
 }
 
-// ProbeResult is the answer to a probe.
-type ProbeResult struct {
-	OK       bool
-	ID       model.Instance
-	ColdLeft time.Duration
-}
-
 // probe is the item of the timer queue; there is one probe at a time.
 type probe struct{}
 
@@ -105,13 +86,12 @@
 }
 
 func newTargetMachine() *chart.Machine[*target] {
-	return chart.MustCompile(mustRead("gate_target"), chart.Binding[*target]{
+	return chart.MustCompile(charts.MustRead("gate_target"), chart.Binding[*target]{
 		States: []string{"unknown", "serving", "leaving", "lost", "out", "stopping"},
 		Events: []string{"announced", "announced_leaving", "renewed", "deregistered", "probe_good", "probe_bad",
 			"refused", "taken_out", "returned", "stop"},
 		Guards: map[string]func(*target) bool{},
 		Actions: map[string]func(*target){
-			"open":          func(t *target) {},
 			"close_waiting": func(t *target) { t.shut = true },
 			"probe_soon":    func(t *target) { t.probes.Set(probe{}, t.now) },
 			"probe_later":   func(t *target) { t.probes.Set(probe{}, t.now.Add(probePause)) },
@@ -203,7 +183,7 @@
 }
 
 // OnProbe takes the result of a probe that WantsProbe asked for.
-func (c *Core) OnProbe(now time.Time, r ProbeResult) {
+func (c *Core) OnProbe(now time.Time, r model.Health) {
 	t := &c.target
 	t.probing = false
 	if !r.OK {
@@ -211,11 +191,11 @@
 		return
 	}
 	t.heardAt = now
-	if r.ID != "" && r.ID != t.id {
+	if r.Target != "" && r.Target != t.id {
 		if t.id != "" {
 			t.born++ // later than any announcement of the incarnation before
 		}
-		t.id, t.sequence = r.ID, 0
+		t.id, t.sequence = r.Target, 0
 	}
 	t.setCold(now, r.ColdLeft)
 	t.step(now, eventProbeGood)
@@ -253,13 +233,13 @@
 func (c *Core) Stop(now time.Time) { c.target.step(now, eventStop) }
 
 // onEnd looks for signs of a loss in the end of a call.
-func (t *target) onEnd(now time.Time, e End) {
+func (t *target) onEnd(now time.Time, e model.RunEnd) {
 	switch e {
-	case EndRefused:
+	case model.EndRefused:
 		t.step(now, eventRefused)
-	case EndOtherTarget:
+	case model.EndOtherTarget:
 		t.step(now, eventRefused)
-	case EndBroken:
+	case model.EndBroken:
 		t.probes.Set(probe{}, later(now, t.probedAt.Add(probeSpacing)))
 	}
 }
--- a/policy/gate/window.go
+++ b/policy/gate/window.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
 
 const (
 	// windowCut is how far a window shrinks for each call that ends late or
@@ -68,9 +72,10 @@
 	return c.windows[worst]
 }
 
-// lateEnd is the part of the time until its objective after which the end of a
-// call counts as late. A failure that comes earlier is no sign of load: the
-// target or one behind it has broken off.
+// lateEnd is the part of the time from its arrival to its objective after which
+// a run counts as late. The wait for a slot does not count: it is this gate's
+// own, and a window that shrinks makes it longer. A failure that comes earlier
+// is no sign of load: the target or one behind it has broken off.
 const lateEnd = 0.9
 
 // serverError is the least status with which a target reports that it failed.
@@ -85,12 +90,12 @@
 	verdictLate
 )
 
-func judge(now time.Time, l *call, e End, status int) verdict {
+func judge(now time.Time, l *call, e model.RunEnd, status int) verdict {
 	limit := time.Duration(lateEnd * float64(l.call.Objective.Sub(l.arrived)))
 	switch {
-	case now.Sub(l.arrived) > limit:
+	case now.Sub(l.started) > limit:
 		return verdictLate
-	case e == EndAnswered && status < serverError:
+	case e == model.EndAnswered && status < serverError:
 		return verdictGood
 	default:
 		return verdictNone
--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -71,29 +71,9 @@
 	// Probe appends a request for the target's health.
 	Probe(b []byte, path string) []byte
 	// Probed reads the answer to a probe.
-	Probed(resp *http.Response) Health
+	Probed(resp *http.Response) model.Health
 }
 
-// Health is the target's answer to a probe.
-type Health struct {
-	OK       bool
-	Target   model.Instance
-	ColdLeft time.Duration
-}
-
-// End tells how an exchange ended.
-type End uint8
-
-// Ends of an exchange.
-const (
-	EndAnswered End = iota
-	EndRefused      // no connection could be opened
-	EndBroken       // the connection broke
-	EndOther        // another incarnation has the address
-	EndFull         // the target has no room
-	EndFailed       // any other end without an answer
-)
-
 // Client exchanges calls with one target. It is safe for use by several
 // threads.
 type Client struct {
@@ -130,7 +110,7 @@
 
 // Do hands a call to the target and returns the whole answer. It ends early
 // when ctx ends.
-func (c *Client) Do(ctx context.Context, call *model.Call, target model.Instance) (*model.Answer, End) {
+func (c *Client) Do(ctx context.Context, call *model.Call, target model.Instance) (*model.Answer, model.RunEnd) {
 	for {
 		k, err := c.take(ctx)
 		if err != nil {
@@ -143,15 +123,15 @@
 	}
 }
 
-func (c *Client) refusal(ctx context.Context, call *model.Call, err error) (*model.Answer, End) {
+func (c *Client) refusal(ctx context.Context, call *model.Call, err error) (*model.Answer, model.RunEnd) {
 	detail := fault.At("connect to target", c.address, err).Error()
 	switch {
 	case ctx.Err() != nil:
-		return model.Refusal(call.ID, model.ReasonCanceled, detail), EndFailed
+		return model.Refusal(call.ID, model.ReasonCanceled, detail), model.EndFailed
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return model.Refusal(call.ID, model.ReasonTargetFailed, detail), EndRefused
+		return model.Refusal(call.ID, model.ReasonTargetFailed, detail), model.EndRefused
 	}
-	return model.Refusal(call.ID, model.ReasonTargetFailed, detail), EndBroken
+	return model.Refusal(call.ID, model.ReasonTargetFailed, detail), model.EndBroken
 }
 
 // take returns an idle connection, the last one used first, or a new one.
@@ -203,7 +183,7 @@
 // exchange sends a call on a connection and reads its answer. again is true
 // when nothing of the call left the node because a kept connection had been
 // closed.
-func (c *Client) exchange(ctx context.Context, k *conn, call *model.Call, target model.Instance) (answer *model.Answer, end End, again bool) {
+func (c *Client) exchange(ctx context.Context, k *conn, call *model.Call, target model.Instance) (answer *model.Answer, end model.RunEnd, again bool) {
 	stop := context.AfterFunc(ctx, func() { k.Close() })
 	defer stop()
 	now := time.Now()
@@ -214,24 +194,24 @@
 	if n, err := k.Write(head); err != nil {
 		k.Close()
 		if n == 0 && k.reused && ctx.Err() == nil {
-			return nil, EndBroken, true
+			return nil, model.EndBroken, true
 		}
 		if n == 0 {
 			answer, end = c.refusal(ctx, call, err)
 			return answer, end, false
 		}
-		return c.failure(ctx, call, "send request", err), EndBroken, false
+		return c.failure(ctx, call, "send request", err), model.EndBroken, false
 	}
 	return c.receive(ctx, k, call)
 }
 
-func (c *Client) receive(ctx context.Context, k *conn, call *model.Call) (*model.Answer, End, bool) {
+func (c *Client) receive(ctx context.Context, k *conn, call *model.Call) (*model.Answer, model.RunEnd, bool) {
 	for range maxForeign {
 		resp, err := readHead(k, call.Method)
 		if err != nil {
 			k.Close()
 			if k.reused && call.Idempotent && errors.Is(err, io.EOF) && ctx.Err() == nil {
-				return nil, EndBroken, true
+				return nil, model.EndBroken, true
 			}
 			return c.failure(ctx, call, "read answer", err), brokenEnd(err), false
 		}
@@ -246,14 +226,14 @@
 		}
 		if verdict == VerdictCorrupt {
 			k.Close()
-			return c.failure(ctx, call, "read answer", errCorrupt), EndFailed, false
+			return c.failure(ctx, call, "read answer", errCorrupt), model.EndFailed, false
 		}
 		c.release(k, resp)
 		answer, end := result(call, verdict, resp, body)
 		return answer, end, false
 	}
 	k.Close()
-	return c.failure(ctx, call, "read answer", errForeign), EndFailed, false
+	return c.failure(ctx, call, "read answer", errForeign), model.EndFailed, false
 }
 
 var (
@@ -261,12 +241,12 @@
 	errForeign = errors.New("the connection carries answers to other calls")
 )
 
-func brokenEnd(err error) End {
+func brokenEnd(err error) model.RunEnd {
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
-		return EndFailed
+		return model.EndFailed
 	}
-	return EndBroken
+	return model.EndBroken
 }
 
 // readHead reads the head of an answer and skips informational ones.
@@ -331,20 +311,20 @@
 	return 0, false
 }
 
-func result(call *model.Call, v Verdict, resp *http.Response, body []byte) (*model.Answer, End) {
+func result(call *model.Call, v Verdict, resp *http.Response, body []byte) (*model.Answer, model.RunEnd) {
 	a := &model.Answer{ID: call.ID, Run: model.Completed, Status: resp.StatusCode, Header: resp.Header, Body: body}
 	switch v {
 	case VerdictFull:
 		a.Run, a.Reason, a.Detail = model.NotRun, model.ReasonShed, "the target has no room"
-		return a, EndFull
+		return a, model.EndFull
 	case VerdictRefused:
 		a.Run, a.Reason, a.Detail = model.NotRun, model.ReasonShed, "the target did not run the request"
-		return a, EndFailed
+		return a, model.EndFailed
 	case VerdictOther:
 		a.Run, a.Reason, a.Detail = model.NotRun, model.ReasonTargetFailed, "another target has the address"
-		return a, EndOther
+		return a, model.EndOtherTarget
 	}
-	return a, EndAnswered
+	return a, model.EndAnswered
 }
 
 func (c *Client) failure(ctx context.Context, call *model.Call, step string, err error) *model.Answer {
@@ -362,21 +342,21 @@
 }
 
 // Probe asks the target for its health.
-func (c *Client) Probe(ctx context.Context, path string) (Health, error) {
+func (c *Client) Probe(ctx context.Context, path string) (model.Health, error) {
 	raw, err := c.dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
-		return Health{}, fault.At("connect to target", c.address, err)
+		return model.Health{}, fault.At("connect to target", c.address, err)
 	}
 	defer raw.Close()
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = raw.SetDeadline(deadline)
 	}
 	if _, err := raw.Write(c.codec.Probe(nil, path)); err != nil {
-		return Health{}, fault.At("send probe", c.address, err)
+		return model.Health{}, fault.At("send probe", c.address, err)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(raw), &http.Request{Method: http.MethodGet})
 	if err != nil {
-		return Health{}, fault.At("read probe's answer", c.address, err)
+		return model.Health{}, fault.At("read probe's answer", c.address, err)
 	}
 	defer resp.Body.Close()
 	return c.codec.Probed(resp), nil
