Keep the windows of fresh calls in proportion to the target's slots

Cause: a node that starts beside a running target serves it from its first probe, before the target has stated its slots, with a limit of 8. A window that was opened then stayed at 8 after the announcement and grew by one a round, at targets of 143 slots. Found by reading; TestWindowFollowsTheSlots fails before.

Ruled out: waiting for the announcement, which takes up to 1.5 s in which the target serves nobody.

Change: windows are resized with the limit.

--- a/policy/gate/core_test.go
+++ b/policy/gate/core_test.go
@@ -305,6 +305,17 @@
 	assert.Assert(t, isRun(outcome(t, c, inner.ID)), "the window must not hold back the calls of targets")
 }
 
+// Guards against a node that has started again, has probed its target, and keeps
+// the window of an unknown target after the first announcement.
+func TestWindowFollowsTheSlots(t *testing.T) {
+	c := New(service, "north")
+	c.OnProbe(start, model.Health{OK: true, Target: "t1"})
+	c.OnCall(start, newCall(start))
+	assert.Equal(t, c.window(2).size, float64(unknownSlots))
+	assert.Assert(t, c.Announced(start, announcement(1)))
+	assert.Equal(t, c.window(2).size, float64(c.limit()))
+}
+
 // Guards against a window that shrinks because calls waited for it.
 func TestWindowIgnoresItsOwnQueue(t *testing.T) {
 	c := newCore(t)
--- a/policy/gate/target.go
+++ b/policy/gate/target.go
@@ -156,7 +156,9 @@
 		return true // known already
 	}
 	t.heardAt, t.interval = now, a.Interval
+	before := c.limit()
 	t.id, t.born, t.sequence, t.slots = a.ID, a.Born, a.Sequence, a.Slots
+	c.resizeWindows(before)
 	t.setCold(now, a.ColdLeft)
 	switch {
 	case a.Leaving:
--- a/policy/gate/window.go
+++ b/policy/gate/window.go
@@ -38,6 +38,14 @@
 	return w
 }
 
+// resizeWindows keeps the windows in proportion when the target states other
+// slots, or its slots for the first time after a start of the node.
+func (c *Core) resizeWindows(before int) {
+	for _, w := range c.windows {
+		w.size = min(w.size*float64(c.limit())/float64(before), float64(c.limit()))
+	}
+}
+
 // mayRunFresh reports whether a fresh call of a priority may run now.
 func (c *Core) mayRunFresh(priority int) bool {
 	w := c.window(priority)
