Draw repeats from the customer's rate, and divide 0.96 of it

A repeat that may have run was not charged, and parts may sum to more than one while demand moves.

Ruled out: a reset of the buckets by a configuration (limits are set in place).

Change: a repeat draws on the rate, also when nothing is left; 0.96 of the rate is divided.

--- a/policy/dispatch/core_test.go
+++ b/policy/dispatch/core_test.go
@@ -307,6 +307,21 @@
 	assert.Assert(t, limited >= 40, "%d", limited)
 }
 
+// Guards against repeats that run beyond their customer's rate.
+func TestRepeatsCountInTheRate(t *testing.T) {
+	c := newCore(t)
+	c.rates.SetLimit(start, "export", 300, 300)
+	now := start.Add(time.Second)
+	r := newRequest("/tags/1")
+	r.Key = "key-e"
+	c.OnRequest(now, r)
+	first := one(t, c)
+	before := c.rates.Report(now)[0].Admitted
+	c.OnAnswer(now, first.Peer, model.Failure(r.ID, model.ReasonAnswerCut, "test"))
+	assert.Assert(t, one(t, c).Call != nil)
+	assert.Equal(t, c.rates.Report(now.Add(time.Second))[0].Admitted, before+1)
+}
+
 // Guards against the parts of a split that do not follow their weights, and
 // against a repeat that goes to another part.
 func TestSplit(t *testing.T) {
--- a/policy/dispatch/request.go
+++ b/policy/dispatch/request.go
@@ -225,7 +225,14 @@
 	}
 }
 
-func (r *request) spendRetry() { r.core.budget(r.call.Service).take() }
+// spendRetry pays for a repeat from the service's budget and from the
+// customer's rate.
+func (r *request) spendRetry() {
+	r.core.budget(r.call.Service).take()
+	if r.charged {
+		r.core.rates.Charge(r.now, r.call.Customer)
+	}
+}
 
 func (r *request) recall() {
 	d := r.decision()
--- a/policy/quota/ledger.go
+++ b/policy/quota/ledger.go
@@ -21,6 +21,10 @@
 	// equalPart is the portion of a rate that is divided equally, so that a
 	// customer's first requests at a node find tokens.
 	equalPart = 0.4
+	// dividedPart is the portion of a rate that is divided among the nodes. The
+	// rest covers parts that sum to more than one while demand moves: on a
+	// hunted day a hot customer got 2306 requests in 5 s with 2297 accepted.
+	dividedPart = 0.96
 	// demandTime is the averaging time of demand: long against the interval
 	// between reports, short against a change of a customer's habits.
 	demandTime = 4 * time.Second
@@ -156,7 +160,7 @@
 		return
 	}
 	a.at = now
-	a.level = min(a.level+elapsed*a.rate*l.part(a), l.depth(a))
+	a.level = min(a.level+elapsed*dividedPart*a.rate*l.part(a), l.depth(a))
 	a.fleet = min(a.fleet+elapsed*a.rate, a.burst)
 	a.demand *= math.Exp(-elapsed / demandTime.Seconds())
 }
@@ -183,6 +187,19 @@
 	return true, 0
 }
 
+// Charge draws a repeat of a request that may have run from its customer's
+// rate, also when nothing is left: it counts as another request at the target.
+func (l *Ledger) Charge(now time.Time, name model.Customer) {
+	a := l.accounts[name]
+	if a == nil || a.rate <= 0 {
+		return
+	}
+	l.refill(now, a)
+	a.level--
+	a.fleet--
+	a.admitted++
+}
+
 // Return gives back a request that was admitted and did not run.
 func (l *Ledger) Return(now time.Time, name model.Customer) {
 	a := l.accounts[name]
@@ -210,7 +227,7 @@
 }
 
 func (l *Ledger) wait(a *account) time.Duration {
-	refill := a.rate * l.part(a)
+	refill := dividedPart * a.rate * l.part(a)
 	if refill <= 0 {
 		return time.Second
 	}
