Tell the use of rates once across zones; avoid targets that fail what they get

Cause, found with tests of 82 nodes: (1) a small customer at eight times its demand got 102 to 112 requests in 5 s with 99 accepted (rate 12): one request of depth at each node is more than its burst, and peers ignored a node's first use of a customer. (2) Each request of a customer with rate 12 led to 7 reported accounts, each sent to all nodes, most of them between availability zones. (3) A target that fails requests at once looks like the fastest one and attracts the more of them.

Ruled out: relaying loads in the same way; they are needed within a zone and sent abroad once a second.

Change: small customers draw on the fleet's estimated bucket only; a customer that appears later in a peer's reports counts from zero; use is reported when it has changed. Use goes to one peer of each other zone, which passes it on (frame Usage). Gates report the share of calls that fail, with stuck ones; callers' nodes avoid targets that fail more than the best of the service.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -38,6 +38,11 @@
 	parentEnded struct{ call *model.Call }
 	// reported is what a node says of itself.
 	reported struct{ report *model.Report }
+	// used is what the callers of another node use of the customers' rates.
+	used struct {
+		node model.NodeID
+		list []model.Usage
+	}
 	// linked gives the link on which calls to a peer are sent.
 	linked struct {
 		peer model.Instance
@@ -66,6 +71,7 @@
 func (parentBegan) entryMessage()  {}
 func (parentEnded) entryMessage()  {}
 func (reported) entryMessage()     {}
+func (used) entryMessage()         {}
 func (linked) entryMessage()       {}
 func (unlinked) entryMessage()     {}
 func (peersChanged) entryMessage() {}
@@ -136,6 +142,8 @@
 		h.core.OnParentEnded(m.call)
 	case reported:
 		h.core.OnReport(now, m.report)
+	case used:
+		h.core.OnUsage(now, m.node, m.list)
 	case linked:
 		h.links[m.peer] = m.link
 	case unlinked:
--- a/agent/mesh/link.go
+++ b/agent/mesh/link.go
@@ -18,7 +18,9 @@
 	linkRing = 4096
 	// writeBatch bounds the frames that one write carries.
 	writeBatch = 64
-	linkBuffer = 32 << 10
+	// linkBuffer is the room for what arrives on a link; larger bodies are read
+	// past it. A node has some hundred links.
+	linkBuffer = 8 << 10
 	// dialTimeout bounds the opening of a link, with the exchange of hellos.
 	dialTimeout = time.Second
 	// writeTimeout bounds a write to a peer that does not read.
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -290,6 +290,11 @@
 		if m.Report.Documents > n.documents.Load() {
 			n.peers.Ring().Offer(peerDocuments{peer: l.peer.Node.Instance, end: m.Report.Documents})
 		}
+	case frame.Usage:
+		n.entry.Ring().Offer(used{node: m.Node, list: m.List})
+		if m.Node == l.peer.Node && l.peer.Zone != n.settings.Zone {
+			n.peers.Ring().Offer(foreignUsage{usage: m})
+		}
 	case frame.Documents:
 		_ = n.peers.Ring().Put(context.Background(), documentsRead{records: m.List, end: m.End, whole: true})
 	}
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -70,6 +70,9 @@
 	ownReport struct{ report *model.Report }
 	// usage is what the node's callers use of the customers' rates.
 	usage struct{ list []model.Usage }
+	// foreignUsage came from another availability zone, for all peers in this
+	// one.
+	foreignUsage struct{ usage frame.Usage }
 	// ended closes all links.
 	ended struct{}
 )
@@ -84,6 +87,7 @@
 func (wanted) peersMessage()        {}
 func (ownReport) peersMessage()     {}
 func (usage) peersMessage()         {}
+func (foreignUsage) peersMessage()  {}
 func (ended) peersMessage()         {}
 
 // peersDuty runs the fleet policy on its own thread.
@@ -172,6 +176,8 @@
 		h.onOwnReport(m.report)
 	case usage:
 		h.onUsage(m.list)
+	case foreignUsage:
+		h.passOn(m.usage)
 	case ended:
 		h.closeLinks()
 	}
@@ -201,21 +207,6 @@
 	}
 }
 
-func (h *peersDuty) onUsage(list []model.Usage) {
-	for _, u := range list {
-		h.usage[u.Customer] = u
-		h.unsent[u.Customer] = true
-	}
-}
-
-func (h *peersDuty) allUsage() []model.Usage {
-	out := make([]model.Usage, 0, len(h.usage))
-	for _, u := range h.usage {
-		out = append(out, u)
-	}
-	return out
-}
-
 func (h *peersDuty) onOwnReport(r *model.Report) {
 	if r.Place != h.report.Place || r.Cold != h.report.Cold {
 		h.urgent = true
@@ -319,11 +310,16 @@
 	crashes := h.crashes
 	h.crashes = nil
 	for l, sent := range h.origins {
-		if h.urgent || len(news) > 0 || h.moved(l, sent) || now.Sub(sent.at) >= quietInterval {
-			h.sendTo(l, news, crashes)
+		var use []model.Usage
+		if h.near(l) {
+			use = news
+		}
+		if h.urgent || len(use) > 0 || h.moved(l, sent) || now.Sub(sent.at) >= quietInterval {
+			h.sendTo(l, use, crashes)
 			sent.at = now
 		}
 	}
+	h.sendAbroad(news)
 	if now.Sub(h.pingedAt) >= quietInterval {
 		h.pingedAt = now
 		for _, l := range h.links {
@@ -336,7 +332,7 @@
 // moved reports whether the load has changed so much that a peer has to know.
 func (h *peersDuty) moved(l *link, sent *sentReport) bool {
 	change := h.report.Running + h.report.Queued - sent.load
-	if l.peer.Zone == h.node.settings.Zone {
+	if h.near(l) {
 		return change != 0
 	}
 	return max(change, -change) > max(int(farLoadChange*float64(h.report.Limit)), 1)
--- a/model/fleet.go
+++ b/model/fleet.go
@@ -61,6 +61,7 @@
 	Cold      bool
 	Running   int
 	Queued    int
+	Failing   float64       // share of the calls that fail at the target, 0 to 1
 	RunTime   time.Duration // recent mean time of a request at the target; 0 if none ran
 	Documents int64         // end offset of the operator's documents that the node has
 	Usage     []Usage       // customers whose use has changed
@@ -77,6 +78,7 @@
 	EndBroken                    // the connection broke
 	EndOtherTarget               // another incarnation has the address
 	EndFull                      // the target said that it has no room
+	EndCanceled                  // the caller had gone first
 	EndFailed                    // any other end without an answer
 )
 
--- a/policy/dispatch/core.go
+++ b/policy/dispatch/core.go
@@ -126,8 +126,13 @@
 	for _, crash := range r.Crashes {
 		c.poison.OnCrash(now, crash)
 	}
-	if r.Node.Instance != c.self {
-		c.rates.OnReport(now, r.Node, r.Usage)
+	c.OnUsage(now, r.Node, r.Usage)
+}
+
+// OnUsage takes what another node's callers use of the customers' rates.
+func (c *Core) OnUsage(now time.Time, node model.NodeID, list []model.Usage) {
+	if node.Instance != c.self {
+		c.rates.OnReport(now, node, list)
 	}
 }
 
--- a/policy/dispatch/core_test.go
+++ b/policy/dispatch/core_test.go
@@ -417,3 +417,31 @@
 	c.OnAnswer(start, first.Peer, model.Failure(first.ID, model.ReasonAnswerCut, "test"))
 	assert.Equal(t, one(t, c).Call.Crashes, 1)
 }
+
+// Guards against a target that fails its calls at once and attracts the more of
+// them the faster it fails.
+func TestFailingTargetIsAvoided(t *testing.T) {
+	c := newCore(t)
+	bad := report(near, "north", model.TargetServing)
+	bad.Failing, bad.RunTime = 0.4, time.Millisecond
+	c.OnReport(start, bad)
+	for range 20 {
+		c.OnRequest(start, newRequest("/tags/1"))
+		assert.Equal(t, one(t, c).Peer, nearToo)
+	}
+}
+
+// Guards against penalties for failures whose cause lies behind the service.
+func TestCommonFailuresCostNothing(t *testing.T) {
+	c := newCore(t)
+	for _, peer := range []model.Instance{near, nearToo} {
+		r := report(peer, "north", model.TargetServing)
+		r.Failing = 0.5
+		c.OnReport(start, r)
+	}
+	r := report(far, "south", model.TargetServing)
+	r.Failing = 0.5
+	c.OnReport(start, r)
+	c.OnRequest(start, newRequest("/tags/1"))
+	assert.Assert(t, one(t, c).Peer != far)
+}
--- a/policy/dispatch/target.go
+++ b/policy/dispatch/target.go
@@ -27,6 +27,11 @@
 	// lostPenalty is added to the cost of a target whose node has fallen
 	// silent but whose link is open.
 	lostPenalty = 500 * time.Millisecond
+	// failingPenalty is the part of the time until a call's objective that a
+	// target at which all calls fail must be faster to be chosen: a failure
+	// costs the whole of it, and a repeat. What also fails at the best target of
+	// the service does not count, since its cause lies behind the service.
+	failingPenalty = 2.0
 )
 
 // target is a target as this node sees it.
@@ -40,6 +45,7 @@
 	coldRate    float64
 	limit       int
 	runTime     time.Duration
+	failing     float64 // share of the calls that fail there
 	reported    time.Time
 	load        int // running and queued at its node, of other nodes
 	outstanding int // of this node
@@ -76,7 +82,7 @@
 	}
 	t.zone, t.state, t.linked = r.Zone, r.State, true
 	t.cold, t.coldRate = r.Cold, r.ColdRate
-	t.limit, t.runTime, t.reported = r.Limit, r.RunTime, now
+	t.limit, t.runTime, t.failing, t.reported = r.Limit, r.RunTime, r.Failing, now
 	t.load = max(r.Running+r.Queued-t.outstanding, 0)
 }
 
@@ -119,17 +125,19 @@
 func (s *targets) choose(now time.Time, call *model.Call, tried []*target, out map[model.Zone]bool) *target {
 	var best *target
 	var least float64
-	usual := usualRunTime(s.byService[call.Service])
+	usual, usualFailing := usualTarget(s.byService[call.Service])
 	far := farPenalty
 	if call.Inner {
 		far = farPenaltyInner
 	}
-	far *= max(call.Objective.Sub(now), 0).Seconds()
+	left := max(call.Objective.Sub(now), 0).Seconds()
+	far *= left
 	for _, t := range s.byService[call.Service] {
 		if !t.linked || t.state != model.TargetServing || out[t.zone] || slices.Contains(tried, t) {
 			continue
 		}
 		cost := s.cost(now, t, usual, far) * (1 + choiceJitter*s.rng.Float64())
+		cost += max(t.failing-usualFailing, 0) * failingPenalty * left
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -137,20 +145,24 @@
 	return best
 }
 
-// usualRunTime is the least run time of a service's targets. It stands for the
-// run time of a target that has run nothing lately, so that one that is new, or
-// was slow, is tried.
-func usualRunTime(list []*target) time.Duration {
-	usual := time.Duration(0)
+// usualTarget returns the least run time of a service's targets, and the least
+// share of failures of those that serve. The run time stands for that of a
+// target that has run nothing lately, so that one that is new, or was slow, is
+// tried.
+func usualTarget(list []*target) (usual time.Duration, failing float64) {
+	failing = 1
 	for _, t := range list {
 		if t.runTime > 0 && (usual == 0 || t.runTime < usual) {
 			usual = t.runTime
 		}
+		if t.linked && t.state == model.TargetServing {
+			failing = min(failing, t.failing)
+		}
 	}
 	if usual == 0 {
-		return defaultRunTime
+		usual = defaultRunTime
 	}
-	return usual
+	return usual, failing
 }
 
 // cost estimates the time until the end of a request at a target, in seconds.
--- a/policy/gate/core.go
+++ b/policy/gate/core.go
@@ -73,6 +73,7 @@
 	ranAt   time.Time // when runTime was last measured
 	target  target
 	crashes poison.Recorder
+	failing failures
 
 	out     []Decision
 	changed bool
@@ -147,6 +148,9 @@
 		c.ranAt = now
 		c.runTime += time.Duration(runTimeWeight * float64(sample-c.runTime))
 	}
+	if e != model.EndCanceled || c.late(now, l) {
+		c.failing.onEnd(now, failedEnd(e, status) || e == model.EndCanceled)
+	}
 	switch e {
 	case model.EndAnswered:
 		c.crashes.OnCompleted(l.call)
@@ -243,6 +247,7 @@
 	r.Running = c.running
 	r.Queued = c.queue.length
 	r.Crashes = c.crashes.News()
+	r.Failing = c.failing.share(now, c.stuck(now))
 	if now.Sub(c.ranAt) < runTimeAge {
 		r.RunTime = c.runTime
 	}
--- /dev/null
+++ b/policy/gate/failing_test.go
@@ -0,0 +1,58 @@
+package gate
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+func failing(c *Core, now time.Time) float64 {
+	var r model.Report
+	c.Report(now, &r)
+	return r.Failing
+}
+
+// Guards against a target that fails requests while it calls itself healthy and
+// is reported as good.
+func TestFailuresAreReported(t *testing.T) {
+	c := newCore(t)
+	now := start
+	for i := range 100 {
+		now = now.Add(20 * time.Millisecond)
+		call := newCall(now)
+		c.OnCall(now, call)
+		status := http.StatusOK
+		if i%2 == 0 {
+			status = http.StatusInternalServerError
+		}
+		c.OnFinished(now, call.ID, model.EndAnswered, status)
+	}
+	assert.Assert(t, failing(c, now) > 0.35, "%v", failing(c, now))
+	assert.Assert(t, failing(c, now.Add(10*time.Second)) < 0.1, "a failure counts for ever")
+}
+
+// Guards against a target that never answers and is found only at the deadline
+// of its calls.
+func TestStuckCallsAreReported(t *testing.T) {
+	c := newCore(t)
+	for range 10 {
+		c.OnCall(start, newCall(start))
+	}
+	assert.Equal(t, failing(c, start.Add(100*time.Millisecond)), 0.0)
+	assert.Assert(t, failing(c, start.Add(600*time.Millisecond)) > 0.6)
+}
+
+// Guards against callers that leave being taken for failures of the target.
+func TestCanceledCallsAreNoFailures(t *testing.T) {
+	c := newCore(t)
+	for range 10 {
+		call := newCall(start)
+		c.OnCall(start, call)
+		c.OnFinished(start.Add(50*time.Millisecond), call.ID, model.EndCanceled, 0)
+	}
+	assert.Equal(t, failing(c, start.Add(50*time.Millisecond)), 0.0)
+}
--- a/policy/quota/ledger.go
+++ b/policy/quota/ledger.go
@@ -43,9 +43,10 @@
 	overBase   = 10 // requests
 	// minBorrow lets a small customer's requests come in pairs at one node.
 	minBorrow = 2 // requests between two reports
-	// A customer's use is reported when it has changed by demandChange of what
-	// was reported, when the fleet's bucket is below reportLevel of the burst,
-	// when the node has borrowed, or after quietTime.
+	// A customer's use is reported when its demand has changed by demandChange
+	// of what was reported and of a node's equal part of the rate, when the
+	// fleet's bucket is below reportLevel of the burst, when the node has
+	// borrowed, or after quietTime. Each report goes to every node.
 	demandChange = 0.2
 	reportLevel  = 0.7
 	quietTime    = time.Second
@@ -58,6 +59,7 @@
 type Ledger struct {
 	accounts map[model.Customer]*account
 	peers    map[model.Instance]bool
+	heard    map[model.Instance]model.Incarnation // peers whose use so far is known
 }
 
 type peerUse struct {
@@ -75,6 +77,7 @@
 	fleet       float64 // estimated tokens of the whole fleet
 	borrowed    float64 // since the last report
 	admitted    uint64
+	told        uint64  // admitted, as last told to the peers
 	demand      float64 // requests a second
 	reported    float64 // demand as last told to the peers
 	reportedAt  time.Time
@@ -84,7 +87,11 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{accounts: make(map[model.Customer]*account), peers: make(map[model.Instance]bool)}
+	return &Ledger{
+		accounts: make(map[model.Customer]*account),
+		peers:    make(map[model.Instance]bool),
+		heard:    make(map[model.Instance]model.Incarnation),
+	}
 }
 
 // SetLimit sets a customer's rate in requests a second and its burst in
@@ -120,6 +127,11 @@
 	for _, p := range peers {
 		l.peers[p] = true
 	}
+	for p := range l.heard {
+		if !l.peers[p] {
+			delete(l.heard, p)
+		}
+	}
 	for _, a := range l.accounts {
 		for p := range a.peers {
 			if !l.peers[p] {
@@ -148,12 +160,18 @@
 }
 
 // depth is the size of this node's bucket: its part of the burst and of the
-// requests that operators accept beyond it. It holds at least one request.
+// requests that operators accept beyond it. Where it is less than one request,
+// the customer is small against the number of nodes, and its requests are all
+// borrowed from the fleet's bucket: one request at each node would be more than
+// its burst.
 func (l *Ledger) depth(a *account) float64 {
 	nodes := float64(max(len(l.peers)+1, minNodes))
-	return max(l.part(a)*a.burst+overBase/nodes, 1)
+	return l.part(a)*a.burst + overBase/nodes
 }
 
+// small reports whether a customer has no bucket at this node.
+func (l *Ledger) small(a *account) bool { return l.depth(a) < 1 }
+
 func (l *Ledger) refill(now time.Time, a *account) {
 	elapsed := now.Sub(a.at).Seconds()
 	if elapsed <= 0 {
@@ -240,11 +258,11 @@
 	var out []model.Usage
 	for name, a := range l.accounts {
 		l.refill(now, a)
-		if !a.news(now) {
+		if !l.news(now, a) {
 			continue
 		}
 		a.borrowed = 0
-		a.reported, a.reportedAt = a.demand, now
+		a.reported, a.reportedAt, a.told = a.demand, now, a.admitted
 		out = append(out, model.Usage{Customer: name, Admitted: a.admitted, Demand: a.demand})
 	}
 	slices.SortFunc(out, func(a, b model.Usage) int { return cmp.Compare(a.Customer, b.Customer) })
@@ -252,18 +270,23 @@
 }
 
 // news reports whether peers have to know the account's use now.
-func (a *account) news(now time.Time) bool {
-	if a.admitted == 0 && a.demand == 0 {
-		return false
+func (l *Ledger) news(now time.Time, a *account) bool {
+	admitted := a.admitted != a.told
+	if admitted && (a.fleet < reportLevel*a.burst || now.Sub(a.reportedAt) >= quietTime) {
+		return true
+	}
+	if l.small(a) {
+		return false // its requests do not depend on parts
 	}
-	return a.borrowed > 0 ||
-		a.fleet < reportLevel*a.burst ||
-		math.Abs(a.demand-a.reported) > demandChange*max(a.reported, 0.5) ||
-		now.Sub(a.reportedAt) >= quietTime
+	equal := a.rate / float64(max(len(l.peers)+1, minNodes))
+	return a.borrowed > 0 || math.Abs(a.demand-a.reported) > demandChange*max(a.reported, equal)
 }
 
-// OnReport takes a peer's use.
+// OnReport takes a peer's use. The first report of a peer tells what it has
+// admitted before, which is no news; a customer that appears later is new.
 func (l *Ledger) OnReport(now time.Time, peer model.NodeID, use []model.Usage) {
+	first := l.heard[peer.Instance] != peer.Incarnation
+	l.heard[peer.Instance] = peer.Incarnation
 	for _, u := range use {
 		a := l.accounts[u.Customer]
 		if a == nil {
@@ -272,7 +295,10 @@
 		l.refill(now, a)
 		p := a.peers[peer.Instance]
 		if p == nil {
-			p = &peerUse{start: peer.Incarnation, admitted: u.Admitted}
+			p = &peerUse{start: peer.Incarnation}
+			if first {
+				p.admitted = u.Admitted
+			}
 			a.peers[peer.Instance] = p
 		}
 		if p.start != peer.Incarnation {
--- a/policy/quota/ledger_test.go
+++ b/policy/quota/ledger_test.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	nodes    = 14
+	few      = 14 // nodes of a small deployment
+	many     = 82 // nodes of a grown one
 	rate     = 171.0
 	burst    = 171.0
 	interval = 250 * time.Millisecond
@@ -23,6 +24,8 @@
 // other.
 type fleet struct {
 	rng     *rand.Rand
+	nodes   int
+	told    int // accounts in reports
 	ledgers []*Ledger
 	now     time.Time
 	admits  []time.Time
@@ -30,8 +33,8 @@
 	busy    int // node at which half of the requests arrive; 0 for none
 }
 
-func newFleet(seed uint64, rate, burst float64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0)}
+func newFleet(seed uint64, nodes int, rate, burst float64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), nodes: nodes, now: time.Unix(1000, 0)}
 	for i := range nodes {
 		f.ledgers = append(f.ledgers, f.newLedger(i, rate, burst))
 	}
@@ -41,7 +44,7 @@
 func (f *fleet) newLedger(self int, rate, burst float64) *Ledger {
 	l := New()
 	var peers []model.Instance
-	for p := range nodes {
+	for p := range f.nodes {
 		if p != self {
 			peers = append(peers, instance(p))
 		}
@@ -61,7 +64,7 @@
 		f.now = f.now.Add(step)
 		for range poisson(f.rng, perSecond*step.Seconds()) {
 			f.asked++
-			node := f.rng.IntN(nodes)
+			node := f.rng.IntN(f.nodes)
 			if f.busy > 0 && f.rng.IntN(2) == 0 {
 				node = f.busy
 			}
@@ -70,7 +73,7 @@
 			}
 		}
 		for i, l := range f.ledgers {
-			elapsed := f.now.Sub(time.Unix(1000, 0)) + time.Duration(i)*interval/nodes
+			elapsed := f.now.Sub(time.Unix(1000, 0)) + time.Duration(i)*interval/time.Duration(f.nodes)
 			if elapsed/interval != (elapsed-step)/interval {
 				f.report(i, l)
 			}
@@ -80,6 +83,7 @@
 
 func (f *fleet) report(i int, l *Ledger) {
 	use := l.Report(f.now)
+	f.told += len(use)
 	for p, other := range f.ledgers {
 		if p != i {
 			other.OnReport(f.now, model.NodeID{Instance: instance(i), Incarnation: 1}, use)
@@ -112,7 +116,7 @@
 func TestHotCustomerStaysWithinRate(t *testing.T) {
 	for _, size := range []float64{rate, 40, 12} {
 		for seed := range uint64(20) {
-			f := newFleet(seed, size, size)
+			f := newFleet(seed, few, size, size)
 			f.play(5*time.Second, size/1.6)
 			f.play(8*time.Second, size/1.6*8)
 			limit := (size*5+size)*1.1 + 20
@@ -121,15 +125,47 @@
 	}
 }
 
+// Guards against the same in a grown deployment, where what each node may have
+// beyond its part adds up.
+func TestHotCustomerOfManyNodes(t *testing.T) {
+	for _, size := range []float64{350, 35, 12} {
+		for seed := range uint64(5) {
+			f := newFleet(seed, many, size, size)
+			f.play(5*time.Second, size/1.6)
+			f.play(8*time.Second, size/1.6*8)
+			limit := (size*5+size)*1.1 + 20
+			assert.Check(t, float64(f.worst()) <= limit, "rate %.0f, seed %d: %d requests in 5 s, limit %.0f", size, seed, f.worst(), limit)
+		}
+	}
+}
+
+// Guards against a customer of a grown deployment that is refused although it
+// keeps to its rate, and against reports that tell each request to all nodes.
+func TestCustomerOfManyNodesIsServed(t *testing.T) {
+	for _, size := range []float64{350, 35, 12} {
+		for seed := range uint64(5) {
+			f := newFleet(seed, many, size, size)
+			f.play(3*time.Second, size/1.6)
+			asked, admitted, told := f.asked, len(f.admits), f.told
+			f.play(20*time.Second, size/1.6)
+			asked = f.asked - asked
+			refused := float64(asked-len(f.admits)+admitted) / float64(asked)
+			assert.Check(t, refused < 0.01, "rate %.0f, seed %d: %.2f%% refused", size, seed, 100*refused)
+			share := float64(f.told-told) / float64(asked)
+			assert.Check(t, share <= 1, "rate %.0f, seed %d: %.2f accounts reported for each request", size, seed, share)
+		}
+	}
+}
+
 // Guards against shares that sum to more than the rate while demand moves
 // between nodes: a large customer whose callers repeat at some nodes first.
 func TestMovingDemandStaysWithinRate(t *testing.T) {
 	const size = 345.0 // the largest customer of a deployment
 	for seed := range uint64(60) {
-		f := newFleet(seed, size, size)
+		f := newFleet(seed, few, size, size)
 		f.play(5*time.Second, size/1.6)
 		for range 14 {
-			f.busy = f.rng.IntN(nodes)
+			f.busy = f.rng.IntN(f.nodes)
 			f.play(400*time.Millisecond, size*5)
 		}
 		limit := (size*5+size)*1.1 + 20
@@ -142,7 +178,7 @@
 func TestCustomerWithinRateIsServed(t *testing.T) {
 	for _, size := range []float64{171, 40, 12} {
 		for seed := range uint64(10) {
-			f := newFleet(seed, size, size)
+			f := newFleet(seed, few, size, size)
 			f.play(2*time.Second, size/1.6) // the start is judged apart
 			asked, admitted := f.asked, len(f.admits)
 			f.play(20*time.Second, size/1.6)
@@ -155,7 +191,7 @@
 // Guards against a restart of all nodes that grants the burst twice.
 func TestRestartOfAllNodes(t *testing.T) {
 	for seed := range uint64(20) {
-		f := newFleet(seed, rate, burst)
+		f := newFleet(seed, few, rate, burst)
 		f.play(3*time.Second, rate/1.6)
 		f.play(2*time.Second, rate*3)
 		for i := range f.ledgers {
--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -126,7 +126,7 @@
 	detail := fault.At("connect to target", c.address, err).Error()
 	switch {
 	case ctx.Err() != nil:
-		return model.Refusal(call.ID, model.ReasonCanceled, detail), model.EndFailed
+		return model.Refusal(call.ID, model.ReasonCanceled, detail), model.EndCanceled
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return model.Refusal(call.ID, model.ReasonTargetFailed, detail), model.EndRefused
 	}
@@ -181,7 +181,7 @@
 			answer, end = c.refusal(ctx, call, err)
 			return answer, end, false
 		}
-		return c.failure(ctx, call, "send request", err), model.EndBroken, false
+		return c.failure(ctx, call, "send request", err), brokenEnd(ctx, err), false
 	}
 	return c.receive(ctx, k, call)
 }
@@ -194,13 +194,13 @@
 			if k.reused && call.Idempotent && errors.Is(err, io.EOF) && ctx.Err() == nil {
 				return nil, model.EndBroken, true
 			}
-			return c.failure(ctx, call, "read answer", err), brokenEnd(err), false
+			return c.failure(ctx, call, "read answer", err), brokenEnd(ctx, err), false
 		}
 		verdict := c.codec.Judge(call, resp)
 		body, err := readBody(resp)
 		if err != nil {
 			k.Close()
-			return c.failure(ctx, call, "read answer's body", err), brokenEnd(err), false
+			return c.failure(ctx, call, "read answer's body", err), brokenEnd(ctx, err), false
 		}
 		if verdict == VerdictForeign {
 			continue
@@ -222,9 +222,12 @@
 	errForeign = errors.New("the connection carries answers to other calls")
 )
 
-func brokenEnd(err error) model.RunEnd {
+func brokenEnd(ctx context.Context, err error) model.RunEnd {
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	switch {
+	case ctx.Err() != nil:
+		return model.EndCanceled
+	case errors.As(err, &timeout) && timeout.Timeout():
 		return model.EndFailed
 	}
 	return model.EndBroken
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -32,6 +32,7 @@
 	KindWant                      // asks for the operator's documents
 	KindDocuments                 // the operator's documents
 	KindPing                      // keeps a link from looking silent
+	KindUsage                     // what a node's callers use of the customers' rates
 )
 
 const (
@@ -41,7 +42,7 @@
 )
 
 // Message is what a frame holds: Hello, Call, Cancel, Answer, Report, Want,
-// Documents or Ping.
+// Documents, Ping or Usage.
 type Message interface {
 	kind() Kind
 	append(b []byte) []byte
@@ -87,6 +88,13 @@
 // Ping holds nothing.
 type Ping struct{}
 
+// Usage is what the callers of a node use of the customers' rates. A node that
+// gets it from another availability zone passes it on to the peers in its own.
+type Usage struct {
+	Node model.NodeID // whose callers
+	List []model.Usage
+}
+
 func (Hello) kind() Kind     { return KindHello }
 func (Call) kind() Kind      { return KindCall }
 func (Cancel) kind() Kind    { return KindCancel }
@@ -95,6 +103,7 @@
 func (Want) kind() Kind      { return KindWant }
 func (Documents) kind() Kind { return KindDocuments }
 func (Ping) kind() Kind      { return KindPing }
+func (Usage) kind() Kind     { return KindUsage }
 
 // Append adds the frame of a message to b.
 func Append(b []byte, m Message) []byte {
@@ -140,6 +149,8 @@
 		return decodeWant(b)
 	case KindDocuments:
 		return decodeDocuments(b)
+	case KindUsage:
+		return decodeUsage(b)
 	default:
 		return Ping{}, nil
 	}
--- a/transport/frame/frame_test.go
+++ b/transport/frame/frame_test.go
@@ -35,7 +35,7 @@
 				Node: model.NodeID{Instance: "10.0.0.1:7000", Incarnation: 5}, Target: "t1", Service: "registry",
 				Zone: "north", State: model.TargetLeaving, Limit: 16, ColdRate: 25,
 			},
-			Cold: true, Running: 3, Queued: 2, RunTime: 20 * time.Millisecond, Documents: 12,
+			Cold: true, Running: 3, Queued: 2, RunTime: 20 * time.Millisecond, Documents: 12, Failing: 0.25,
 			Usage:   []model.Usage{{Customer: "herders", Admitted: 7, Demand: 1.25}},
 			Crashes: []model.Crash{{Fingerprint: 1 << 60, Count: 2}, {Fingerprint: 5}},
 		}},
@@ -43,6 +43,10 @@
 		Want{End: 3},
 		Documents{End: 4, List: []keyed.Record{{Key: "config", Value: []byte("{}"), Offset: 3}}},
 		Ping{},
+		Usage{
+			Node: model.NodeID{Instance: "10.0.0.1:7000", Incarnation: 5},
+			List: []model.Usage{{Customer: "herders", Admitted: 7, Demand: 1.25}},
+		},
 	}
 }
 
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
+
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
 )
@@ -189,13 +191,8 @@
 	b = appendUint(b, 4, uint64(r.Queued))
 	b = appendUint(b, 5, uint64(r.RunTime.Milliseconds()))
 	b = appendUint(b, 6, uint64(r.Documents))
-	for _, u := range r.Usage {
-		b = appendNested(b, 7, func(b []byte) []byte {
-			b = appendText(b, 1, string(u.Customer))
-			b = appendUint(b, 2, u.Admitted)
-			return appendUint(b, 3, uint64(u.Demand*demandUnit))
-		})
-	}
+	b = appendUsage(b, 7, r.Usage)
+	b = appendUint(b, 9, uint64(r.Failing*failingUnit))
 	for _, c := range r.Crashes {
 		b = appendNested(b, 8, func(b []byte) []byte {
 			b = appendFixed(b, 1, c.Fingerprint)
@@ -205,9 +202,23 @@
 	return b
 }
 
+// failingUnit is the number of units of a stated share in the whole.
+const failingUnit = 100
+
 // demandUnit is the number of units of a stated demand in one request a second.
 const demandUnit = 100
 
+func appendUsage(b []byte, number protowire.Number, list []model.Usage) []byte {
+	for _, u := range list {
+		b = appendNested(b, number, func(b []byte) []byte {
+			b = appendText(b, 1, string(u.Customer))
+			b = appendUint(b, 2, u.Admitted)
+			return appendUint(b, 3, uint64(u.Demand*demandUnit))
+		})
+	}
+	return b
+}
+
 func appendPlace(b []byte, p *model.Place) []byte {
 	b = appendText(b, 1, string(p.Node.Instance))
 	b = appendFixed(b, 2, uint64(p.Node.Incarnation))
@@ -238,9 +249,13 @@
 		case 6:
 			r.Documents = int64(f.value)
 		case 7:
-			return decodeUsage(r, f.bytes)
+			u, err := decodeCustomer(f.bytes)
+			r.Usage = append(r.Usage, u)
+			return err
 		case 8:
 			return decodeCrash(r, f.bytes)
+		case 9:
+			r.Failing = float64(f.value) / failingUnit
 		}
 		return nil
 	})
@@ -271,7 +286,7 @@
 	})
 }
 
-func decodeUsage(r *model.Report, b []byte) error {
+func decodeCustomer(b []byte) (model.Usage, error) {
 	var u model.Usage
 	err := fields(b, func(f field) error {
 		switch f.number {
@@ -284,8 +299,7 @@
 		}
 		return nil
 	})
-	r.Usage = append(r.Usage, u)
-	return err
+	return u, err
 }
 
 func decodeCrash(r *model.Report, b []byte) error {
@@ -362,6 +376,30 @@
 
 func (Ping) append(b []byte) []byte { return b }
 
+func (m Usage) append(b []byte) []byte {
+	b = appendText(b, 1, string(m.Node.Instance))
+	b = appendFixed(b, 2, uint64(m.Node.Incarnation))
+	return appendUsage(b, 3, m.List)
+}
+
+func decodeUsage(b []byte) (Message, error) {
+	var m Usage
+	err := fields(b, func(f field) error {
+		switch f.number {
+		case 1:
+			m.Node.Instance = model.Instance(f.text())
+		case 2:
+			m.Node.Incarnation = model.Incarnation(f.value)
+		case 3:
+			u, err := decodeCustomer(f.bytes)
+			m.List = append(m.List, u)
+			return err
+		}
+		return nil
+	})
+	return m, err
+}
+
 // NewCall returns the message for a call that is sent at now.
 func NewCall(now time.Time, c *model.Call) Call {
 	return Call{Call: c, Remaining: c.Deadline.Sub(now), Objective: c.Objective.Sub(now)}
