--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -100,8 +100,8 @@
 // that cannot be opened.
 func (n *Node) Start(h Handlers) error {
 	var err error
-	if n.listener, err = net.Listen("tcp", string(n.settings.Instance)); err != nil {
-		return fault.At("listen", string(n.settings.Instance), err)
+	if n.listener, err = net.Listen("tcp", n.settings.peerAddress()); err != nil {
+		return fault.At("listen", n.settings.peerAddress(), err)
 	}
 	n.gate.Start(&n.tomb)
 	n.entry.Start(&n.tomb)
--- a/agent/mesh/settings.go
+++ b/agent/mesh/settings.go
@@ -21,7 +21,8 @@
 // Settings are the settings of one node.
 type Settings struct {
 	Name     string
-	Instance model.Instance // address for other nodes, IP:port
+	Instance model.Instance // address at which other nodes reach this one, IP:port
+	Listen   string         // address for their links if it is not Instance
 	Service  model.Service  // of the target beside the node
 	Zone     model.Zone
 
@@ -36,6 +37,28 @@
 	MemoryBytes      int64         // bound of the process; 0 for none
 }
 
+// Advertise makes other nodes reach this one at an address that differs from
+// the one on which it listens, as behind a port forwarder. An empty address
+// changes nothing.
+func (s *Settings) Advertise(address string) error {
+	if address == "" {
+		return nil
+	}
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return errors.Wrapf(err, "the advertised address is %q, want IP:port", address)
+	}
+	s.Listen, s.Instance = s.peerAddress(), model.Instance(address)
+	return nil
+}
+
+// peerAddress is the address on which the node listens for links.
+func (s *Settings) peerAddress() string {
+	if s.Listen != "" {
+		return s.Listen
+	}
+	return string(s.Instance)
+}
+
 // Check reports the first setting that is missing or malformed, and fills in
 // defaults.
 func (s *Settings) Check() error {
--- a/command/mesh/mesh.go
+++ b/command/mesh/mesh.go
@@ -33,22 +33,26 @@
 func New(stdout io.Writer) *ff.Command {
 	flags := ff.NewFlagSet("mesh")
 	level := flags.String('l', "log-level", "info", "least level of log lines: debug, info, warn or error")
+	advertise := flags.StringLong("advertise", "", "address, IP:port, at which peers reach the node if it is not the one of the settings")
 	return &ff.Command{
 		Name:      "mesh",
-		Usage:     "oleanderworks mesh [--log-level LEVEL]",
+		Usage:     "oleanderworks mesh [--log-level LEVEL] [--advertise ADDRESS]",
 		ShortHelp: "run the node of a platform's instance, with the settings that the platform provides",
 		Flags:     flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			return run(ctx, *level, stdout)
+			return run(ctx, *level, *advertise, stdout)
 		},
 	}
 }
 
-func run(ctx context.Context, level string, stdout io.Writer) error {
+func run(ctx context.Context, level, advertise string, stdout io.Writer) error {
 	s, store, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
+	if err := s.Advertise(advertise); err != nil {
+		return err
+	}
 	tuneCollector(s.MemoryBytes)
 	writer := event.NewAsyncWriter(stdout)
 	defer flush(writer)
