Count only a peer's recent use when it is first heard of; count bytes between zones

Ruled out: double counting on two links (counters are cumulative); a restart of all nodes by itself (TestCustomerIsServedAfterRestart).

The bytes sent on links are counted by kind of frame, inside the zone and to others.

--- a/agent/mesh/link.go
+++ b/agent/mesh/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"expvar"
 	"net"
 	"sync"
 	"time"
@@ -42,6 +43,7 @@
 	read    func(frame.Message)   // takes each message that arrives
 	unsent  func(id model.CallID) // takes each call that was not written
 	closed  func(error)           // called once, after everything else
+	sent    *expvar.Map           // bytes by kind of frame; shared by all links of a class
 	threads sync.WaitGroup
 	once    sync.Once
 	cause   error
@@ -102,7 +104,9 @@
 		buffer = buffer[:0]
 		now := time.Now()
 		for _, m := range batch[:n] {
+			before := len(buffer)
 			buffer = frame.Append(buffer, stamp(now, m))
+			l.sent.Add(frame.KindOf(m).String(), int64(len(buffer)-before))
 		}
 		_ = l.conn.SetWriteDeadline(now.Add(writeTimeout))
 		if _, err := l.conn.Write(buffer); err != nil {
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -243,7 +243,7 @@
 		n.log.Emit(event.MeshDialFailed, "peer", conn.RemoteAddr(), "error", err)
 		return
 	}
-	l := &link{peer: peer, conn: conn}
+	l := &link{peer: peer, conn: conn, sent: n.metrics.sent(peer.Zone == n.settings.Zone)}
 	l.read = func(m frame.Message) { n.onCallerFrame(l, m) }
 	l.unsent = func(model.CallID) {}
 	l.closed = func(err error) {
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -228,7 +228,7 @@
 		h.core.OnFailed(now, m.peer)
 		return
 	}
-	l := &link{peer: m.hello, conn: m.conn}
+	l := &link{peer: m.hello, conn: m.conn, sent: h.node.metrics.sent(m.hello.Zone == h.node.settings.Zone)}
 	l.read = func(f frame.Message) { h.node.onTargetFrame(l, f) }
 	l.unsent = func(id model.CallID) {
 		h.node.onAnswer(m.peer, model.Refusal(id, model.ReasonPeerUnreachable, "the link broke before the call was sent"))
--- a/policy/quota/ledger.go
+++ b/policy/quota/ledger.go
@@ -34,7 +34,7 @@
 	startFill = 0.1
 	// borrowLevel is the part of the burst that must be left in the fleet's
 	// bucket before a node borrows.
-	borrowLevel = 0.5
+	borrowLevel = 0.3
 	// overWindow, overPart and overBase describe what the fleet may admit
 	// beyond the rate in a window: overPart of rate x overWindow + burst, plus
 	// overBase requests. Operators accept 10% and 20 requests in 5 s; half of
@@ -49,8 +49,18 @@
 	// fleet's bucket is below reportLevel of the burst, when the node has
 	// borrowed, or after quietTime. Each report goes to every node.
 	demandChange = 0.2
+	// leastChange is what two requests add to the demand. A
+	// demand that has sunk to goneDemand of what was reported is told all the
+	// same, since the other nodes would leave a part of the rate unused for it.
+	leastChange = 0.5 // requests a second
+	goneDemand  = 0.25
 	reportLevel  = 0.7
 	quietTime    = time.Second
+	// recentBase and recentTime bound how much of what a peer has admitted before
+	// it is heard of counts: the requests of one report, and those of its demand
+	// since the report before.
+	recentBase = 2 // requests
+	recentTime = quietTime
 	// minNodes is the least number of nodes among which a rate is divided. A
 	// node that has just started may not know the others yet.
 	minNodes = 3
@@ -60,7 +70,6 @@
 type Ledger struct {
 	accounts map[model.Customer]*account
 	peers    map[model.Instance]bool
-	heard    map[model.Instance]model.Incarnation // peers whose use so far is known
 }
 
 type peerUse struct {
@@ -88,11 +97,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{
-		accounts: make(map[model.Customer]*account),
-		peers:    make(map[model.Instance]bool),
-		heard:    make(map[model.Instance]model.Incarnation),
-	}
+	return &Ledger{accounts: make(map[model.Customer]*account), peers: make(map[model.Instance]bool)}
 }
 
 // SetLimit sets a customer's rate in requests a second and its burst in
@@ -128,11 +133,6 @@
 	for _, p := range peers {
 		l.peers[p] = true
 	}
-	for p := range l.heard {
-		if !l.peers[p] {
-			delete(l.heard, p)
-		}
-	}
 	for _, a := range l.accounts {
 		for p := range a.peers {
 			if !l.peers[p] {
@@ -290,14 +290,14 @@
 		return false // its requests do not depend on parts
 	}
 	equal := a.rate / float64(max(len(l.peers)+1, minNodes))
-	return a.borrowed > 0 || math.Abs(a.demand-a.reported) > demandChange*max(a.reported, equal)
+	change := max(demandChange*max(a.reported, equal), leastChange)
+	return a.borrowed > 0 || math.Abs(a.demand-a.reported) > change || a.demand < goneDemand*a.reported
 }
 
-// OnReport takes a peer's use. The first report of a peer tells what it has
-// admitted before, which is no news; a customer that appears later is new.
+// OnReport takes a peer's use. What a peer that is heard of for the first time
+// has admitted is mostly long past: only as much of it counts as its demand
+// explains.
 func (l *Ledger) OnReport(now time.Time, peer model.NodeID, use []model.Usage) {
-	first := l.heard[peer.Instance] != peer.Incarnation
-	l.heard[peer.Instance] = peer.Incarnation
 	for _, u := range use {
 		a := l.accounts[u.Customer]
 		if a == nil {
@@ -306,14 +306,12 @@
 		l.refill(now, a)
 		p := a.peers[peer.Instance]
 		if p == nil {
-			p = &peerUse{start: peer.Incarnation}
-			if first {
-				p.admitted = u.Admitted
-			}
+			p = new(peerUse)
 			a.peers[peer.Instance] = p
 		}
 		if p.start != peer.Incarnation {
-			p.start, p.admitted = peer.Incarnation, 0
+			p.start = peer.Incarnation
+			p.admitted = u.Admitted - min(u.Admitted, recentBase+uint64(u.Demand*recentTime.Seconds()))
 		}
 		a.fleet = min(a.fleet-float64(int64(u.Admitted-p.admitted)), a.burst)
 		p.admitted = u.Admitted
--- a/policy/quota/ledger_test.go
+++ b/policy/quota/ledger_test.go
@@ -228,3 +228,19 @@
 		}
 	}
 }
+
+// Guards against the whole use of a peer so far being taken for recent by a node
+// that starts later or has lost its links, which then refuses the customer.
+func TestUseBeforeTheFirstReportIsPast(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := New()
+	l.SetLimit(now, customer, rate, burst)
+	now = now.Add(10 * time.Second)
+	peer := model.NodeID{Instance: instance(1), Incarnation: 1}
+	l.SetPeers([]model.Instance{peer.Instance})
+	l.OnReport(now, peer, []model.Usage{{Customer: "others", Admitted: 9}})
+	l.OnReport(now, peer, []model.Usage{{Customer: customer, Admitted: 5000, Demand: 20}})
+	assert.Assert(t, l.accounts[customer].fleet > burst/2, l.Explain(customer))
+	l.OnReport(now, peer, []model.Usage{{Customer: customer, Admitted: 5100, Demand: 20}})
+	assert.Assert(t, l.accounts[customer].fleet < burst/2, l.Explain(customer))
+}
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -41,6 +41,18 @@
 	MaxBytes = 80 << 20
 )
 
+// kindNames are the names of the kinds in metrics.
+var kindNames = map[Kind]string{
+	KindHello: "hello", KindCall: "call", KindCancel: "cancel", KindAnswer: "answer", KindReport: "report",
+	KindWant: "want", KindDocuments: "documents", KindPing: "ping", KindUsage: "usage",
+}
+
+// String returns the name used in metrics.
+func (k Kind) String() string { return kindNames[k] }
+
+// KindOf returns the kind of a message's frame.
+func KindOf(m Message) Kind { return m.kind() }
+
 // Message is what a frame holds: Hello, Call, Cancel, Answer, Report, Want,
 // Documents, Ping or Usage.
 type Message interface {
