--- a/policy/dispatch/target.go
+++ b/policy/dispatch/target.go
@@ -29,9 +29,12 @@
 	lostPenalty = 500 * time.Millisecond
 	// failingPenalty is the part of the time until a call's objective that a
 	// target at which all calls fail must be faster to be chosen: a failure
-	// costs the whole of it, and a repeat. What also fails at the best target of
-	// the service does not count, since its cause lies behind the service.
+	// costs the whole of it, and a repeat. What also fails at most targets of the
+	// service does not count, since its cause lies behind the service, nor do
+	// differences of failingBand: they come and go under overload, and all callers
+	// would run to the target that fails least.
 	failingPenalty = 2.0
+	failingBand    = 0.15
 )
 
 // target is a target as this node sees it.
@@ -137,7 +140,7 @@
 			continue
 		}
 		cost := s.cost(now, t, usual, far) * (1 + choiceJitter*s.rng.Float64())
-		cost += max(t.failing-usualFailing, 0) * failingPenalty * left
+		cost += max(t.failing-usualFailing-failingBand, 0) * failingPenalty * left
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -145,20 +148,24 @@
 	return best
 }
 
-// usualTarget returns the least run time of a service's targets, and the least
-// share of failures of those that serve. The run time stands for that of a
-// target that has run nothing lately, so that one that is new, or was slow, is
-// tried.
+// usualTarget returns the least run time of a service's targets, and the share
+// of failures that half of those that serve do not exceed. The run time stands
+// for that of a target that has run nothing lately, so that one that is new, or
+// was slow, is tried.
 func usualTarget(list []*target) (usual time.Duration, failing float64) {
-	failing = 1
+	shares := make([]float64, 0, len(list))
 	for _, t := range list {
 		if t.runTime > 0 && (usual == 0 || t.runTime < usual) {
 			usual = t.runTime
 		}
 		if t.linked && t.state == model.TargetServing {
-			failing = min(failing, t.failing)
+			shares = append(shares, t.failing)
 		}
 	}
+	if len(shares) > 0 {
+		slices.Sort(shares)
+		failing = shares[(len(shares)-1)/2]
+	}
 	if usual == 0 {
 		usual = defaultRunTime
 	}
