--- a/policy/gate/core.go
+++ b/policy/gate/core.go
@@ -148,9 +148,7 @@
 		c.ranAt = now
 		c.runTime += time.Duration(runTimeWeight * float64(sample-c.runTime))
 	}
-	if e != model.EndCanceled || c.late(now, l) {
-		c.failing.onEnd(now, failedEnd(e, status) || e == model.EndCanceled)
-	}
+	c.countEnd(now, l, e, status)
 	switch e {
 	case model.EndAnswered:
 		c.crashes.OnCompleted(l.call)
--- a/policy/gate/failing.go
+++ b/policy/gate/failing.go
@@ -52,15 +52,12 @@
 	return (f.failed + float64(stuck)) / (f.ended + float64(stuck) + failurePrior)
 }
 
-// failedEnd reports whether the end of a run is the target's failure.
-func failedEnd(e model.RunEnd, status int) bool {
-	switch e {
-	case model.EndAnswered:
-		return status >= serverError
-	case model.EndOtherTarget, model.EndCanceled:
-		return false // says nothing of the target
+// countEnd enters the end of a run.
+func (c *Core) countEnd(now time.Time, l *call, e model.RunEnd, status int) {
+	if e == model.EndOtherTarget || e == model.EndCanceled && !c.late(now, l) {
+		return // says nothing of the target
 	}
-	return true
+	c.failing.onEnd(now, e != model.EndAnswered || status >= serverError)
 }
 
 // stuck returns the number of running calls that take far longer than usual.
--- a/soak/book_test.go
+++ b/soak/book_test.go
@@ -167,7 +167,6 @@
 	mu      sync.Mutex
 	until   time.Time // end of the newest disturbance
 	zoneOut time.Time
-	planned bool // a planned stop is in progress
 }
 
 func (q *quiet) disturb(d time.Duration) {
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/platform/standin"
@@ -118,15 +117,6 @@
 	}},
 }
 
-func faultNames() []string {
-	var out []string
-	for _, f := range faults {
-		out = append(out, f.name)
-	}
-	slices.Sort(out)
-	return out
-}
-
 func (f *fleet) kill(m *machine) {
 	f.disturbAll(restartTime + contactTime)
 	m.process.step(eventResume)
