Let the soak find repeats and late work: attempts of once-only routes, leaving targets

Change: once-only routes allow two attempts; targets that leave serve on for 2 s after the drain time.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -154,7 +154,7 @@
 			Name: s, Host: host, Prefix: "/" + s + "/", Service: s, Idempotent: true, Timeout: routeTime, Objective: time.Second, Attempts: 2,
 		}
 		once, nested := r, r
-		once.Name, once.Prefix, once.Idempotent, once.Attempts = s+"-once", "/"+s+"/once/", false, 1
+		once.Name, once.Prefix, once.Idempotent = s+"-once", "/"+s+"/once/", false
 		nested.Name, nested.Prefix, nested.Open = s+"-nested", "/"+s+"/nested", true
 		nested.Prefix += "/"
 		routes = append(routes, r, once, nested)
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -19,6 +19,8 @@
 	targetWork = 10 * time.Millisecond
 	// beatInterval separates the heartbeats of a target.
 	beatInterval = 500 * time.Millisecond
+	// leaveTime is how long a target that leaves serves on after the drain time.
+	leaveTime = 2 * time.Second
 	// callShare is the part of the first service's requests that call the second
 	// one.
 	callShare      = 0.3
@@ -88,7 +90,7 @@
 		}
 		time.Sleep(beatInterval)
 	}
-	time.Sleep(drainTime + time.Second)
+	time.Sleep(drainTime + leaveTime)
 	if t.isCurrent(id) {
 		t.stop()
 	}
