Report the end of a suspicion only where there was one

An attempt after a broken connection carries one crash, and its completion was reported at once to all nodes.

Measured: TestAttemptAfterBrokenConnectionIsNoNews fails before.

--- a/model/call.go
+++ b/model/call.go
@@ -84,6 +84,7 @@
 	Share     Customer  // customer for whom the call is made, also by a target
 	Repeat    bool      // made for a request that was sent before
 	Crashes   int       // crashes in a row, known of its request when it was sent
+	Suspected bool      // nodes have heard of these crashes, and wait for a completion
 }
 
 // Answer is the result of a call. When Reason is empty it holds the target's
--- a/policy/dispatch/request.go
+++ b/policy/dispatch/request.go
@@ -161,7 +161,8 @@
 	r.sends++
 	attempt := *r.call
 	attempt.Repeat = attempt.Repeat || r.ran
-	attempt.Crashes = r.core.poison.Crashes(r.now, r.call) + r.broken
+	known := r.core.poison.Crashes(r.now, r.call)
+	attempt.Crashes, attempt.Suspected = known+r.broken, known > 0
 	d := r.decision()
 	d.Call, d.Peer = &attempt, t.peer
 	if r.answer != nil {
--- a/policy/poison/table.go
+++ b/policy/poison/table.go
@@ -172,9 +172,10 @@
 	r.broken = append(r.broken, brokenCall{call: call, at: now})
 }
 
-// OnCompleted takes a call that the target has answered.
+// OnCompleted takes a call that the target has answered. An attempt after one
+// whose connection broke is no news, as long as nobody has heard of a crash.
 func (r *Recorder) OnCompleted(call *model.Call) {
-	if call.Crashes > 0 {
+	if call.Suspected {
 		r.news = append(r.news, model.Crash{Fingerprint: Fingerprint(call)})
 	}
 }
--- a/policy/poison/table_test.go
+++ b/policy/poison/table_test.go
@@ -63,7 +63,9 @@
 	for range 2 * maxCrashes {
 		learn(table, start, crash(start, call("/fine", table.Crashes(start, call("/fine", 0)))))
 		var r Recorder
-		r.OnCompleted(call("/fine", table.Crashes(start, call("/fine", 0))))
+		completed := call("/fine", table.Crashes(start, call("/fine", 0)))
+		completed.Suspected = true
+		r.OnCompleted(completed)
 		learn(table, start, r.News())
 		assert.Equal(t, table.Len(), 0)
 	}
@@ -86,3 +88,11 @@
 	}
 	assert.Equal(t, table.Len(), maxSuspicions)
 }
+
+// Guards against reports to all nodes for each attempt that follows a broken
+// connection, although no target has crashed.
+func TestAttemptAfterBrokenConnectionIsNoNews(t *testing.T) {
+	var r Recorder
+	r.OnCompleted(call("/cut", 1))
+	assert.Equal(t, len(r.News()), 0)
+}
--- a/transport/frame/frame_test.go
+++ b/transport/frame/frame_test.go
@@ -20,7 +20,7 @@
 			Call: &model.Call{
 				ID: 7, Service: "registry", Method: "POST", Path: "/a?b=c", Host: "h.example", AttemptID: "a.b",
 				Customer: "herders", Share: "herders", Origin: "tally", Priority: 18, Inner: true, Idempotent: true,
-				Attempt: 2, Repeat: true, Crashes: 1, Body: []byte("body"),
+				Attempt: 2, Repeat: true, Crashes: 1, Suspected: true, Body: []byte("body"),
 				Header: http.Header{"Accept": {"a", "b"}, "X": {""}},
 			},
 			Remaining: 1500 * time.Millisecond, Objective: -time.Second,
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -58,7 +58,8 @@
 		b = appendText(b, 18, string(c.Share))
 	}
 	b = appendFlag(b, 19, c.Repeat)
-	return appendUint(b, 20, uint64(c.Crashes))
+	b = appendUint(b, 20, uint64(c.Crashes))
+	return appendFlag(b, 21, c.Suspected)
 }
 
 func decodeCall(b []byte) (Message, error) {
@@ -107,6 +108,8 @@
 			c.Repeat = f.flag()
 		case 20:
 			c.Crashes = int(f.value)
+		case 21:
+			c.Suspected = f.flag()
 		}
 		return nil
 	})
