--- /dev/null
+++ b/transport/exchange/fuzz_test.go
@@ -0,0 +1,47 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// Guards against bytes of a faulty target that end the node, or that pass for a
+// whole answer although they are cut.
+func FuzzReceive(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody")
+	f.Add("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 9\r\n\r\nbody")
+	f.Add("HTTP/1.1 200 OK\r\nId: a2\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 0\r\n\r\n")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n")
+	f.Add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nFull: 1\r\n\r\n")
+	f.Add("HTTP/1.0 200\r\n\r\nunframed")
+	f.Add("\x00\x01")
+	f.Fuzz(func(t *testing.T, text string) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = io.Copy(far, strings.NewReader(text)) // ends when the client closes
+			far.Close()
+		}()
+		defer near.Close()
+		k := &conn{Conn: near, r: bufio.NewReader(near)}
+		call := &model.Call{ID: 1, AttemptID: "a1", Method: "GET", Deadline: time.Now().Add(time.Second)}
+		a, _, again := New("test", testCodec{}).receive(context.Background(), k, call)
+		if again {
+			return
+		}
+		if a == nil || a.ID != call.ID {
+			t.Fatalf("answer %+v", a)
+		}
+		length := a.Header.Get("Content-Length")
+		if n, err := strconv.Atoi(length); a.Run == model.Completed && err == nil && n != len(a.Body) {
+			t.Fatalf("a body of %d bytes passes for %d", len(a.Body), n)
+		}
+	})
+}
