Log how old a node's knowledge of the operator's documents is

The lines of the refusals name the version in use, but not whether the log has confirmed it lately, so that a node whose read hangs looks like a node in whose log nothing is new.

mesh_refused has documents_age, the time since the log last confirmed that the node has the newest documents; the metrics have documents_age_ms; mesh_log_lost has the offset and the time that the failed call took. No decision changes.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -224,7 +224,7 @@
 	h.node.metrics.recordAnswer(d.Answer, took)
 	if d.Answer.FromNode() {
 		h.node.log.Emit(event.MeshRefused, "id", p.attemptID, "call", d.ID, "route", d.Route, "reason", d.Answer.Reason,
-			"run", d.Answer.Run, "detail", d.Answer.Detail, "config", d.ConfigVersion, "took", took)
+			"run", d.Answer.Run, "detail", d.Answer.Detail, "config", d.ConfigVersion, "documents_age", h.node.documentsAge(), "took", took)
 	} else {
 		h.node.log.Emit(event.MeshAnswered, "id", p.attemptID, "call", d.ID, "route", d.Route, "status", d.Answer.Status,
 			"config", d.ConfigVersion, "took", took)
--- a/agent/mesh/log_reader.go
+++ b/agent/mesh/log_reader.go
@@ -41,6 +41,7 @@
 
 	nextOffset  int64
 	synced      bool // the newest record of each key has been delivered
+	calledAt    time.Time
 	unavailable bool
 	backoff     time.Duration
 }
@@ -69,12 +70,14 @@
 }
 
 func (r *logReader) step(ctx context.Context) error {
+	r.calledAt = time.Now()
 	if !r.synced {
 		records, end, err := r.node.store.Newest(ctx, r.stream)
 		if err != nil {
 			return err
 		}
 		r.nextOffset, r.synced = end, true
+		r.answered()
 		r.deliver(records, end, true)
 		return nil
 	}
@@ -83,6 +86,7 @@
 		return err
 	}
 	r.nextOffset = end
+	r.answered()
 	if len(records) > 0 {
 		r.deliver(records, end, false)
 		sleep(ctx, r.readPause)
@@ -90,13 +94,21 @@
 	return nil
 }
 
+// answered records that the log has confirmed the operator's documents.
+func (r *logReader) answered() {
+	if r.stream == keyed.StreamOperator {
+		now := time.Now()
+		r.node.confirmedAt.Store(&now)
+	}
+}
+
 // logAvailability logs when the stream becomes unavailable and when it is available
 // again.
 func (r *logReader) logAvailability(err error) {
 	switch {
 	case err != nil && !r.unavailable:
 		r.unavailable = true
-		r.node.log.Emit(event.MeshLogLost, "stream", r.stream, "error", err)
+		r.node.log.Emit(event.MeshLogLost, "stream", r.stream, "offset", r.nextOffset, "waited", time.Since(r.calledAt), "error", err)
 	case err == nil && r.unavailable:
 		r.unavailable = false
 		r.node.log.Emit(event.MeshLogRegained, "stream", r.stream, "offset", r.nextOffset)
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -43,12 +44,13 @@
 
 // Node is the sidecar process of one target.
 type Node struct {
-	settings *Settings
-	store    keyed.Log
-	decoder  Decoder
-	id       model.NodeID
-	log      *event.Log
-	metrics  *metrics
+	settings  *Settings
+	store     keyed.Log
+	decoder   Decoder
+	id        model.NodeID
+	createdAt time.Time
+	log       *event.Log
+	metrics   *metrics
 
 	entry  *duty.Duty[entryMessage]
 	gate   *duty.Duty[gateMessage]
@@ -63,6 +65,9 @@
 	running    atomic.Int64 // calls that run at the target
 	queued     atomic.Int64 // calls that wait for the target
 	documents  atomic.Int64 // end offset up to which the documents are known
+	// confirmedAt is when the log last confirmed that there are no newer documents; nil
+	// until then.
+	confirmedAt atomic.Pointer[time.Time]
 
 	listener net.Listener // for links that peers open
 	servers  []*http.Server
@@ -73,13 +78,14 @@
 // New returns a node. It must be started with Start.
 func New(s *Settings, store keyed.Log, d Decoder, codec exchange.Codec, out hclog.Logger) *Node {
 	n := &Node{
-		settings: s,
-		store:    store,
-		decoder:  d,
-		id:       model.NodeID{Instance: s.Instance, Incarnation: model.Incarnation(rand.Uint64())},
-		log:      event.New(out),
-		metrics:  newMetrics(),
-		client:   exchange.New(s.TargetAddress, codec),
+		settings:  s,
+		store:     store,
+		decoder:   d,
+		id:        model.NodeID{Instance: s.Instance, Incarnation: model.Incarnation(rand.Uint64())},
+		createdAt: time.Now(),
+		log:       event.New(out),
+		metrics:   newMetrics(),
+		client:    exchange.New(s.TargetAddress, codec),
 	}
 	n.entry = newEntryDuty(n)
 	n.gate = newGateDuty(n, n.client)
@@ -87,9 +93,19 @@
 	n.metrics.vars.Set("entry", n.entry.Vars())
 	n.metrics.vars.Set("gate", n.gate.Vars())
 	n.metrics.vars.Set("peers", n.peers.Vars())
+	n.metrics.vars.Set("documents_age_ms", expvar.Func(func() any { return n.documentsAge().Milliseconds() }))
 	return n
 }
 
+// documentsAge returns the time since the log last confirmed the operator's documents,
+// or since the start of the node if it never has.
+func (n *Node) documentsAge() time.Duration {
+	if at := n.confirmedAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return time.Since(n.createdAt)
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // Handlers holds the HTTP handlers for a node's addresses.
