Bound how long a silent log counts as unchanged

Cause: a read that waits for records was sent while the store did not answer, and was lost. Its connection stayed open and silent, so the node took the silence for "no new record" for up to 27 s. All nodes were in the same state, so no peer had newer documents.

Reports to peers carry the age of the confirmation (field 10, absent from older builds), so that few nodes check. After failed checks the reads that wait are sent again, as is a read that has not delivered documents which came by a check or from a peer. Event 1037 logs a failed check, 1038 the restart of the reads; the metrics count the checks.

Ruled out: rejected or undelivered configurations (no event 1030 or 1032, no call to the store for 14 s).

--- a/agent/mesh/log_reader.go
+++ b/agent/mesh/log_reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,7 +16,8 @@
 const (
 	// readWait is how long a read of the log waits for records. It is long
 	// because the log service charges for each read. TCP keep-alives detect
-	// dead connections during the wait.
+	// dead connections during the wait; policy/freshness bounds the time for which
+	// a lost read goes unnoticed.
 	readWait = 25 * time.Second
 	// operatorReadPause and nodesReadPause are the pauses after a read that
 	// returned records. Each new record ends the pending reads of all nodes, and
@@ -31,21 +33,35 @@
 	maxBackoff     = time.Second
 )
 
-// logReader reads one stream of the log on its own thread and delivers the
-// records.
+// logAnswer is the log's answer to a read of one stream.
+type logAnswer struct {
+	records    []keyed.Record
+	end        int64
+	complete   bool // records holds the newest record of each key
+	answeredAt time.Time
+}
+
+// logReader reads one stream of the log on its own thread and delivers the answers.
 type logReader struct {
 	node      *Node
 	stream    string
 	readPause time.Duration // after a read that returned records
-	deliver   func(records []keyed.Record, end int64, complete bool)
+	// knownEnd returns the offset up to which the node has the stream from another
+	// source.
+	knownEnd func() int64
+	deliver  func(ctx context.Context, a logAnswer)
 
 	nextOffset  int64
 	synced      bool // the newest record of each key has been delivered
 	calledAt    time.Time
+	cancelRead  atomic.Pointer[context.CancelFunc] // of the read in progress
 	unavailable bool
 	backoff     time.Duration
 }
 
+// errReadRestarted reports that restart has ended a read.
+var errReadRestarted = errors.New("the read was restarted")
+
 // run reads the stream until ctx ends.
 func (r *logReader) run(ctx context.Context) {
 	runtime.LockOSThread()
@@ -56,6 +72,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errReadRestarted) {
+			continue
+		}
 		if errors.Is(err, keyed.ErrExpired) {
 			r.synced = false
 			continue
@@ -77,28 +96,42 @@
 			return err
 		}
 		r.nextOffset, r.synced = end, true
-		r.answered()
-		r.deliver(records, end, true)
+		r.deliver(ctx, logAnswer{records: records, end: end, complete: true, answeredAt: time.Now()})
 		return nil
 	}
-	records, end, err := r.node.store.Read(ctx, r.stream, r.nextOffset, readWait)
+	records, err := r.read(ctx)
 	if err != nil {
 		return err
 	}
-	r.nextOffset = end
-	r.answered()
+	r.deliver(ctx, logAnswer{records: records, end: r.nextOffset, answeredAt: time.Now()})
 	if len(records) > 0 {
-		r.deliver(records, end, false)
 		sleep(ctx, r.readPause)
 	}
 	return nil
 }
 
-// answered records that the log has confirmed the operator's documents.
-func (r *logReader) answered() {
-	if r.stream == keyed.StreamOperator {
-		now := time.Now()
-		r.node.confirmedAt.Store(&now)
+// read waits for records from the next offset on. It returns errReadRestarted if restart
+// ends it.
+func (r *logReader) read(ctx context.Context) ([]keyed.Record, error) {
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.cancelRead.Store(&cancel)
+	r.nextOffset = max(r.nextOffset, r.knownEnd())
+	records, end, err := r.node.store.Read(readCtx, r.stream, r.nextOffset, readWait)
+	if err != nil && readCtx.Err() != nil {
+		return nil, errReadRestarted
+	}
+	if err == nil {
+		r.nextOffset = end
+	}
+	return records, err
+}
+
+// restart sends the read in progress again, from the end of the records that the node
+// has. It is safe for concurrent use.
+func (r *logReader) restart() {
+	if cancel := r.cancelRead.Load(); cancel != nil {
+		(*cancel)()
 	}
 }
 
--- a/agent/mesh/metrics.go
+++ b/agent/mesh/metrics.go
@@ -25,6 +25,7 @@
 	served          expvar.Int // requests that a target answered, with any status
 	gateRefused     expvar.Int
 	probes          expvar.Int
+	logChecks       expvar.Int // checks whether the log has newer documents
 	// Bytes sent on links within the availability zone and to other zones.
 	sentInZone, sentToOtherZones *expvar.Map
 
@@ -46,6 +47,7 @@
 	m.vars.Set("refused_by_reason", m.refusedByReason)
 	m.vars.Set("gate_refused", &m.gateRefused)
 	m.vars.Set("probes", &m.probes)
+	m.vars.Set("log_checks", &m.logChecks)
 	m.vars.Set("sent_bytes_in_zone", m.sentInZone)
 	m.vars.Set("sent_bytes_to_other_zones", m.sentToOtherZones)
 	m.vars.Set("latency_us", expvar.Func(m.latencyQuantiles))
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -34,6 +34,9 @@
 	// announceTimeout bounds the wait for the gate duty's reply to an announcement
 	// or a deregistration. Targets treat a later answer as a failure.
 	announceTimeout = 900 * time.Millisecond
+	// confirmationStep is how much newer a peer's confirmation of the documents must be
+	// to be passed to the peers duty. Each report carries one.
+	confirmationStep = 100 * time.Millisecond
 )
 
 var (
@@ -57,6 +60,10 @@
 	peers  *duty.Duty[peersMessage]
 	client *exchange.Client
 
+	documentsReader *logReader
+	nodesReader     *logReader
+	checker         *logChecker
+
 	configured atomic.Bool  // a configuration is known
 	idle       atomic.Bool  // no call waits for the target or runs there
 	leaving    atomic.Bool  // the shutdown has begun, and the node reports that it is not ready
@@ -65,8 +72,8 @@
 	running    atomic.Int64 // calls that run at the target
 	queued     atomic.Int64 // calls that wait for the target
 	documents  atomic.Int64 // end offset up to which the documents are known
-	// confirmedAt is when the log last confirmed that there are no newer documents; nil
-	// until then.
+	// confirmedAt is when the log last confirmed to this node or to a peer that there
+	// are no newer documents; nil until then.
 	confirmedAt atomic.Pointer[time.Time]
 
 	listener net.Listener // for links that peers open
@@ -90,6 +97,8 @@
 	n.entry = newEntryDuty(n)
 	n.gate = newGateDuty(n, n.client)
 	n.peers = newPeersDuty(n)
+	n.checker = newLogChecker(n)
+	n.newLogReaders()
 	n.metrics.vars.Set("entry", n.entry.Vars())
 	n.metrics.vars.Set("gate", n.gate.Vars())
 	n.metrics.vars.Set("peers", n.peers.Vars())
@@ -168,16 +177,23 @@
 	})
 }
 
+// newLogReaders sets up the readers of the log's streams.
+func (n *Node) newLogReaders() {
+	n.documentsReader = &logReader{
+		node: n, stream: keyed.StreamOperator, readPause: operatorReadPause, knownEnd: n.documents.Load,
+		deliver: func(ctx context.Context, a logAnswer) { _ = n.peers.Ring().Put(ctx, documentsRead{answer: a}) },
+	}
+	n.nodesReader = &logReader{
+		node: n, stream: keyed.StreamNodes, readPause: nodesReadPause, knownEnd: func() int64 { return 0 },
+		deliver: func(ctx context.Context, a logAnswer) { _ = n.peers.Ring().Put(ctx, nodesRead{records: a.records}) },
+	}
+}
+
 // startLogThreads starts the threads that read the log and append to it.
 func (n *Node) startLogThreads(ctx context.Context) {
-	operator := &logReader{node: n, stream: keyed.StreamOperator, readPause: operatorReadPause, deliver: func(r []keyed.Record, end int64, complete bool) {
-		_ = n.peers.Ring().Put(ctx, documentsRead{records: r, end: end, complete: complete})
-	}}
-	nodes := &logReader{node: n, stream: keyed.StreamNodes, readPause: nodesReadPause, deliver: func(r []keyed.Record, _ int64, _ bool) {
-		_ = n.peers.Ring().Put(ctx, nodesRead{records: r})
-	}}
-	go operator.run(ctx)
-	go nodes.run(ctx)
+	go n.documentsReader.run(ctx)
+	go n.nodesReader.run(ctx)
+	go n.checker.run(ctx)
 	go n.publishAddress(ctx)
 }
 
@@ -308,16 +324,24 @@
 		}
 		l.info = m.Report.NodeInfo
 		n.entry.Ring().Offer(reportReceived{report: m.Report})
-		if m.Report.DocumentsEnd > n.documents.Load() {
-			n.peers.Ring().Offer(peerHasNewerDocuments{peer: l.peer.Node.Instance, end: m.Report.DocumentsEnd})
-		}
+		n.onPeerDocuments(l.peer.Node.Instance, m.Report)
 	case frame.Usage:
 		n.entry.Ring().Offer(usageReceived{node: m.Node, usage: m.Customers})
 		if m.Node == l.peer.Node && l.peer.Zone != n.settings.Zone {
 			n.peers.Ring().Offer(otherZoneUsage{usage: m})
 		}
 	case frame.Documents:
-		_ = n.peers.Ring().Put(context.Background(), documentsRead{records: m.Records, end: m.EndOffset, complete: true})
+		_ = n.peers.Ring().Put(context.Background(), peerDocuments{records: m.Records, end: m.EndOffset})
+	}
+}
+
+// onPeerDocuments compares a peer's documents with those of this node.
+func (n *Node) onPeerDocuments(peer model.Instance, r *model.NodeReport) {
+	switch end := n.documents.Load(); {
+	case r.DocumentsEnd > end:
+		n.peers.Ring().Offer(peerHasNewerDocuments{peer: peer, end: r.DocumentsEnd})
+	case r.DocumentsEnd == end && r.DocumentsAge >= 0 && r.DocumentsAge+confirmationStep < n.documentsAge():
+		n.peers.Ring().Offer(peerConfirmed{end: end, at: time.Now().Add(-r.DocumentsAge)})
 	}
 }
 
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -6,9 +6,11 @@
 
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
+	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/fleet"
+	"github.com/oleanderworks/oleanderworks/policy/freshness"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
 
@@ -53,12 +55,24 @@
 		link *link
 		err  error
 	}
-	// documentsRead carries the operator's documents: either the complete set, or
-	// records that were added to it.
-	documentsRead struct {
-		records  []keyed.Record
-		end      int64
-		complete bool
+	// documentsRead carries the log's answer to a read of the operator's documents.
+	documentsRead struct{ answer logAnswer }
+	// logChecked carries the log's answer to a check. After an error answer has no
+	// records.
+	logChecked struct {
+		answer logAnswer
+		err    error
+	}
+	// peerDocuments carries all of the operator's documents, sent by a peer.
+	peerDocuments struct {
+		records []keyed.Record
+		end     int64
+	}
+	// peerConfirmed reports that the log has confirmed to a peer that there are no
+	// documents after the offset end.
+	peerConfirmed struct {
+		end int64
+		at  time.Time
 	}
 	// peerHasNewerDocuments reports that a peer has documents up to the offset
 	// end, beyond those of this node.
@@ -89,6 +103,9 @@
 func (outgoingClosed) peersMessage()        {}
 func (incomingClosed) peersMessage()        {}
 func (documentsRead) peersMessage()         {}
+func (logChecked) peersMessage()            {}
+func (peerDocuments) peersMessage()         {}
+func (peerConfirmed) peersMessage()         {}
 func (peerHasNewerDocuments) peersMessage() {}
 func (documentsRequested) peersMessage()    {}
 func (ownReport) peersMessage()             {}
@@ -98,11 +115,12 @@
 
 // peersHandler handles the messages of the peers duty, which runs the fleet policy.
 type peersHandler struct {
-	node     *Node
-	core     *fleet.Core
-	outgoing map[model.Instance]*link // opened by this node
-	incoming map[*link]*sentReport    // opened by peers
-	loader   configLoader
+	node      *Node
+	core      *fleet.Core
+	freshness *freshness.Core
+	outgoing  map[model.Instance]*link // opened by this node
+	incoming  map[*link]*sentReport    // opened by peers
+	loader    configLoader
 
 	report        model.NodeReport // usage and crashes are set when it is sent
 	usage         map[model.Customer]model.CustomerUsage
@@ -125,6 +143,7 @@
 	return duty.New[peersMessage]("peers", peersRingCapacity, &peersHandler{
 		node:        n,
 		core:        fleet.New(n.settings.Instance, newRand()),
+		freshness:   freshness.New(newRand()),
 		outgoing:    make(map[model.Instance]*link),
 		incoming:    make(map[*link]*sentReport),
 		usage:       make(map[model.Customer]model.CustomerUsage),
@@ -143,16 +162,13 @@
 
 // Tick implements duty.Handler.
 func (h *peersHandler) Tick(now time.Time) time.Time {
-	next := h.core.Tick(now)
+	next := timers.Earlier(h.core.Tick(now), h.freshness.Tick(now))
 	h.performActions(now)
 	if !now.Before(h.nextReportAt) {
 		h.nextReportAt = now.Add(reportInterval)
 		h.sendReports(now)
 	}
-	if next.IsZero() || h.nextReportAt.Before(next) {
-		return h.nextReportAt
-	}
-	return next
+	return timers.Earlier(next, h.nextReportAt)
 }
 
 func (h *peersHandler) handle(now time.Time, m peersMessage) {
@@ -172,7 +188,15 @@
 		delete(h.incoming, m.link)
 		h.node.log.Emit(event.MeshLinkClosed, "peer", m.link.peer.Node.Instance, "by", "peer", "error", m.err)
 	case documentsRead:
-		h.onDocumentsRead(m)
+		h.onLogAnswer(now, m.answer, true)
+	case logChecked:
+		h.onLogChecked(now, m)
+	case peerDocuments:
+		h.onDocuments(h.core.OnDocuments(m.records, m.end), false)
+	case peerConfirmed:
+		if m.end == h.core.EndOffset() {
+			h.onConfirmed(now, m.at)
+		}
 	case peerHasNewerDocuments:
 		h.core.OnPeerEndOffset(now, m.peer, m.end)
 	case documentsRequested:
@@ -257,18 +281,48 @@
 	}
 }
 
-func (h *peersHandler) onDocumentsRead(m documentsRead) {
-	changed := false
-	if m.complete {
-		changed = h.core.OnDocuments(m.records, m.end)
+// onLogAnswer handles an answer of the log: to a read that waited for records, or to a
+// check.
+func (h *peersHandler) onLogAnswer(now time.Time, a logAnswer, waited bool) {
+	if a.complete {
+		h.onDocuments(h.core.OnDocuments(a.records, a.end), waited)
 	} else {
-		changed = h.core.OnRecords(m.records, m.end)
+		h.onDocuments(h.core.OnRecords(a.records, a.end), waited)
+	}
+	if a.end >= h.core.EndOffset() {
+		h.onConfirmed(now, a.answeredAt)
+	}
+}
+
+// onLogChecked handles the result of a check. The peers learn at once that the log has
+// answered, so that they need not check it.
+func (h *peersHandler) onLogChecked(now time.Time, m logChecked) {
+	if m.err != nil {
+		h.freshness.OnCheckFailed(now)
+		return
 	}
+	h.onLogAnswer(now, m.answer, false)
+	h.reportDue = true
+}
+
+func (h *peersHandler) onConfirmed(now, at time.Time) {
+	h.freshness.OnConfirmed(now, at)
+	confirmedAt := h.freshness.ConfirmedAt()
+	h.node.confirmedAt.Store(&confirmedAt)
+}
+
+// onDocuments passes changed documents on. byRead is false if they did not come from the
+// read that waits for them, which may be lost then.
+func (h *peersHandler) onDocuments(changed, byRead bool) {
 	documents, end := h.core.Documents()
 	h.node.documents.Store(end)
-	if changed {
-		h.loader.apply(documents)
-		h.reportDue = true
+	if !changed {
+		return
+	}
+	h.loader.apply(documents)
+	h.reportDue = true
+	if !byRead {
+		h.node.documentsReader.restart()
 	}
 }
 
@@ -279,6 +333,15 @@
 	if peers, changed := h.core.ChangedPeers(); changed {
 		h.node.entry.Ring().Offer(peersChanged{peers: peers})
 	}
+	h.freshness.SetLinks(len(h.incoming))
+	if h.freshness.TakeCheck() && !h.node.checker.requests.Offer(checkRequest{from: h.core.EndOffset()}) {
+		h.freshness.OnCheckFailed(now)
+	}
+	if h.freshness.TakeRestart() {
+		h.node.log.Emit(event.MeshReadsRestarted, "offset", h.core.EndOffset())
+		h.node.documentsReader.restart()
+		h.node.nodesReader.restart()
+	}
 	if h.reportDue {
 		h.sendReports(now)
 	}
@@ -304,7 +367,10 @@
 // availability zones is expensive, and peers in other zones rarely choose the
 // target, so they get its load only after a change by otherZoneLoadChange.
 func (h *peersHandler) sendReports(now time.Time) {
-	h.report.DocumentsEnd = h.core.EndOffset()
+	h.report.DocumentsEnd, h.report.DocumentsAge = h.core.EndOffset(), -1
+	if at := h.freshness.ConfirmedAt(); !at.IsZero() {
+		h.report.DocumentsAge = now.Sub(at)
+	}
 	if h.report.Node != h.node.id {
 		h.report.Node = h.node.id
 		h.report.Service, h.report.Zone = h.node.settings.Service, h.node.settings.Zone
--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -56,6 +56,10 @@
 		"The node wrote its address to the store's log.", "None.")
 	MeshAnnounceFailed = define(1036, "mesh_announce_failed", hclog.Warn,
 		"The node's address could not be written to the store's log; the node will try again.", "Check the store.")
+	MeshLogCheckFailed = define(1037, "mesh_log_check_failed", hclog.Info,
+		"A check whether the store's log has newer documents failed; the node checks again.", "If documents_age exceeds a few seconds, check the store.")
+	MeshReadsRestarted = define(1038, "mesh_reads_restarted", hclog.Info,
+		"The store answers again after failed checks; the reads that wait for records were sent again, since the store may have lost them.", "None.")
 
 	MeshLinkOpened = define(1040, "mesh_link_opened", hclog.Info,
 		"A link to another node was established.", "None.")
--- /dev/null
+++ b/policy/freshness/core_test.go
@@ -0,0 +1,126 @@
+package freshness
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// simulation is a fleet of linked nodes that check one log, in virtual time.
+type simulation struct {
+	now    time.Time
+	nodes  []*Core
+	checks int
+	silent func(now time.Time) bool
+	due    map[time.Time][]func()
+}
+
+const (
+	step         = time.Millisecond
+	answerTime   = 4 * time.Millisecond
+	relayTime    = 2 * time.Millisecond
+	checkTimeout = 500 * time.Millisecond
+)
+
+func newSimulation(nodes int) *simulation {
+	s := &simulation{now: time.Unix(1, 0), silent: func(time.Time) bool { return false }, due: make(map[time.Time][]func())}
+	for i := range nodes {
+		c := New(rand.New(rand.NewPCG(uint64(i), 7)))
+		c.SetLinks(nodes - 1)
+		c.OnConfirmed(s.now, s.now)
+		s.nodes = append(s.nodes, c)
+	}
+	return s
+}
+
+func (s *simulation) after(d time.Duration, f func()) {
+	at := s.now.Add(d)
+	s.due[at] = append(s.due[at], f)
+}
+
+// run advances the time by d and calls each after every step.
+func (s *simulation) run(d time.Duration, each func()) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(step) {
+		for _, f := range s.due[s.now] {
+			f()
+		}
+		delete(s.due, s.now)
+		for _, c := range s.nodes {
+			c.Tick(s.now)
+			if c.TakeCheck() {
+				s.check(c)
+			}
+		}
+		each()
+	}
+}
+
+func (s *simulation) check(c *Core) {
+	s.checks++
+	sentAt := s.now
+	if s.silent(s.now) {
+		s.after(checkTimeout, func() { c.OnCheckFailed(s.now) })
+		return
+	}
+	s.after(answerTime, func() {
+		c.OnConfirmed(s.now, sentAt)
+		s.after(relayTime, func() {
+			for _, peer := range s.nodes {
+				peer.OnConfirmed(s.now, sentAt)
+			}
+		})
+	})
+}
+
+// Guards against a node that takes silence for "no newer documents" for longer than a
+// configuration may take to be in force.
+func TestConfirmationIsNeverOld(t *testing.T) {
+	for _, n := range []int{1, 14, 82} {
+		s := newSimulation(n)
+		s.run(20*time.Second, func() {
+			for _, c := range s.nodes {
+				assert.Assert(t, s.now.Sub(c.ConfirmedAt()) < 1500*time.Millisecond, "%d nodes", n)
+			}
+		})
+	}
+}
+
+// Guards against checks whose number grows with the fleet.
+func TestPeersSaveChecks(t *testing.T) {
+	for _, n := range []int{14, 82} {
+		s := newSimulation(n)
+		s.run(60*time.Second, func() {})
+		perSecond := float64(s.checks) / 60
+		t.Logf("%d nodes: %.1f checks a second", n, perSecond)
+		assert.Assert(t, perSecond < 8, "%d nodes: %.1f checks a second", n, perSecond)
+	}
+}
+
+// Guards against documents that stay unconfirmed after the log has recovered, and
+// against waiting reads that are kept although the log may have dropped them.
+func TestRecoveryAfterSilence(t *testing.T) {
+	const silence = 10 * time.Second
+	for _, n := range []int{1, 14, 82} {
+		s := newSimulation(n)
+		endsAt := s.now.Add(silence)
+		s.silent = func(now time.Time) bool { return now.Before(endsAt) }
+		s.run(silence, func() {})
+		assert.Assert(t, s.checks <= int(silence/time.Second)*max(3*n, 100), "%d nodes: %d checks", n, s.checks)
+		s.run(2500*time.Millisecond, func() {})
+		for _, c := range s.nodes {
+			assert.Assert(t, c.ConfirmedAt().After(endsAt.Add(-step)), "%d nodes", n)
+			assert.Assert(t, c.TakeRestart(), "%d nodes", n)
+		}
+	}
+}
+
+// Guards against a late confirmation that makes newer ones appear older.
+func TestOlderConfirmationIsIgnored(t *testing.T) {
+	c := New(rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1, 0)
+	c.OnConfirmed(now, now)
+	c.OnConfirmed(now.Add(time.Second), now.Add(-time.Second))
+	assert.Equal(t, c.ConfirmedAt(), now)
+}
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -184,7 +184,8 @@
 
 // append omits the NodeInfo if it equals the one last sent on the link; a typical
 // report then takes about 20 bytes. Field 5, the mean run time, is in whole
-// milliseconds, so that a time below 1 ms is sent as 0.
+// milliseconds, so that a time below 1 ms is sent as 0. Field 10, the age of the
+// documents, is in milliseconds plus one; it is omitted if they were never confirmed.
 func (m Report) append(b []byte) []byte {
 	r := m.Report
 	if !m.OmitsNodeInfo {
@@ -197,6 +198,9 @@
 	b = appendUint(b, 6, uint64(r.DocumentsEnd))
 	b = appendUsage(b, 7, r.Usage)
 	b = appendUint(b, 9, uint64(r.FailureRate*failureRateScale))
+	if r.DocumentsAge >= 0 {
+		b = appendUint(b, 10, uint64(r.DocumentsAge.Milliseconds())+1)
+	}
 	for _, c := range r.Crashes {
 		b = appendNested(b, 8, func(b []byte) []byte {
 			b = appendFixed64(b, 1, c.Fingerprint)
@@ -236,7 +240,7 @@
 }
 
 func decodeReport(b []byte) (Message, error) {
-	r := &model.NodeReport{}
+	r := &model.NodeReport{DocumentsAge: -1}
 	m := Report{Report: r, OmitsNodeInfo: true}
 	err := forEachField(b, func(f field) error {
 		switch f.number {
@@ -261,6 +265,8 @@
 			return decodeCrashReport(r, f.bytes)
 		case 9:
 			r.FailureRate = float64(f.value) / failureRateScale
+		case 10:
+			r.DocumentsAge = time.Duration(f.value)*time.Millisecond - time.Millisecond
 		}
 		return nil
 	})
