Order positions in the log by era, so that a restored log is read

A position in the log was a plain offset. A restored log ends at a lower offset, so that nodes skipped its records as known; and it gives offsets out again, so that a read went on at an offset whose predecessors it had never seen.

A position is now an era and an offset, in the log's interface, the reader, the check, the documents and the messages between nodes. What the backup lacks stays in force: the configuration until there is a newer version, an availability zone out of service for 10 s. Eras are new fields of the messages; a node of an older build sends and sees era 0.

--- a/agent/mesh/config.go
+++ b/agent/mesh/config.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"slices"
 
 	"github.com/oleanderworks/oleanderworks/core/event"
@@ -23,18 +24,24 @@
 // the availability zones that are out of service to the duties. If a configuration
 // cannot be decoded or its version is not newer, the previous one stays in force.
 type configLoader struct {
-	node       *Node
-	nextOffset int64 // offset after the newest configuration record seen
-	config     *graph.Config
-	zonesOut   []model.Zone
+	node     *Node
+	position model.LogPosition // of the configuration record that was seen last
+	config   *graph.Config
+	zonesOut []model.Zone
+
+	// The configuration that was decoded last: a record is compared with the one in
+	// force before it is loaded.
+	decodedValue  []byte
+	decodedConfig *graph.Config
+	decodeError   error
 }
 
 func (c *configLoader) apply(records []keyed.Record) {
 	decoder := c.node.decoder
 	for _, r := range records {
-		if decoder.IsConfig(r) && r.Offset >= c.nextOffset {
-			c.nextOffset = r.Offset + 1
+		if decoder.IsConfig(r) && (c.config == nil || r.Position != c.position) {
 			c.load(r)
+			c.position = r.Position
 		}
 	}
 	zonesOut := decoder.ZonesOutOfService(records)
@@ -48,16 +55,51 @@
 }
 
 func (c *configLoader) load(r keyed.Record) {
-	config, err := c.node.decoder.Config(r.Value)
+	config, err := c.decode(r)
 	switch {
 	case err != nil:
-		c.node.log.Emit(event.MeshRecordRejected, "stream", keyed.StreamOperator, "key", r.Key, "offset", r.Offset, "detail", err)
-	case c.config != nil && config.Version <= c.config.Version:
-		c.node.log.Emit(event.MeshRecordRejected, "stream", keyed.StreamOperator, "key", r.Key, "offset", r.Offset,
-			"detail", "the version is not newer than the one in force", "version", config.Version, "known", c.config.Version)
-	default:
+		c.logRejected(r)
+	case c.config == nil || config.Version > c.config.Version:
 		c.config = config
-		c.node.log.Emit(event.MeshConfigured, "version", config.Version, "offset", r.Offset, "routes", len(config.Routes),
-			"services", len(config.Services), "customers", len(config.Customers))
+		c.node.log.Emit(event.MeshConfigured, "version", config.Version, "era", r.Position.Era, "offset", r.Position.Offset,
+			"routes", len(config.Routes), "services", len(config.Services), "customers", len(config.Customers))
+	case config.Version == c.config.Version && r.Position.Era != c.position.Era:
+		// The operator has written the configuration in force again after a restore.
+	default:
+		c.logRejected(r)
+	}
+}
+
+func (c *configLoader) decode(r keyed.Record) (*graph.Config, error) {
+	if c.decodedValue == nil || !bytes.Equal(r.Value, c.decodedValue) {
+		c.decodedValue = r.Value
+		c.decodedConfig, c.decodeError = c.node.decoder.Config(r.Value)
+	}
+	return c.decodedConfig, c.decodeError
+}
+
+// version returns the version of the configuration in a record, or 0 if the record holds
+// no valid one.
+func (c *configLoader) version(r keyed.Record) uint64 {
+	if !c.node.decoder.IsConfig(r) {
+		return 0
+	}
+	config, err := c.decode(r)
+	if err != nil {
+		return 0
+	}
+	return config.Version
+}
+
+// logRejected logs a configuration that was not taken, since it is invalid or not newer
+// than the one in force.
+func (c *configLoader) logRejected(r keyed.Record) {
+	config, err := c.decode(r)
+	if err != nil {
+		c.node.log.Emit(event.MeshRecordRejected, "stream", keyed.StreamOperator, "key", r.Key, "era", r.Position.Era,
+			"offset", r.Position.Offset, "detail", err)
+		return
 	}
+	c.node.log.Emit(event.MeshRecordRejected, "stream", keyed.StreamOperator, "key", r.Key, "era", r.Position.Era,
+		"offset", r.Position.Offset, "detail", "the version is not newer than the one in force", "version", config.Version)
 }
--- a/agent/mesh/log_checker.go
+++ b/agent/mesh/log_checker.go
@@ -8,6 +8,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
+	"github.com/oleanderworks/oleanderworks/model"
 )
 
 const (
@@ -19,8 +20,8 @@
 	checkTimeout = 500 * time.Millisecond
 )
 
-// checkRequest asks whether the log has operator's documents from an offset on.
-type checkRequest struct{ from int64 }
+// checkRequest asks whether the log has operator's documents from a position on.
+type checkRequest struct{ from model.LogPosition }
 
 // logChecker checks the end of the stream of the operator's documents on its own thread
 // and passes the results to the peers duty.
@@ -58,7 +59,7 @@
 	sentAt := time.Now()
 	records, end, err := c.node.store.Read(ctx, keyed.StreamOperator, request.from, 0)
 	if err != nil {
-		c.node.log.Emit(event.MeshLogCheckFailed, "offset", request.from, "documents_age", c.node.documentsAge(),
+		c.node.log.Emit(event.MeshLogCheckFailed, "era", request.from.Era, "offset", request.from.Offset, "documents_age", c.node.documentsAge(),
 			"waited", time.Since(sentAt), "error", err)
 	}
 	return logChecked{answer: logAnswer{records: records, end: end, answeredAt: sentAt}, err: err}
--- a/agent/mesh/log_reader.go
+++ b/agent/mesh/log_reader.go
@@ -11,6 +11,7 @@
 
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
+	"github.com/oleanderworks/oleanderworks/model"
 )
 
 const (
@@ -36,7 +37,7 @@
 // logAnswer is the log's answer to a read of one stream.
 type logAnswer struct {
 	records    []keyed.Record
-	end        int64
+	end        model.LogPosition
 	complete   bool // records holds the newest record of each key
 	answeredAt time.Time
 }
@@ -46,15 +47,17 @@
 	node      *Node
 	stream    string
 	readPause time.Duration // after a read that returned records
-	// knownEnd returns the offset up to which the node has the stream from another
+	// knownEnd returns the position up to which the node has the stream from another
 	// source.
-	knownEnd func() int64
+	knownEnd func() model.LogPosition
 	deliver  func(ctx context.Context, a logAnswer)
 
-	nextOffset  int64
+	next        model.LogPosition
 	synced      bool // the newest record of each key has been delivered
+	reloaded    bool // no read has been answered since the newest records were loaded again
 	calledAt    time.Time
 	cancelRead  atomic.Pointer[context.CancelFunc] // of the read in progress
+	inDoubt     atomic.Bool                        // the log may have been restored since it answered last
 	unavailable bool
 	backoff     time.Duration
 }
@@ -72,12 +75,18 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err != nil {
+			r.inDoubt.Store(true)
+		}
 		if errors.Is(err, errReadRestarted) {
 			continue
 		}
-		if errors.Is(err, keyed.ErrExpired) {
+		if positionLost(err) {
 			r.synced = false
-			continue
+			if !r.reloaded {
+				r.reloaded = true
+				continue
+			}
 		}
 		r.logAvailability(err)
 		if err != nil {
@@ -88,14 +97,20 @@
 	}
 }
 
+// positionLost reports whether the newest records must be loaded again.
+func positionLost(err error) bool {
+	return errors.Is(err, keyed.ErrExpired) || errors.Is(err, keyed.ErrOtherEra)
+}
+
 func (r *logReader) step(ctx context.Context) error {
 	r.calledAt = time.Now()
 	if !r.synced {
+		r.inDoubt.Store(false)
 		records, end, err := r.node.store.Newest(ctx, r.stream)
 		if err != nil {
 			return err
 		}
-		r.nextOffset, r.synced = end, true
+		r.next, r.synced = end, true
 		r.deliver(ctx, logAnswer{records: records, end: end, complete: true, answeredAt: time.Now()})
 		return nil
 	}
@@ -103,26 +118,34 @@
 	if err != nil {
 		return err
 	}
-	r.deliver(ctx, logAnswer{records: records, end: r.nextOffset, answeredAt: time.Now()})
+	r.reloaded = false
+	r.deliver(ctx, logAnswer{records: records, end: r.next, answeredAt: time.Now()})
 	if len(records) > 0 {
 		sleep(ctx, r.readPause)
 	}
 	return nil
 }
 
-// read waits for records from the next offset on. It returns errReadRestarted if restart
-// ends it.
+// read waits for records from the next position on. It returns errReadRestarted if restart
+// ends it. It does not wait if the log may have been restored, since it would wait for a
+// record at an offset that the log gives out again.
 func (r *logReader) read(ctx context.Context) ([]keyed.Record, error) {
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.cancelRead.Store(&cancel)
-	r.nextOffset = max(r.nextOffset, r.knownEnd())
-	records, end, err := r.node.store.Read(readCtx, r.stream, r.nextOffset, readWait)
+	if known := r.knownEnd(); r.next.Before(known) {
+		r.next = known
+	}
+	wait := readWait
+	if r.inDoubt.Swap(false) {
+		wait = 0
+	}
+	records, end, err := r.node.store.Read(readCtx, r.stream, r.next, wait)
 	if err != nil && readCtx.Err() != nil {
 		return nil, errReadRestarted
 	}
 	if err == nil {
-		r.nextOffset = end
+		r.next = end
 	}
 	return records, err
 }
@@ -130,6 +153,7 @@
 // restart sends the read in progress again, from the end of the records that the node
 // has. It is safe for concurrent use.
 func (r *logReader) restart() {
+	r.inDoubt.Store(true)
 	if cancel := r.cancelRead.Load(); cancel != nil {
 		(*cancel)()
 	}
@@ -141,10 +165,10 @@
 	switch {
 	case err != nil && !r.unavailable:
 		r.unavailable = true
-		r.node.log.Emit(event.MeshLogLost, "stream", r.stream, "offset", r.nextOffset, "waited", time.Since(r.calledAt), "error", err)
+		r.node.log.Emit(event.MeshLogLost, "stream", r.stream, "era", r.next.Era, "offset", r.next.Offset, "waited", time.Since(r.calledAt), "error", err)
 	case err == nil && r.unavailable:
 		r.unavailable = false
-		r.node.log.Emit(event.MeshLogRegained, "stream", r.stream, "offset", r.nextOffset)
+		r.node.log.Emit(event.MeshLogRegained, "stream", r.stream, "era", r.next.Era, "offset", r.next.Offset)
 	}
 }
 
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -71,7 +71,8 @@
 	serving    atomic.Int64 // requests of callers in progress
 	running    atomic.Int64 // calls that run at the target
 	queued     atomic.Int64 // calls that wait for the target
-	documents  atomic.Int64 // end offset up to which the documents are known
+	// documentsEnd is the position up to which the documents are known; nil if none are.
+	documentsEnd atomic.Pointer[model.LogPosition]
 	// confirmedAt is when the log last confirmed to this node or to a peer that there
 	// are no newer documents; nil until then.
 	confirmedAt atomic.Pointer[time.Time]
@@ -106,6 +107,14 @@
 	return n
 }
 
+// knownDocuments returns the position up to which the operator's documents are known.
+func (n *Node) knownDocuments() model.LogPosition {
+	if end := n.documentsEnd.Load(); end != nil {
+		return *end
+	}
+	return model.LogPosition{}
+}
+
 // documentsAge returns the time since the log last confirmed the operator's documents,
 // or since the start of the node if it never has.
 func (n *Node) documentsAge() time.Duration {
@@ -180,11 +189,11 @@
 // newLogReaders sets up the readers of the log's streams.
 func (n *Node) newLogReaders() {
 	n.documentsReader = &logReader{
-		node: n, stream: keyed.StreamOperator, readPause: operatorReadPause, knownEnd: n.documents.Load,
+		node: n, stream: keyed.StreamOperator, readPause: operatorReadPause, knownEnd: n.knownDocuments,
 		deliver: func(ctx context.Context, a logAnswer) { _ = n.peers.Ring().Put(ctx, documentsRead{answer: a}) },
 	}
 	n.nodesReader = &logReader{
-		node: n, stream: keyed.StreamNodes, readPause: nodesReadPause, knownEnd: func() int64 { return 0 },
+		node: n, stream: keyed.StreamNodes, readPause: nodesReadPause, knownEnd: func() model.LogPosition { return model.LogPosition{} },
 		deliver: func(ctx context.Context, a logAnswer) { _ = n.peers.Ring().Put(ctx, nodesRead{records: a.records}) },
 	}
 }
@@ -309,7 +318,7 @@
 	case frame.Cancel:
 		_ = n.gate.Ring().Put(context.Background(), callCanceled{id: m.ID})
 	case frame.DocumentsRequest:
-		n.peers.Ring().Offer(documentsRequested{link: l, end: m.EndOffset})
+		n.peers.Ring().Offer(documentsRequested{link: l, end: m.End})
 	}
 }
 
@@ -331,14 +340,14 @@
 			n.peers.Ring().Offer(otherZoneUsage{usage: m})
 		}
 	case frame.Documents:
-		_ = n.peers.Ring().Put(context.Background(), peerDocuments{records: m.Records, end: m.EndOffset})
+		_ = n.peers.Ring().Put(context.Background(), peerDocuments{records: m.Records, end: m.End})
 	}
 }
 
 // onPeerDocuments compares a peer's documents with those of this node.
 func (n *Node) onPeerDocuments(peer model.Instance, r *model.NodeReport) {
-	switch end := n.documents.Load(); {
-	case r.DocumentsEnd > end:
+	switch end := n.knownDocuments(); {
+	case end.Before(r.DocumentsEnd):
 		n.peers.Ring().Offer(peerHasNewerDocuments{peer: peer, end: r.DocumentsEnd})
 	case r.DocumentsEnd == end && r.DocumentsAge >= 0 && r.DocumentsAge+confirmationStep < n.documentsAge():
 		n.peers.Ring().Offer(peerConfirmed{end: end, at: time.Now().Add(-r.DocumentsAge)})
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -66,25 +66,25 @@
 	// peerDocuments carries all of the operator's documents, sent by a peer.
 	peerDocuments struct {
 		records []keyed.Record
-		end     int64
+		end     model.LogPosition
 	}
 	// peerConfirmed reports that the log has confirmed to a peer that there are no
-	// documents after the offset end.
+	// documents after the position end.
 	peerConfirmed struct {
-		end int64
+		end model.LogPosition
 		at  time.Time
 	}
-	// peerHasNewerDocuments reports that a peer has documents up to the offset
+	// peerHasNewerDocuments reports that a peer has documents up to the position
 	// end, beyond those of this node.
 	peerHasNewerDocuments struct {
 		peer model.Instance
-		end  int64
+		end  model.LogPosition
 	}
 	// documentsRequested is the request for documents of a peer that has them up
-	// to the offset end.
+	// to the position end.
 	documentsRequested struct {
 		link *link
-		end  int64
+		end  model.LogPosition
 	}
 	// ownReport is the state of the node's own target.
 	ownReport struct{ report *model.NodeReport }
@@ -140,16 +140,17 @@
 }
 
 func newPeersDuty(n *Node) *duty.Duty[peersMessage] {
-	return duty.New[peersMessage]("peers", peersRingCapacity, &peersHandler{
+	h := &peersHandler{
 		node:        n,
-		core:        fleet.New(n.settings.Instance, newRand()),
 		freshness:   freshness.New(newRand()),
 		outgoing:    make(map[model.Instance]*link),
 		incoming:    make(map[*link]*sentReport),
 		usage:       make(map[model.Customer]model.CustomerUsage),
 		unsentUsage: make(map[model.Customer]bool),
 		loader:      configLoader{node: n},
-	})
+	}
+	h.core = fleet.New(n.settings.Instance, h.loader.version, newRand())
+	return duty.New[peersMessage]("peers", peersRingCapacity, h)
 }
 
 // Handle implements duty.Handler.
@@ -163,6 +164,9 @@
 // Tick implements duty.Handler.
 func (h *peersHandler) Tick(now time.Time) time.Time {
 	next := timers.Earlier(h.core.Tick(now), h.freshness.Tick(now))
+	if h.core.TakeExpired() {
+		h.onDocuments(true, true)
+	}
 	h.performActions(now)
 	if !now.Before(h.nextReportAt) {
 		h.nextReportAt = now.Add(reportInterval)
@@ -192,16 +196,16 @@
 	case logChecked:
 		h.onLogChecked(now, m)
 	case peerDocuments:
-		h.onDocuments(h.core.OnDocuments(m.records, m.end), false)
+		h.onDocuments(h.core.OnDocuments(now, m.records, m.end), false)
 	case peerConfirmed:
-		if m.end == h.core.EndOffset() {
+		if m.end == h.core.End() {
 			h.onConfirmed(now, m.at)
 		}
 	case peerHasNewerDocuments:
-		h.core.OnPeerEndOffset(now, m.peer, m.end)
+		h.core.OnPeerEnd(now, m.peer, m.end)
 	case documentsRequested:
-		if documents, end := h.core.Documents(); end > m.end {
-			m.link.send(frame.Documents{EndOffset: end, Records: documents})
+		if documents, end := h.core.Documents(); m.end.Before(end) {
+			m.link.send(frame.Documents{End: end, Records: documents})
 		}
 	case ownReport:
 		h.onOwnReport(m.report)
@@ -285,11 +289,11 @@
 // check.
 func (h *peersHandler) onLogAnswer(now time.Time, a logAnswer, waited bool) {
 	if a.complete {
-		h.onDocuments(h.core.OnDocuments(a.records, a.end), waited)
+		h.onDocuments(h.core.OnDocuments(now, a.records, a.end), waited)
 	} else {
 		h.onDocuments(h.core.OnRecords(a.records, a.end), waited)
 	}
-	if a.end >= h.core.EndOffset() {
+	if !a.end.Before(h.core.End()) {
 		h.onConfirmed(now, a.answeredAt)
 	}
 }
@@ -299,6 +303,10 @@
 func (h *peersHandler) onLogChecked(now time.Time, m logChecked) {
 	if m.err != nil {
 		h.freshness.OnCheckFailed(now)
+		if positionLost(m.err) {
+			h.node.documentsReader.restart()
+			h.node.nodesReader.restart()
+		}
 		return
 	}
 	h.onLogAnswer(now, m.answer, false)
@@ -315,10 +323,19 @@
 // read that waits for them, which may be lost then.
 func (h *peersHandler) onDocuments(changed, byRead bool) {
 	documents, end := h.core.Documents()
-	h.node.documents.Store(end)
+	known := h.node.knownDocuments()
+	h.node.documentsEnd.Store(&end)
 	if !changed {
 		return
 	}
+	if end.Era > known.Era && known.Offset > 0 {
+		h.node.log.Emit(event.MeshLogRestored, "era", end.Era, "offset", end.Offset,
+			"known_era", known.Era, "known_offset", known.Offset, "retained", h.core.Retained())
+		h.node.nodesReader.restart()
+	}
+	for _, r := range h.core.TakeOutdated() {
+		h.loader.logRejected(r)
+	}
 	h.loader.apply(documents)
 	h.reportDue = true
 	if !byRead {
@@ -334,11 +351,11 @@
 		h.node.entry.Ring().Offer(peersChanged{peers: peers})
 	}
 	h.freshness.SetLinks(len(h.incoming))
-	if h.freshness.TakeCheck() && !h.node.checker.requests.Offer(checkRequest{from: h.core.EndOffset()}) {
+	if h.freshness.TakeCheck() && !h.node.checker.requests.Offer(checkRequest{from: h.core.End()}) {
 		h.freshness.OnCheckFailed(now)
 	}
 	if h.freshness.TakeRestart() {
-		h.node.log.Emit(event.MeshReadsRestarted, "offset", h.core.EndOffset())
+		h.node.log.Emit(event.MeshReadsRestarted, "era", h.core.End().Era, "offset", h.core.End().Offset)
 		h.node.documentsReader.restart()
 		h.node.nodesReader.restart()
 	}
@@ -358,7 +375,7 @@
 		}
 	case fleet.RequestDocuments:
 		if l := h.outgoing[a.Peer]; l != nil {
-			l.send(frame.DocumentsRequest{EndOffset: a.KnownEnd})
+			l.send(frame.DocumentsRequest{End: a.KnownEnd})
 		}
 	}
 }
@@ -367,7 +384,7 @@
 // availability zones is expensive, and peers in other zones rarely choose the
 // target, so they get its load only after a change by otherZoneLoadChange.
 func (h *peersHandler) sendReports(now time.Time) {
-	h.report.DocumentsEnd, h.report.DocumentsAge = h.core.EndOffset(), -1
+	h.report.DocumentsEnd, h.report.DocumentsAge = h.core.End(), -1
 	if at := h.freshness.ConfirmedAt(); !at.IsZero() {
 		h.report.DocumentsAge = now.Sub(at)
 	}
--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -61,6 +61,10 @@
 	MeshReadsRestarted = define(1038, "mesh_reads_restarted", hclog.Info,
 		"The store answers again after failed checks; the reads that wait for records were sent again, since the store may have lost them.", "None.")
 
+	MeshLogRestored = define(1039, "mesh_log_restored", hclog.Warn,
+		"The store's log was restored from a backup and began a new era. The documents in the field retained stay in force although the log lacks them.",
+		"Write again what was written since the backup.")
+
 	MeshLinkOpened = define(1040, "mesh_link_opened", hclog.Info,
 		"A link to another node was established.", "None.")
 	MeshLinkClosed = define(1041, "mesh_link_closed", hclog.Warn,
--- a/logservice/keyed/keyed.go
+++ b/logservice/keyed/keyed.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/oleanderworks/oleanderworks/model"
 )
 
 // Names of the streams that nodes read or write.
@@ -19,27 +21,31 @@
 	StreamNodes = "nodes"
 )
 
-// ErrExpired reports that some records from the requested offset on have expired. The
-// reader must start again with Newest.
-var ErrExpired = errors.New("the records have expired")
+// Both errors mean that the reader must start again with Newest.
+var (
+	// ErrExpired reports that some records from the requested position on have expired.
+	ErrExpired = errors.New("the records have expired")
+	// ErrOtherEra reports that the log is not in the era of the requested position.
+	ErrOtherEra = errors.New("the log is in another era")
+)
 
 // Record sets the value of a key, or deletes the key if the value is empty.
 type Record struct {
-	Key    string
-	Value  []byte
-	Offset int64
+	Key      string
+	Value    []byte
+	Position model.LogPosition
 }
 
 // Log is a client of the log. Its errors name the failed operation and its subject, such
 // as a path.
 type Log interface {
-	// Newest returns the newest record of each key, and the offset from which to read
-	// later records.
-	Newest(ctx context.Context, stream string) ([]Record, int64, error)
-	// Read returns the records from an offset on, and the offset after them. If there
-	// are none, it waits for a record for at most wait. It returns ErrExpired if some
-	// of the requested records have expired.
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) ([]Record, int64, error)
+	// Newest returns the newest record of each key, and the position from which to read
+	// later records. It returns ErrOtherEra if the log was restored meanwhile.
+	Newest(ctx context.Context, stream string) ([]Record, model.LogPosition, error)
+	// Read returns the records from a position on, and the position after them. If
+	// there are none, it waits for a record for at most wait. It returns ErrExpired or
+	// ErrOtherEra if the log does not have the position any more.
+	Read(ctx context.Context, stream string, from model.LogPosition, wait time.Duration) ([]Record, model.LogPosition, error)
 	// Append adds a record. After an error the record may have been added, or may
 	// still be added later.
 	Append(ctx context.Context, stream, key string, value []byte) error
--- /dev/null
+++ b/model/log.go
@@ -0,0 +1,20 @@
+package model
+
+import "cmp"
+
+// LogPosition is a place in a stream of the log. A log that is restored from a backup
+// begins a new era, in which it gives out the offsets after the backup again. Offsets of
+// different eras therefore cannot be compared.
+type LogPosition struct {
+	Era    uint64 // number of restores
+	Offset int64
+}
+
+// Compare returns a negative number if p is before q, 0 if they are equal, and a positive
+// number otherwise.
+func (p LogPosition) Compare(q LogPosition) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Offset, q.Offset))
+}
+
+// Before reports whether p is before q.
+func (p LogPosition) Before(q LogPosition) bool { return p.Compare(q) < 0 }
--- a/policy/fleet/core.go
+++ b/policy/fleet/core.go
@@ -42,7 +42,7 @@
 // RequestDocuments requests the operator's documents from a peer.
 type RequestDocuments struct {
 	Peer     model.Instance
-	KnownEnd int64 // end offset of the documents that the node has
+	KnownEnd model.LogPosition // up to which the node has the documents
 }
 
 func (Dial) action()             {}
@@ -69,8 +69,8 @@
 	dialTimers *timers.Queue[model.Instance]
 	actions    []Action
 
-	documents         map[string]keyed.Record
-	endOffset         int64
+	documents         *documentSet
+	documentsExpired  bool           // documents have been dropped since the last call of TakeExpired
 	requestDelayStart time.Time      // when a peer first reported newer documents, or when they were last requested; zero if no peer has newer ones
 	documentSource    model.Instance // peer that last reported newer documents
 	peersChanged      bool           // the set of peers has changed since the last call of ChangedPeers
@@ -85,13 +85,13 @@
 }
 
 // New returns a core without peers and documents.
-func New(self model.Instance, rng *rand.Rand) *Core {
+func New(self model.Instance, version VersionFunc, rng *rand.Rand) *Core {
 	c := &Core{
 		self:       self,
 		rng:        rng,
 		peers:      make(map[model.Instance]*peer),
 		dialTimers: timers.New[model.Instance](),
-		documents:  make(map[string]keyed.Record),
+		documents:  newDocumentSet(version),
 	}
 	c.machine = chart.MustCompile(charts.MustRead("mesh_peer"), chart.Binding[*peer]{
 		States: []string{"waiting", "dialing", "up", "removed"},
@@ -175,9 +175,9 @@
 // OnLinkClosed handles the end of a link.
 func (c *Core) OnLinkClosed(now time.Time, id model.Instance) { c.step(now, id, eventClosed) }
 
-// OnPeerEndOffset handles a peer's report of the end offset of its documents.
-func (c *Core) OnPeerEndOffset(now time.Time, id model.Instance, endOffset int64) {
-	if endOffset <= c.endOffset {
+// OnPeerEnd handles a peer's report of the position up to which it has the documents.
+func (c *Core) OnPeerEnd(now time.Time, id model.Instance, end model.LogPosition) {
+	if !c.documents.end.Before(end) {
 		return
 	}
 	if c.requestDelayStart.IsZero() {
@@ -196,83 +196,70 @@
 		}
 		c.step(now, id, eventDialDue)
 	}
-	next := c.dialTimers.NextDue()
+	if c.documents.expire(now) {
+		c.documentsExpired = true
+	}
+	next := timers.Earlier(c.dialTimers.NextDue(), c.documents.retainUntil)
 	if c.requestDelayStart.IsZero() {
 		return next
 	}
 	requestAt := c.requestDelayStart.Add(documentRequestDelay)
 	if !now.Before(requestAt) {
-		c.actions = append(c.actions, RequestDocuments{Peer: c.documentSource, KnownEnd: c.endOffset})
+		c.actions = append(c.actions, RequestDocuments{Peer: c.documentSource, KnownEnd: c.documents.end})
 		c.requestDelayStart = now
 		requestAt = now.Add(documentRequestDelay)
 	}
-	if next.IsZero() || requestAt.Before(next) {
-		return requestAt
-	}
-	return next
+	return timers.Earlier(next, requestAt)
 }
 
-// OnDocuments replaces all documents with those up to an end offset, which come from the
+// OnDocuments replaces all documents with those up to a position, which come from the
 // log or from a peer. If they are not newer than the known ones, it changes nothing and
-// returns false.
-func (c *Core) OnDocuments(records []keyed.Record, endOffset int64) bool {
-	if endOffset <= c.endOffset {
+// returns false. After a restore of the log, documents that the log lacks stay in force:
+// the configuration until there is a newer version, others for retentionTime.
+func (c *Core) OnDocuments(now time.Time, records []keyed.Record, end model.LogPosition) bool {
+	if !c.documents.end.Before(end) {
 		return false
 	}
-	clear(c.documents)
-	for _, r := range records {
-		c.setDocument(r)
-	}
-	c.advanceEndOffset(endOffset)
+	c.documents.replace(now, records, end)
+	c.requestDelayStart = time.Time{}
 	return true
 }
 
-// OnRecords applies records of the log up to an end offset and skips those that were
+// OnRecords applies records of the log up to a position and skips those that were
 // already applied. It reports whether any was new.
-func (c *Core) OnRecords(records []keyed.Record, endOffset int64) bool {
-	changed := false
-	for _, r := range records {
-		if r.Offset >= c.endOffset {
-			c.setDocument(r)
-			changed = true
-		}
+func (c *Core) OnRecords(records []keyed.Record, end model.LogPosition) bool {
+	known := c.documents.end
+	added := c.documents.add(records, end)
+	if known.Before(c.documents.end) {
+		c.requestDelayStart = time.Time{}
 	}
-	c.advanceEndOffset(endOffset)
-	return changed
+	return added
 }
 
-// setDocument stores a document, or deletes it if its value is empty.
-func (c *Core) setDocument(r keyed.Record) {
-	if len(r.Value) == 0 {
-		delete(c.documents, r.Key)
-		return
-	}
-	c.documents[r.Key] = r
+// Documents returns the operator's documents sorted by key, and the position up to which
+// they are complete.
+func (c *Core) Documents() ([]keyed.Record, model.LogPosition) {
+	return c.documents.list(), c.documents.end
 }
 
-// advanceEndOffset raises the end offset and cancels the request for newer documents.
-func (c *Core) advanceEndOffset(endOffset int64) {
-	if endOffset > c.endOffset {
-		c.endOffset = endOffset
-		c.requestDelayStart = time.Time{}
-	}
-}
+// End returns the position up to which the documents are complete.
+func (c *Core) End() model.LogPosition { return c.documents.end }
 
-// Documents returns the operator's documents sorted by key, and the end offset up to
-// which they are complete.
-func (c *Core) Documents() ([]keyed.Record, int64) {
-	documents := make([]keyed.Record, 0, len(c.documents))
-	for _, r := range c.documents {
-		documents = append(documents, r)
-	}
-	slices.SortFunc(documents, func(a, b keyed.Record) int {
-		if a.Key < b.Key {
-			return -1
-		}
-		return 1
-	})
-	return documents, c.endOffset
+// Retained returns the sorted keys of the documents that stay in force although the log
+// lacks them.
+func (c *Core) Retained() []string { return c.documents.retained() }
+
+// TakeOutdated returns and clears the records that were not taken because a newer version
+// of their document is known.
+func (c *Core) TakeOutdated() []keyed.Record {
+	outdated := c.documents.outdated
+	c.documents.outdated = nil
+	return outdated
 }
 
-// EndOffset returns the end offset up to which the documents are complete.
-func (c *Core) EndOffset() int64 { return c.endOffset }
+// TakeExpired reports whether documents have been dropped by Tick since the last call.
+func (c *Core) TakeExpired() bool {
+	expired := c.documentsExpired
+	c.documentsExpired = false
+	return expired
+}
--- a/policy/fleet/core_test.go
+++ b/policy/fleet/core_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,10 +20,22 @@
 
 var start = time.Unix(1000, 0)
 
-func newCore() *Core { return New(self, rand.New(rand.NewPCG(1, 1))) }
+// newCore returns a core for which documents "config" with values such as "v12" have a
+// version.
+func newCore() *Core {
+	version := func(r keyed.Record) uint64 {
+		version, _ := strconv.ParseUint(strings.TrimPrefix(string(r.Value), "v"), 10, 64)
+		return version
+	}
+	return New(self, version, rand.New(rand.NewPCG(1, 1)))
+}
+
+func at(era uint64, offset int64) model.LogPosition {
+	return model.LogPosition{Era: era, Offset: offset}
+}
 
 func record(key, value string, offset int64) keyed.Record {
-	return keyed.Record{Key: key, Value: []byte(value), Offset: offset}
+	return keyed.Record{Key: key, Value: []byte(value), Position: at(0, offset)}
 }
 
 // Guards against a node dialing itself, or dialing a peer twice.
@@ -73,20 +87,20 @@
 // after a peer has sent newer documents.
 func TestOlderDocumentsAreIgnored(t *testing.T) {
 	c := newCore()
-	assert.Assert(t, c.OnDocuments([]keyed.Record{record("config", "v2", 5)}, 6))
-	assert.Assert(t, !c.OnDocuments([]keyed.Record{record("config", "v1", 3)}, 4))
-	assert.Assert(t, !c.OnRecords([]keyed.Record{record("config", "v1", 3)}, 4))
+	assert.Assert(t, c.OnDocuments(start, []keyed.Record{record("config", "v2", 5)}, at(0, 6)))
+	assert.Assert(t, !c.OnDocuments(start, []keyed.Record{record("config", "v1", 3)}, at(0, 4)))
+	assert.Assert(t, !c.OnRecords([]keyed.Record{record("config", "v1", 3)}, at(0, 4)))
 	list, end := c.Documents()
 	assert.Equal(t, string(list[0].Value), "v2")
-	assert.Equal(t, end, int64(6))
+	assert.Equal(t, end, at(0, 6))
 }
 
 // Guards against keeping an availability zone out of service after its document was
 // deleted.
 func TestDeletedDocument(t *testing.T) {
 	c := newCore()
-	c.OnDocuments([]keyed.Record{record("config", "v1", 0), record("zone", "out", 1)}, 2)
-	assert.Assert(t, c.OnRecords([]keyed.Record{record("zone", "", 2)}, 3))
+	c.OnDocuments(start, []keyed.Record{record("config", "v1", 0), record("zone", "out", 1)}, at(0, 2))
+	assert.Assert(t, c.OnRecords([]keyed.Record{record("zone", "", 2)}, at(0, 3)))
 	list, _ := c.Documents()
 	assert.Equal(t, len(list), 1)
 }
@@ -99,12 +113,12 @@
 	c.Tick(start)
 	c.Actions()
 	c.OnConnected(start, peer1)
-	c.OnPeerEndOffset(start, peer1, 3)
+	c.OnPeerEnd(start, peer1, at(0, 3))
 	c.Tick(start.Add(documentRequestDelay / 2))
 	assert.Equal(t, len(c.Actions()), 0)
 	c.Tick(start.Add(documentRequestDelay))
-	assert.DeepEqual(t, c.Actions(), []Action{RequestDocuments{Peer: peer1, KnownEnd: 0}})
-	c.OnDocuments([]keyed.Record{record("config", "v1", 0)}, 3)
+	assert.DeepEqual(t, c.Actions(), []Action{RequestDocuments{Peer: peer1, KnownEnd: at(0, 0)}})
+	c.OnDocuments(start, []keyed.Record{record("config", "v1", 0)}, at(0, 3))
 	c.Tick(start.Add(time.Minute))
 	assert.Equal(t, len(c.Actions()), 0)
 }
@@ -122,3 +136,86 @@
 	c.Tick(start.Add(time.Minute))
 	assert.Equal(t, len(c.Actions()), 0)
 }
+
+func recordIn(era uint64, key, value string, offset int64) keyed.Record {
+	return keyed.Record{Key: key, Value: []byte(value), Position: at(era, offset)}
+}
+
+func values(c *Core) map[string]string {
+	list, _ := c.Documents()
+	out := make(map[string]string)
+	for _, r := range list {
+		out[r.Key] = string(r.Value)
+	}
+	return out
+}
+
+// Guards against skipping the records of a restored log because their offsets are lower
+// than known ones, and against going back to an era that has ended.
+func TestNewEraReplacesHigherOffsets(t *testing.T) {
+	c := newCore()
+	c.OnDocuments(start, []keyed.Record{record("config", "v2", 7)}, at(0, 8))
+	assert.Assert(t, c.OnDocuments(start, []keyed.Record{recordIn(1, "config", "v1", 1)}, at(1, 2)))
+	assert.Assert(t, c.OnRecords([]keyed.Record{recordIn(1, "config", "v3", 2)}, at(1, 3)))
+	assert.Equal(t, values(c)["config"], "v3")
+	assert.Assert(t, !c.OnDocuments(start, []keyed.Record{record("config", "v9", 8)}, at(0, 9)))
+	assert.Assert(t, !c.OnRecords([]keyed.Record{record("config", "v9", 8)}, at(0, 9)))
+	assert.Equal(t, c.End(), at(1, 3))
+}
+
+// Guards against applying the records of a new era to the documents of an older one.
+func TestRecordsOfNewEraNeedItsDocuments(t *testing.T) {
+	c := newCore()
+	c.OnDocuments(start, []keyed.Record{record("config", "v2", 1)}, at(0, 2))
+	assert.Assert(t, !c.OnRecords([]keyed.Record{recordIn(1, "zone", "out", 4)}, at(1, 5)))
+	assert.Equal(t, c.End(), at(0, 2))
+}
+
+// Guards against a restored log whose older configuration, or an invalid one, replaces the
+// newest known.
+func TestRestoredLogDoesNotRevertConfiguration(t *testing.T) {
+	c := newCore()
+	c.OnDocuments(start, []keyed.Record{record("config", "v5", 3)}, at(0, 4))
+	c.OnDocuments(start, []keyed.Record{recordIn(1, "config", "v2", 1)}, at(1, 2))
+	assert.Equal(t, values(c)["config"], "v5")
+	assert.Equal(t, len(c.TakeOutdated()), 1)
+	c.OnRecords([]keyed.Record{recordIn(1, "config", "v4", 2), recordIn(1, "config", "invalid", 3)}, at(1, 4))
+	assert.Equal(t, values(c)["config"], "v5")
+	c.Tick(start.Add(time.Hour))
+	c.OnDocuments(start, nil, at(2, 0))
+	assert.Equal(t, values(c)["config"], "v5")
+	assert.DeepEqual(t, c.Retained(), []string{"config"})
+	c.OnRecords([]keyed.Record{recordIn(2, "config", "v5", 0)}, at(2, 1))
+	assert.Equal(t, len(c.Retained()), 0)
+}
+
+// Guards against an availability zone that returns to service because the restored log
+// lacks its document, and against one that stays out for ever.
+func TestDocumentThatRestoredLogLacksIsRetained(t *testing.T) {
+	c := newCore()
+	c.OnDocuments(start, []keyed.Record{record("zone", "out", 3)}, at(0, 4))
+	c.OnDocuments(start, nil, at(1, 2))
+	c.Tick(start.Add(retentionTime - time.Millisecond))
+	assert.Assert(t, !c.TakeExpired())
+	assert.Equal(t, values(c)["zone"], "out")
+	assert.Equal(t, c.Tick(start.Add(retentionTime-time.Millisecond)), start.Add(retentionTime))
+	c.Tick(start.Add(retentionTime))
+	assert.Assert(t, c.TakeExpired())
+	assert.Equal(t, len(values(c)), 0)
+	assert.Assert(t, c.Tick(start.Add(retentionTime)).IsZero())
+}
+
+// Guards against ending a retention that the operator has made unnecessary by writing the
+// document again, and against retaining one that was deleted since the restore.
+func TestRetainedDocumentFollowsNewRecords(t *testing.T) {
+	c := newCore()
+	c.OnDocuments(start, []keyed.Record{record("north", "out", 3), record("south", "out", 4)}, at(0, 5))
+	c.OnDocuments(start, nil, at(1, 1))
+	c.OnRecords([]keyed.Record{recordIn(1, "north", "out", 1), recordIn(1, "south", "", 2)}, at(1, 3))
+	assert.DeepEqual(t, values(c), map[string]string{"north": "out"})
+	// The set of a peer that has not read the deletion.
+	c.OnDocuments(start, []keyed.Record{recordIn(1, "north", "out", 1), record("south", "out", 4)}, at(1, 4))
+	assert.DeepEqual(t, values(c), map[string]string{"north": "out"})
+	c.Tick(start.Add(retentionTime))
+	assert.DeepEqual(t, values(c), map[string]string{"north": "out"})
+}
--- /dev/null
+++ b/policy/fleet/documents.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/logservice/keyed"
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// retentionTime is how long a document without a version stays in force after a restore
+// of the log, if the log lacks it. The operator writes such a document again within it;
+// one that is not wanted any more must not stay.
+const retentionTime = 10 * time.Second
+
+// VersionFunc returns the version of a document that must never be replaced by an older
+// one, or 0 if the document has none or is invalid.
+type VersionFunc func(keyed.Record) uint64
+
+// documentSet holds the operator's documents: the newest record of each key up to the
+// position end. When the log has begun a new era, because it was restored from a backup,
+// the set also retains documents of older eras that the log lacks: one with a version
+// until the log has a newer version, the others until retainUntil.
+type documentSet struct {
+	version     VersionFunc
+	byKey       map[string]document
+	end         model.LogPosition
+	retainUntil time.Time       // zero if only documents with a version can be retained
+	deleted     map[string]bool // keys deleted in the current era, until retainUntil
+	outdated    []keyed.Record  // records that were not taken because of their version
+}
+
+type document struct {
+	record  keyed.Record
+	version uint64
+}
+
+func newDocumentSet(version VersionFunc) *documentSet {
+	return &documentSet{version: version, byKey: make(map[string]document), deleted: make(map[string]bool)}
+}
+
+// replace takes the complete set of documents up to end, which is after the known end,
+// and retains known documents that the log lacks. A set that a peer sends may hold
+// retained documents as well.
+func (s *documentSet) replace(now time.Time, records []keyed.Record, end model.LogPosition) {
+	if end.Era != s.end.Era {
+		s.retainUntil = now.Add(retentionTime)
+		clear(s.deleted)
+	}
+	candidates := slices.Collect(maps.Values(s.byKey))
+	s.end, s.byKey = end, make(map[string]document)
+	for _, r := range records {
+		if r.Position.Era < end.Era {
+			candidates = append(candidates, document{record: r, version: s.version(r)})
+			continue
+		}
+		s.set(r)
+	}
+	for _, d := range candidates {
+		s.retain(now, d)
+	}
+}
+
+// retain keeps a document that the log may lack.
+func (s *documentSet) retain(now time.Time, d document) {
+	key := d.record.Key
+	current, known := s.byKey[key]
+	if d.version > 0 {
+		if current.version < d.version {
+			s.byKey[key] = d
+			s.reject(current.record)
+		}
+		return
+	}
+	if !known && !s.deleted[key] && d.record.Position.Era < s.end.Era && now.Before(s.retainUntil) {
+		s.byKey[key] = d
+	}
+}
+
+// reject notes that a record was not taken because of its version.
+func (s *documentSet) reject(r keyed.Record) {
+	if r.Key != "" && r.Position.Era == s.end.Era {
+		s.outdated = append(s.outdated, r)
+	}
+}
+
+// add applies records of the log up to a position and skips those that were already
+// applied. It reports whether any was new.
+func (s *documentSet) add(records []keyed.Record, end model.LogPosition) bool {
+	if end.Era != s.end.Era {
+		return false // the complete set of the new era comes first
+	}
+	added := false
+	for _, r := range records {
+		if !r.Position.Before(s.end) {
+			s.set(r)
+			added = true
+		}
+	}
+	if s.end.Before(end) {
+		s.end = end
+	}
+	return added
+}
+
+// set stores a record of the current era, or deletes the document if its value is empty.
+// A document with a version is only replaced.
+func (s *documentSet) set(r keyed.Record) {
+	known := s.byKey[r.Key]
+	if len(r.Value) == 0 {
+		if known.version == 0 {
+			delete(s.byKey, r.Key)
+		}
+		if !s.retainUntil.IsZero() {
+			s.deleted[r.Key] = true
+		}
+		return
+	}
+	d := document{record: r, version: s.version(r)}
+	if d.version < known.version {
+		s.reject(r)
+		return
+	}
+	s.byKey[r.Key] = d
+}
+
+// expire drops the retained documents without a version when their time is up, and
+// reports whether there were any.
+func (s *documentSet) expire(now time.Time) bool {
+	if s.retainUntil.IsZero() || now.Before(s.retainUntil) {
+		return false
+	}
+	s.retainUntil = time.Time{}
+	clear(s.deleted)
+	count := len(s.byKey)
+	maps.DeleteFunc(s.byKey, func(_ string, d document) bool {
+		return d.version == 0 && d.record.Position.Era < s.end.Era
+	})
+	return len(s.byKey) < count
+}
+
+// retained returns the sorted keys of the documents that the log lacks.
+func (s *documentSet) retained() []string {
+	var keys []string
+	for key, d := range s.byKey {
+		if d.record.Position.Era < s.end.Era {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// list returns the documents sorted by key.
+func (s *documentSet) list() []keyed.Record {
+	out := make([]keyed.Record, 0, len(s.byKey))
+	for _, key := range slices.Sorted(maps.Keys(s.byKey)) {
+		out = append(out, s.byKey[key].record)
+	}
+	return out
+}
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -93,14 +93,14 @@
 }
 
 // DocumentsRequest asks for the operator's documents if the receiver has newer
-// ones than those up to EndOffset.
-type DocumentsRequest struct{ EndOffset int64 }
+// ones than those up to End.
+type DocumentsRequest struct{ End model.LogPosition }
 
-// Documents holds all of the operator's documents as of an end offset of the
-// log.
+// Documents holds all of the operator's documents as of a position in the log. Records
+// of older eras are not in the log any more.
 type Documents struct {
-	EndOffset int64
-	Records   []keyed.Record
+	End     model.LogPosition
+	Records []keyed.Record
 }
 
 // Ping only shows that the sender is alive. It has no fields.
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -195,12 +195,13 @@
 	b = appendUint(b, 3, uint64(r.Running))
 	b = appendUint(b, 4, uint64(r.Queued))
 	b = appendUint(b, 5, uint64(r.MeanRunTime.Milliseconds()))
-	b = appendUint(b, 6, uint64(r.DocumentsEnd))
+	b = appendUint(b, 6, uint64(r.DocumentsEnd.Offset))
 	b = appendUsage(b, 7, r.Usage)
 	b = appendUint(b, 9, uint64(r.FailureRate*failureRateScale))
 	if r.DocumentsAge >= 0 {
 		b = appendUint(b, 10, uint64(r.DocumentsAge.Milliseconds())+1)
 	}
+	b = appendUint(b, 11, r.DocumentsEnd.Era)
 	for _, c := range r.Crashes {
 		b = appendNested(b, 8, func(b []byte) []byte {
 			b = appendFixed64(b, 1, c.Fingerprint)
@@ -256,7 +257,7 @@
 		case 5:
 			r.MeanRunTime = time.Duration(f.value) * time.Millisecond
 		case 6:
-			r.DocumentsEnd = int64(f.value)
+			r.DocumentsEnd.Offset = int64(f.value)
 		case 7:
 			u, err := decodeCustomerUsage(f.bytes)
 			r.Usage = append(r.Usage, u)
@@ -267,6 +268,8 @@
 			r.FailureRate = float64(f.value) / failureRateScale
 		case 10:
 			r.DocumentsAge = time.Duration(f.value)*time.Millisecond - time.Millisecond
+		case 11:
+			r.DocumentsEnd.Era = f.value
 		}
 		return nil
 	})
@@ -328,13 +331,19 @@
 	return err
 }
 
-func (m DocumentsRequest) append(b []byte) []byte { return appendUint(b, 1, uint64(m.EndOffset)) }
+func (m DocumentsRequest) append(b []byte) []byte {
+	b = appendUint(b, 1, uint64(m.End.Offset))
+	return appendUint(b, 2, m.End.Era)
+}
 
 func decodeDocumentsRequest(b []byte) (Message, error) {
 	var m DocumentsRequest
 	err := forEachField(b, func(f field) error {
-		if f.number == 1 {
-			m.EndOffset = int64(f.value)
+		switch f.number {
+		case 1:
+			m.End.Offset = int64(f.value)
+		case 2:
+			m.End.Era = f.value
 		}
 		return nil
 	})
@@ -342,15 +351,16 @@
 }
 
 func (m Documents) append(b []byte) []byte {
-	b = appendUint(b, 1, uint64(m.EndOffset))
+	b = appendUint(b, 1, uint64(m.End.Offset))
 	for _, record := range m.Records {
 		b = appendNested(b, 2, func(b []byte) []byte {
 			b = appendString(b, 1, record.Key)
 			b = appendBytes(b, 2, record.Value)
-			return appendUint(b, 3, uint64(record.Offset))
+			b = appendUint(b, 3, uint64(record.Position.Offset))
+			return appendUint(b, 4, record.Position.Era)
 		})
 	}
-	return b
+	return appendUint(b, 3, m.End.Era)
 }
 
 func decodeDocuments(b []byte) (Message, error) {
@@ -358,11 +368,13 @@
 	err := forEachField(b, func(f field) error {
 		switch f.number {
 		case 1:
-			m.EndOffset = int64(f.value)
+			m.End.Offset = int64(f.value)
 		case 2:
 			record, err := decodeRecord(f.bytes)
 			m.Records = append(m.Records, record)
 			return err
+		case 3:
+			m.End.Era = f.value
 		}
 		return nil
 	})
@@ -378,7 +390,9 @@
 		case 2:
 			record.Value = f.bytes
 		case 3:
-			record.Offset = int64(f.value)
+			record.Position.Offset = int64(f.value)
+		case 4:
+			record.Position.Era = f.value
 		}
 		return nil
 	})
