Start with the peers' documents after a restore of the log

A node that started while the restored log lacked the newest configuration applied the older one and refused a valid key with 401, and sent to an availability zone whose document the log lacked: only its peers know what was acknowledged before the restore. A node that had missed a configuration before the restore did not get it either, since its position was that of its peers.

A node that starts and reads a log that has been restored before waits for the documents of a peer, at most 1 s, before it applies anything. Reports and requests state the version of the configuration besides the position, as new fields; a node that waits states none. A peer's documents are merged: a newer configuration, and what the peer retains, for no longer than the peer does.

--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -71,8 +71,8 @@
 	serving    atomic.Int64 // requests of callers in progress
 	running    atomic.Int64 // calls that run at the target
 	queued     atomic.Int64 // calls that wait for the target
-	// documentsEnd is the position up to which the documents are known; nil if none are.
-	documentsEnd atomic.Pointer[model.LogPosition]
+	// documents states which documents are known; nil if none are.
+	documents atomic.Pointer[model.DocumentsState]
 	// confirmedAt is when the log last confirmed to this node or to a peer that there
 	// are no newer documents; nil until then.
 	confirmedAt atomic.Pointer[time.Time]
@@ -107,12 +107,12 @@
 	return n
 }
 
-// knownDocuments returns the position up to which the operator's documents are known.
-func (n *Node) knownDocuments() model.LogPosition {
-	if end := n.documentsEnd.Load(); end != nil {
-		return *end
+// knownDocuments states which of the operator's documents are known.
+func (n *Node) knownDocuments() model.DocumentsState {
+	if state := n.documents.Load(); state != nil {
+		return *state
 	}
-	return model.LogPosition{}
+	return model.DocumentsState{}
 }
 
 // documentsAge returns the time since the log last confirmed the operator's documents,
@@ -189,8 +189,9 @@
 // newLogReaders sets up the readers of the log's streams.
 func (n *Node) newLogReaders() {
 	n.documentsReader = &logReader{
-		node: n, stream: keyed.StreamOperator, readPause: operatorReadPause, knownEnd: n.knownDocuments,
-		deliver: func(ctx context.Context, a logAnswer) { _ = n.peers.Ring().Put(ctx, documentsRead{answer: a}) },
+		node: n, stream: keyed.StreamOperator, readPause: operatorReadPause,
+		knownEnd: func() model.LogPosition { return n.knownDocuments().End },
+		deliver:  func(ctx context.Context, a logAnswer) { _ = n.peers.Ring().Put(ctx, documentsRead{answer: a}) },
 	}
 	n.nodesReader = &logReader{
 		node: n, stream: keyed.StreamNodes, readPause: nodesReadPause, knownEnd: func() model.LogPosition { return model.LogPosition{} },
@@ -318,7 +319,7 @@
 	case frame.Cancel:
 		_ = n.gate.Ring().Put(context.Background(), callCanceled{id: m.ID})
 	case frame.DocumentsRequest:
-		n.peers.Ring().Offer(documentsRequested{link: l, end: m.End})
+		n.peers.Ring().Offer(documentsRequested{link: l, known: m.Known})
 	}
 }
 
@@ -340,17 +341,17 @@
 			n.peers.Ring().Offer(otherZoneUsage{usage: m})
 		}
 	case frame.Documents:
-		_ = n.peers.Ring().Put(context.Background(), peerDocuments{records: m.Records, end: m.End})
+		_ = n.peers.Ring().Put(context.Background(), peerDocuments{documents: m})
 	}
 }
 
 // onPeerDocuments compares a peer's documents with those of this node.
 func (n *Node) onPeerDocuments(peer model.Instance, r *model.NodeReport) {
-	switch end := n.knownDocuments(); {
-	case end.Before(r.DocumentsEnd):
-		n.peers.Ring().Offer(peerHasNewerDocuments{peer: peer, end: r.DocumentsEnd})
-	case r.DocumentsEnd == end && r.DocumentsAge >= 0 && r.DocumentsAge+confirmationStep < n.documentsAge():
-		n.peers.Ring().Offer(peerConfirmed{end: end, at: time.Now().Add(-r.DocumentsAge)})
+	switch known := n.knownDocuments(); {
+	case known.Lacks(r.Documents):
+		n.peers.Ring().Offer(peerHasNewerDocuments{peer: peer, state: r.Documents})
+	case r.Documents.End == known.End && r.DocumentsAge >= 0 && r.DocumentsAge+confirmationStep < n.documentsAge():
+		n.peers.Ring().Offer(peerConfirmed{end: known.End, at: time.Now().Add(-r.DocumentsAge)})
 	}
 }
 
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -64,27 +64,24 @@
 		err    error
 	}
 	// peerDocuments carries all of the operator's documents, sent by a peer.
-	peerDocuments struct {
-		records []keyed.Record
-		end     model.LogPosition
-	}
+	peerDocuments struct{ documents frame.Documents }
 	// peerConfirmed reports that the log has confirmed to a peer that there are no
 	// documents after the position end.
 	peerConfirmed struct {
 		end model.LogPosition
 		at  time.Time
 	}
-	// peerHasNewerDocuments reports that a peer has documents up to the position
-	// end, beyond those of this node.
+	// peerHasNewerDocuments reports that a peer has documents that this node does
+	// not have.
 	peerHasNewerDocuments struct {
-		peer model.Instance
-		end  model.LogPosition
+		peer  model.Instance
+		state model.DocumentsState
 	}
-	// documentsRequested is the request for documents of a peer that has them up
-	// to the position end.
+	// documentsRequested is the request of a peer for documents that it does not
+	// have.
 	documentsRequested struct {
-		link *link
-		end  model.LogPosition
+		link  *link
+		known model.DocumentsState
 	}
 	// ownReport is the state of the node's own target.
 	ownReport struct{ report *model.NodeReport }
@@ -164,9 +161,6 @@
 // Tick implements duty.Handler.
 func (h *peersHandler) Tick(now time.Time) time.Time {
 	next := timers.Earlier(h.core.Tick(now), h.freshness.Tick(now))
-	if h.core.TakeExpired() {
-		h.onDocuments(true, true)
-	}
 	h.performActions(now)
 	if !now.Before(h.nextReportAt) {
 		h.nextReportAt = now.Add(reportInterval)
@@ -196,17 +190,16 @@
 	case logChecked:
 		h.onLogChecked(now, m)
 	case peerDocuments:
-		h.onDocuments(h.core.OnDocuments(now, m.records, m.end), false)
+		d := m.documents
+		h.onDocuments(h.core.OnPeerDocuments(now, d.Records, d.End, d.RetainedFor), false)
 	case peerConfirmed:
 		if m.end == h.core.End() {
 			h.onConfirmed(now, m.at)
 		}
 	case peerHasNewerDocuments:
-		h.core.OnPeerEnd(now, m.peer, m.end)
+		h.core.OnPeerState(now, m.peer, m.state)
 	case documentsRequested:
-		if documents, end := h.core.Documents(); m.end.Before(end) {
-			m.link.send(frame.Documents{End: end, Records: documents})
-		}
+		h.sendDocuments(now, m)
 	case ownReport:
 		h.onOwnReport(m.report)
 	case ownUsage:
@@ -322,9 +315,8 @@
 // onDocuments passes changed documents on. byRead is false if they did not come from the
 // read that waits for them, which may be lost then.
 func (h *peersHandler) onDocuments(changed, byRead bool) {
-	documents, end := h.core.Documents()
-	known := h.node.knownDocuments()
-	h.node.documentsEnd.Store(&end)
+	end, known := h.core.End(), h.node.knownDocuments().End
+	h.storeState()
 	if !changed {
 		return
 	}
@@ -333,20 +325,45 @@
 			"known_era", known.Era, "known_offset", known.Offset, "retained", h.core.Retained())
 		h.node.nodesReader.restart()
 	}
+	h.reportDue = true
+	if !byRead && end != known {
+		h.node.documentsReader.restart()
+	}
+}
+
+// storeState tells the other threads which documents are known.
+func (h *peersHandler) storeState() {
+	if state := h.core.State(); state != h.node.knownDocuments() {
+		h.node.documents.Store(&state)
+	}
+}
+
+func (h *peersHandler) applyDocuments() {
 	for _, r := range h.core.TakeOutdated() {
 		h.loader.logRejected(r)
 	}
+	documents, _ := h.core.Documents()
 	h.loader.apply(documents)
+	h.storeState()
 	h.reportDue = true
-	if !byRead {
-		h.node.documentsReader.restart()
+}
+
+// sendDocuments sends a peer the documents that it does not have.
+func (h *peersHandler) sendDocuments(now time.Time, m documentsRequested) {
+	if h.core.Joining() || !m.known.Lacks(h.core.State()) {
+		return
 	}
+	documents, end := h.core.Documents()
+	m.link.send(frame.Documents{End: end, Records: documents, RetainedFor: h.core.RetainedFor(now)})
 }
 
 func (h *peersHandler) performActions(now time.Time) {
 	for _, a := range h.core.Actions() {
 		h.performAction(a)
 	}
+	if h.core.TakeDocumentsChanged() {
+		h.applyDocuments()
+	}
 	if peers, changed := h.core.ChangedPeers(); changed {
 		h.node.entry.Ring().Offer(peersChanged{peers: peers})
 	}
@@ -375,7 +392,7 @@
 		}
 	case fleet.RequestDocuments:
 		if l := h.outgoing[a.Peer]; l != nil {
-			l.send(frame.DocumentsRequest{End: a.KnownEnd})
+			l.send(frame.DocumentsRequest{Known: a.Known})
 		}
 	}
 }
@@ -384,7 +401,7 @@
 // availability zones is expensive, and peers in other zones rarely choose the
 // target, so they get its load only after a change by otherZoneLoadChange.
 func (h *peersHandler) sendReports(now time.Time) {
-	h.report.DocumentsEnd, h.report.DocumentsAge = h.core.End(), -1
+	h.report.Documents, h.report.DocumentsAge = h.core.State(), -1
 	if at := h.freshness.ConfirmedAt(); !at.IsZero() {
 		h.report.DocumentsAge = now.Sub(at)
 	}
--- a/model/log.go
+++ b/model/log.go
@@ -18,3 +18,17 @@
 
 // Before reports whether p is before q.
 func (p LogPosition) Before(q LogPosition) bool { return p.Compare(q) < 0 }
+
+// DocumentsState states which of the operator's documents a node has.
+type DocumentsState struct {
+	End LogPosition // up to which the node has read the documents
+	// Version is the version of the node's configuration. It is stated only if the log
+	// was restored, since a node may then have a newer one than the log up to End; it
+	// is 0 otherwise, and while the node waits for its peers' documents.
+	Version uint64
+}
+
+// Lacks reports whether a peer has documents that the node does not have.
+func (s DocumentsState) Lacks(peer DocumentsState) bool {
+	return s.End.Before(peer.End) || s.Version < peer.Version
+}
--- a/model/report.go
+++ b/model/report.go
@@ -62,9 +62,9 @@
 	Cold         bool
 	Running      int
 	Queued       int
-	FailureRate  float64         // fraction of calls that fail at the target, 0 to 1
-	MeanRunTime  time.Duration   // recent mean run time of a request; 0 if none ran recently
-	DocumentsEnd LogPosition     // position in the log up to which the node has read the operator's documents
+	FailureRate  float64       // fraction of calls that fail at the target, 0 to 1
+	MeanRunTime  time.Duration // recent mean run time of a request; 0 if none ran recently
+	Documents    DocumentsState
 	DocumentsAge time.Duration   // time since the log confirmed that there are no newer documents; negative if it never has
 	Usage        []CustomerUsage // customers whose usage has changed
 	Crashes      []CrashReport   // since the last report
--- a/policy/fleet/core.go
+++ b/policy/fleet/core.go
@@ -27,6 +27,9 @@
 	// the node requests them, and the time between two such requests. Usually the node
 	// reads them from the log before that.
 	documentRequestDelay = 300 * time.Millisecond
+	// joinTimeout is how long a node that starts with a restored log waits for the
+	// documents of a peer. Without peers that have been up for longer there are none.
+	joinTimeout = time.Second
 )
 
 // Action is an operation that the node must execute: Dial, CloseLink or
@@ -41,8 +44,8 @@
 
 // RequestDocuments requests the operator's documents from a peer.
 type RequestDocuments struct {
-	Peer     model.Instance
-	KnownEnd model.LogPosition // up to which the node has the documents
+	Peer  model.Instance
+	Known model.DocumentsState // what the node has
 }
 
 func (Dial) action()             {}
@@ -70,7 +73,8 @@
 	actions    []Action
 
 	documents         *documentSet
-	documentsExpired  bool           // documents have been dropped since the last call of TakeExpired
+	documentsChanged  bool           // documents have changed since the last call of TakeDocumentsChanged
+	joinDeadline      time.Time      // zero unless the node has started with a restored log and waits for a peer's documents
 	requestDelayStart time.Time      // when a peer first reported newer documents, or when they were last requested; zero if no peer has newer ones
 	documentSource    model.Instance // peer that last reported newer documents
 	peersChanged      bool           // the set of peers has changed since the last call of ChangedPeers
@@ -175,13 +179,17 @@
 // OnLinkClosed handles the end of a link.
 func (c *Core) OnLinkClosed(now time.Time, id model.Instance) { c.step(now, id, eventClosed) }
 
-// OnPeerEnd handles a peer's report of the position up to which it has the documents.
-func (c *Core) OnPeerEnd(now time.Time, id model.Instance, end model.LogPosition) {
-	if !c.documents.end.Before(end) {
+// OnPeerState handles a peer's report of the documents that it has. A node that joins
+// requests them at once.
+func (c *Core) OnPeerState(now time.Time, id model.Instance, state model.DocumentsState) {
+	if !c.State().Lacks(state) {
 		return
 	}
 	if c.requestDelayStart.IsZero() {
 		c.requestDelayStart = now
+		if c.Joining() {
+			c.requestDelayStart = now.Add(-documentRequestDelay)
+		}
 	}
 	c.documentSource = id
 }
@@ -197,31 +205,58 @@
 		c.step(now, id, eventDialDue)
 	}
 	if c.documents.expire(now) {
-		c.documentsExpired = true
+		c.documentsChanged = true
+	}
+	if c.Joining() && !now.Before(c.joinDeadline) {
+		c.joinDeadline = time.Time{}
 	}
-	next := timers.Earlier(c.dialTimers.NextDue(), c.documents.retainUntil)
+	next := timers.Earlier(c.dialTimers.NextDue(), timers.Earlier(c.documents.retainUntil, c.joinDeadline))
 	if c.requestDelayStart.IsZero() {
 		return next
 	}
 	requestAt := c.requestDelayStart.Add(documentRequestDelay)
 	if !now.Before(requestAt) {
-		c.actions = append(c.actions, RequestDocuments{Peer: c.documentSource, KnownEnd: c.documents.end})
+		c.actions = append(c.actions, RequestDocuments{Peer: c.documentSource, Known: c.State()})
 		c.requestDelayStart = now
 		requestAt = now.Add(documentRequestDelay)
 	}
 	return timers.Earlier(next, requestAt)
 }
 
-// OnDocuments replaces all documents with those up to a position, which come from the
-// log or from a peer. If they are not newer than the known ones, it changes nothing and
-// returns false. After a restore of the log, documents that the log lacks stay in force:
-// the configuration until there is a newer version, others for retentionTime.
+// OnDocuments replaces all documents with those of the log up to a position. If they are
+// not newer than the known ones, it changes nothing and returns false. After a restore of
+// the log, documents that the log lacks stay in force: the configuration until there is a
+// newer version, others for retentionTime. A node that has just started does not know
+// these, and waits for the documents of a peer.
 func (c *Core) OnDocuments(now time.Time, records []keyed.Record, end model.LogPosition) bool {
+	joins := end.Era > 0 && c.documents.end == (model.LogPosition{})
+	replaced := c.replaceDocuments(now, records, end)
+	if joins {
+		c.joinDeadline = now.Add(joinTimeout)
+		if c.documentSource != "" {
+			c.requestDelayStart = now.Add(-documentRequestDelay)
+		}
+	}
+	return replaced
+}
+
+// OnPeerDocuments takes what the node lacks from a peer's documents, and reports whether
+// there was any. retainedFor is how long the peer retains documents without a version.
+func (c *Core) OnPeerDocuments(now time.Time, records []keyed.Record, end model.LogPosition, retainedFor time.Duration) bool {
+	c.joinDeadline, c.requestDelayStart = time.Time{}, time.Time{}
+	replaced := c.replaceDocuments(now, records, end)
+	merged := c.documents.merge(now, records, end, retainedFor)
+	c.documentsChanged = c.documentsChanged || merged
+	return replaced || merged
+}
+
+func (c *Core) replaceDocuments(now time.Time, records []keyed.Record, end model.LogPosition) bool {
 	if !c.documents.end.Before(end) {
 		return false
 	}
 	c.documents.replace(now, records, end)
 	c.requestDelayStart = time.Time{}
+	c.documentsChanged = true
 	return true
 }
 
@@ -233,6 +268,7 @@
 	if known.Before(c.documents.end) {
 		c.requestDelayStart = time.Time{}
 	}
+	c.documentsChanged = c.documentsChanged || added
 	return added
 }
 
@@ -257,9 +293,32 @@
 	return outdated
 }
 
-// TakeExpired reports whether documents have been dropped by Tick since the last call.
-func (c *Core) TakeExpired() bool {
-	expired := c.documentsExpired
-	c.documentsExpired = false
-	return expired
+// Joining reports whether the node waits for a peer's documents, since it has started with
+// a restored log, which may lack documents that are in force. Until it ends, the node's
+// documents must not be applied or sent to peers.
+func (c *Core) Joining() bool { return !c.joinDeadline.IsZero() }
+
+// State states which documents the node has.
+func (c *Core) State() model.DocumentsState {
+	state := model.DocumentsState{End: c.documents.end}
+	if state.End.Era > 0 && !c.Joining() {
+		state.Version = c.documents.newestVersion()
+	}
+	return state
+}
+
+// RetainedFor returns how long documents without a version stay in force that the log
+// lacks.
+func (c *Core) RetainedFor(now time.Time) time.Duration {
+	return max(c.documents.retainUntil.Sub(now), 0)
+}
+
+// TakeDocumentsChanged reports whether the documents have changed since it last returned
+// true. It returns false while the node joins.
+func (c *Core) TakeDocumentsChanged() bool {
+	if c.Joining() || !c.documentsChanged {
+		return false
+	}
+	c.documentsChanged = false
+	return true
 }
--- a/policy/fleet/core_test.go
+++ b/policy/fleet/core_test.go
@@ -113,11 +113,11 @@
 	c.Tick(start)
 	c.Actions()
 	c.OnConnected(start, peer1)
-	c.OnPeerEnd(start, peer1, at(0, 3))
+	c.OnPeerState(start, peer1, model.DocumentsState{End: at(0, 3)})
 	c.Tick(start.Add(documentRequestDelay / 2))
 	assert.Equal(t, len(c.Actions()), 0)
 	c.Tick(start.Add(documentRequestDelay))
-	assert.DeepEqual(t, c.Actions(), []Action{RequestDocuments{Peer: peer1, KnownEnd: at(0, 0)}})
+	assert.DeepEqual(t, c.Actions(), []Action{RequestDocuments{Peer: peer1, Known: model.DocumentsState{}}})
 	c.OnDocuments(start, []keyed.Record{record("config", "v1", 0)}, at(0, 3))
 	c.Tick(start.Add(time.Minute))
 	assert.Equal(t, len(c.Actions()), 0)
@@ -195,12 +195,13 @@
 	c := newCore()
 	c.OnDocuments(start, []keyed.Record{record("zone", "out", 3)}, at(0, 4))
 	c.OnDocuments(start, nil, at(1, 2))
+	assert.Assert(t, c.TakeDocumentsChanged())
 	c.Tick(start.Add(retentionTime - time.Millisecond))
-	assert.Assert(t, !c.TakeExpired())
+	assert.Assert(t, !c.TakeDocumentsChanged())
 	assert.Equal(t, values(c)["zone"], "out")
 	assert.Equal(t, c.Tick(start.Add(retentionTime-time.Millisecond)), start.Add(retentionTime))
 	c.Tick(start.Add(retentionTime))
-	assert.Assert(t, c.TakeExpired())
+	assert.Assert(t, c.TakeDocumentsChanged())
 	assert.Equal(t, len(values(c)), 0)
 	assert.Assert(t, c.Tick(start.Add(retentionTime)).IsZero())
 }
@@ -214,8 +215,83 @@
 	c.OnRecords([]keyed.Record{recordIn(1, "north", "out", 1), recordIn(1, "south", "", 2)}, at(1, 3))
 	assert.DeepEqual(t, values(c), map[string]string{"north": "out"})
 	// The set of a peer that has not read the deletion.
-	c.OnDocuments(start, []keyed.Record{recordIn(1, "north", "out", 1), record("south", "out", 4)}, at(1, 4))
+	c.OnPeerDocuments(start, []keyed.Record{recordIn(1, "north", "out", 1), record("south", "out", 4)}, at(1, 4), retentionTime)
 	assert.DeepEqual(t, values(c), map[string]string{"north": "out"})
 	c.Tick(start.Add(retentionTime))
 	assert.DeepEqual(t, values(c), map[string]string{"north": "out"})
 }
+
+// joiningCore returns a core that has started after a restore of the log.
+func joiningCore() *Core {
+	c := newCore()
+	c.OnDiscovered(start, peer1)
+	c.Tick(start)
+	c.OnConnected(start, peer1)
+	c.OnDocuments(start, []keyed.Record{recordIn(1, "config", "v2", 1)}, at(1, 2))
+	c.Actions()
+	return c
+}
+
+// Guards against a starting node that applies the older configuration of a restored log, or
+// sends it to a peer, although a peer has a newer one.
+func TestStartAfterRestoreWaitsForPeersDocuments(t *testing.T) {
+	c := joiningCore()
+	assert.Assert(t, c.Joining() && !c.TakeDocumentsChanged())
+	assert.Equal(t, c.State(), model.DocumentsState{End: at(1, 2)})
+	c.OnPeerState(start, peer1, model.DocumentsState{End: at(1, 2), Version: 5})
+	c.Tick(start)
+	assert.DeepEqual(t, c.Actions(), []Action{RequestDocuments{Peer: peer1, Known: c.State()}})
+	assert.Assert(t, c.OnPeerDocuments(start, []keyed.Record{record("config", "v5", 3), record("zone", "out", 4)}, at(1, 2), time.Second))
+	assert.Assert(t, !c.Joining() && c.TakeDocumentsChanged())
+	assert.DeepEqual(t, values(c), map[string]string{"config": "v5", "zone": "out"})
+	assert.Equal(t, c.State(), model.DocumentsState{End: at(1, 2), Version: 5})
+	c.Tick(start.Add(time.Second)) // the end of the peer's retention
+	assert.DeepEqual(t, values(c), map[string]string{"config": "v5"})
+}
+
+// Guards against a starting node that waits for its peers' documents for ever, and against
+// waiting for those of a peer that waits as well.
+func TestStartAfterRestoreWithoutPeers(t *testing.T) {
+	c := joiningCore()
+	c.OnPeerState(start, peer1, model.DocumentsState{End: at(1, 2)})
+	assert.Equal(t, c.Tick(start), start.Add(joinTimeout))
+	assert.Equal(t, len(c.Actions()), 0)
+	c.Tick(start.Add(joinTimeout))
+	assert.Assert(t, c.TakeDocumentsChanged())
+	assert.DeepEqual(t, values(c), map[string]string{"config": "v2"})
+}
+
+// Guards against a wait for a peer's documents that its report, which came before those of
+// the log, could have ended.
+func TestStartAfterRestoreRequestsFromKnownPeer(t *testing.T) {
+	c := newCore()
+	c.OnPeerState(start, peer1, model.DocumentsState{End: at(1, 2), Version: 5})
+	c.OnDocuments(start, []keyed.Record{recordIn(1, "config", "v2", 1)}, at(1, 2))
+	c.Tick(start)
+	assert.DeepEqual(t, c.Actions(), []Action{RequestDocuments{Peer: peer1, Known: c.State()}})
+}
+
+// Guards against a node that has missed a configuration before a restore and does not get
+// it from a peer, since both have the same position.
+func TestNewerVersionAtSamePositionIsRequested(t *testing.T) {
+	c := newCore()
+	c.OnDocuments(start, []keyed.Record{record("config", "v4", 2)}, at(0, 3))
+	c.OnDocuments(start, []keyed.Record{recordIn(1, "config", "v2", 1)}, at(1, 2))
+	c.OnPeerState(start, peer1, model.DocumentsState{End: at(1, 2), Version: 5})
+	c.Tick(start.Add(documentRequestDelay))
+	assert.DeepEqual(t, c.Actions(), []Action{RequestDocuments{Peer: peer1, Known: model.DocumentsState{End: at(1, 2), Version: 4}}})
+	assert.Assert(t, c.OnPeerDocuments(start, []keyed.Record{record("config", "v5", 3)}, at(1, 2), retentionTime))
+	assert.Equal(t, values(c)["config"], "v5")
+	c.Tick(start.Add(time.Minute))
+	assert.Equal(t, len(c.Actions()), 0)
+}
+
+// Guards against the documents of a peer that has not noticed the restore yet replacing
+// those of the restored log.
+func TestPeersDocumentsOfOlderEra(t *testing.T) {
+	c := joiningCore()
+	c.OnRecords([]keyed.Record{recordIn(1, "config", "v6", 2)}, at(1, 3))
+	c.OnPeerDocuments(start, []keyed.Record{record("config", "v5", 8), record("zone", "out", 7)}, at(0, 9), 0)
+	assert.DeepEqual(t, values(c), map[string]string{"config": "v6", "zone": "out"})
+	assert.Equal(t, c.End(), at(1, 3))
+}
--- a/policy/fleet/documents.go
+++ b/policy/fleet/documents.go
@@ -41,41 +41,57 @@
 }
 
 // replace takes the complete set of documents up to end, which is after the known end,
-// and retains known documents that the log lacks. A set that a peer sends may hold
-// retained documents as well.
+// and retains known documents that the log lacks. It ignores records of older eras.
 func (s *documentSet) replace(now time.Time, records []keyed.Record, end model.LogPosition) {
 	if end.Era != s.end.Era {
 		s.retainUntil = now.Add(retentionTime)
 		clear(s.deleted)
 	}
-	candidates := slices.Collect(maps.Values(s.byKey))
+	known := s.byKey
 	s.end, s.byKey = end, make(map[string]document)
 	for _, r := range records {
-		if r.Position.Era < end.Era {
-			candidates = append(candidates, document{record: r, version: s.version(r)})
-			continue
+		if r.Position.Era == end.Era {
+			s.set(r)
 		}
-		s.set(r)
 	}
-	for _, d := range candidates {
+	for _, d := range known {
 		s.retain(now, d)
 	}
 }
 
-// retain keeps a document that the log may lack.
-func (s *documentSet) retain(now time.Time, d document) {
+// merge takes the documents that the log lacks from the set of a peer, and reports whether
+// there were any new ones. retainedFor is how long the peer retains those without a
+// version.
+func (s *documentSet) merge(now time.Time, records []keyed.Record, end model.LogPosition, retainedFor time.Duration) bool {
+	if until := now.Add(retainedFor); end.Era == s.end.Era && until.Before(s.retainUntil) {
+		s.retainUntil = until // so that nodes that start do not prolong it in turn
+	}
+	merged := false
+	for _, r := range records {
+		if s.retain(now, document{record: r, version: s.version(r)}) {
+			merged = true
+		}
+	}
+	return merged
+}
+
+// retain takes a document that the log may lack and reports whether it is a new one.
+func (s *documentSet) retain(now time.Time, d document) bool {
 	key := d.record.Key
 	current, known := s.byKey[key]
 	if d.version > 0 {
-		if current.version < d.version {
-			s.byKey[key] = d
-			s.reject(current.record)
+		if current.version >= d.version {
+			return false
 		}
-		return
-	}
-	if !known && !s.deleted[key] && d.record.Position.Era < s.end.Era && now.Before(s.retainUntil) {
 		s.byKey[key] = d
+		s.reject(current.record)
+		return true
+	}
+	if known || s.deleted[key] || d.record.Position.Era >= s.end.Era || !now.Before(s.retainUntil) {
+		return false
 	}
+	s.byKey[key] = d
+	return true
 }
 
 // reject notes that a record was not taken because of its version.
@@ -140,6 +156,15 @@
 	return len(s.byKey) < count
 }
 
+// newestVersion returns the highest version of a document, or 0 if none has a version.
+func (s *documentSet) newestVersion() uint64 {
+	newest := uint64(0)
+	for _, d := range s.byKey {
+		newest = max(newest, d.version)
+	}
+	return newest
+}
+
 // retained returns the sorted keys of the documents that the log lacks.
 func (s *documentSet) retained() []string {
 	var keys []string
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -93,14 +93,15 @@
 }
 
 // DocumentsRequest asks for the operator's documents if the receiver has newer
-// ones than those up to End.
-type DocumentsRequest struct{ End model.LogPosition }
+// ones than the known ones.
+type DocumentsRequest struct{ Known model.DocumentsState }
 
 // Documents holds all of the operator's documents as of a position in the log. Records
-// of older eras are not in the log any more.
+// of older eras are retained: the log lacks them since it was restored.
 type Documents struct {
-	End     model.LogPosition
-	Records []keyed.Record
+	End         model.LogPosition
+	Records     []keyed.Record
+	RetainedFor time.Duration // for how long retained documents without a version stay in force
 }
 
 // Ping only shows that the sender is alive. It has no fields.
--- a/transport/frame/frame_test.go
+++ b/transport/frame/frame_test.go
@@ -35,14 +35,14 @@
 				Node: model.NodeID{Instance: "10.0.0.1:7000", Incarnation: 5}, Target: "t1", Service: "registry",
 				Zone: "north", State: model.TargetLeaving, Limit: 16, ColdRate: 25,
 			},
-			Cold: true, Running: 3, Queued: 2, MeanRunTime: 20 * time.Millisecond, DocumentsEnd: model.LogPosition{Era: 2, Offset: 12}, DocumentsAge: 30 * time.Millisecond, FailureRate: 0.25,
+			Cold: true, Running: 3, Queued: 2, MeanRunTime: 20 * time.Millisecond, Documents: model.DocumentsState{End: model.LogPosition{Era: 2, Offset: 12}, Version: 9}, DocumentsAge: 30 * time.Millisecond, FailureRate: 0.25,
 			Usage:   []model.CustomerUsage{{Customer: "herders", Admitted: 7, Demand: 1.25}},
 			Crashes: []model.CrashReport{{Fingerprint: 1 << 60, Count: 2}, {Fingerprint: 5}},
 		}},
 		Report{Report: &model.NodeReport{Running: 1}, OmitsNodeInfo: true},
 		Report{Report: &model.NodeReport{DocumentsAge: -1}, OmitsNodeInfo: true},
-		DocumentsRequest{End: model.LogPosition{Era: 1, Offset: 3}},
-		Documents{End: model.LogPosition{Era: 1, Offset: 4}, Records: []keyed.Record{
+		DocumentsRequest{Known: model.DocumentsState{End: model.LogPosition{Era: 1, Offset: 3}, Version: 8}},
+		Documents{End: model.LogPosition{Era: 1, Offset: 4}, RetainedFor: 3 * time.Second, Records: []keyed.Record{
 			{Key: "config", Value: []byte("{}"), Position: model.LogPosition{Offset: 3}},
 			{Key: "zone", Value: []byte("out"), Position: model.LogPosition{Era: 1, Offset: 3}},
 		}},
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -195,13 +195,14 @@
 	b = appendUint(b, 3, uint64(r.Running))
 	b = appendUint(b, 4, uint64(r.Queued))
 	b = appendUint(b, 5, uint64(r.MeanRunTime.Milliseconds()))
-	b = appendUint(b, 6, uint64(r.DocumentsEnd.Offset))
+	b = appendUint(b, 6, uint64(r.Documents.End.Offset))
 	b = appendUsage(b, 7, r.Usage)
 	b = appendUint(b, 9, uint64(r.FailureRate*failureRateScale))
 	if r.DocumentsAge >= 0 {
 		b = appendUint(b, 10, uint64(r.DocumentsAge.Milliseconds())+1)
 	}
-	b = appendUint(b, 11, r.DocumentsEnd.Era)
+	b = appendUint(b, 11, r.Documents.End.Era)
+	b = appendUint(b, 12, r.Documents.Version)
 	for _, c := range r.Crashes {
 		b = appendNested(b, 8, func(b []byte) []byte {
 			b = appendFixed64(b, 1, c.Fingerprint)
@@ -257,7 +258,7 @@
 		case 5:
 			r.MeanRunTime = time.Duration(f.value) * time.Millisecond
 		case 6:
-			r.DocumentsEnd.Offset = int64(f.value)
+			r.Documents.End.Offset = int64(f.value)
 		case 7:
 			u, err := decodeCustomerUsage(f.bytes)
 			r.Usage = append(r.Usage, u)
@@ -269,7 +270,9 @@
 		case 10:
 			r.DocumentsAge = time.Duration(f.value)*time.Millisecond - time.Millisecond
 		case 11:
-			r.DocumentsEnd.Era = f.value
+			r.Documents.End.Era = f.value
+		case 12:
+			r.Documents.Version = f.value
 		}
 		return nil
 	})
@@ -332,8 +335,9 @@
 }
 
 func (m DocumentsRequest) append(b []byte) []byte {
-	b = appendUint(b, 1, uint64(m.End.Offset))
-	return appendUint(b, 2, m.End.Era)
+	b = appendUint(b, 1, uint64(m.Known.End.Offset))
+	b = appendUint(b, 2, m.Known.End.Era)
+	return appendUint(b, 3, m.Known.Version)
 }
 
 func decodeDocumentsRequest(b []byte) (Message, error) {
@@ -341,9 +345,11 @@
 	err := forEachField(b, func(f field) error {
 		switch f.number {
 		case 1:
-			m.End.Offset = int64(f.value)
+			m.Known.End.Offset = int64(f.value)
 		case 2:
-			m.End.Era = f.value
+			m.Known.End.Era = f.value
+		case 3:
+			m.Known.Version = f.value
 		}
 		return nil
 	})
@@ -360,7 +366,8 @@
 			return appendUint(b, 4, record.Position.Era)
 		})
 	}
-	return appendUint(b, 3, m.End.Era)
+	b = appendUint(b, 3, m.End.Era)
+	return appendUint(b, 4, uint64(m.RetainedFor.Milliseconds()))
 }
 
 func decodeDocuments(b []byte) (Message, error) {
@@ -375,6 +382,8 @@
 			return err
 		case 3:
 			m.End.Era = f.value
+		case 4:
+			m.RetainedFor = time.Duration(f.value) * time.Millisecond
 		}
 		return nil
 	})
