Write the node's address to a restored log again

A log that is restored from a backup may lack addresses that nodes wrote since. Nodes wrote theirs only once, at their start, so that the list stayed without them, and a node that started later could find them only by their own dials.

A node that loads the list of nodes in a new era and does not find its address writes it again, once for each restore (policy/fleet). The append has a thread of its own as before; it now serves requests.

--- a/agent/mesh/log_reader.go
+++ b/agent/mesh/log_reader.go
@@ -186,23 +186,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// publishAddress appends the node's address to the stream of nodes. An append
-// whose answer was lost can be repeated safely, since a second record with the
-// same key replaces the first.
-func (n *Node) publishAddress(ctx context.Context) {
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	backoff := initialBackoff
-	value := []byte(`{"zone":"` + string(n.settings.Zone) + `"}`)
-	for ctx.Err() == nil {
-		err := n.store.Append(ctx, keyed.StreamNodes, string(n.settings.Instance), value)
-		if err == nil {
-			n.log.Emit(event.MeshAnnounced, "address", n.settings.Instance)
-			return
-		}
-		n.log.Emit(event.MeshAnnounceFailed, "error", err)
-		sleep(ctx, backoff/2+time.Duration(rand.Float64()*float64(backoff)))
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -63,6 +63,7 @@
 	documentsReader *logReader
 	nodesReader     *logReader
 	checker         *logChecker
+	publisher       *addressPublisher
 
 	configured atomic.Bool  // a configuration is known
 	idle       atomic.Bool  // no call waits for the target or runs there
@@ -99,6 +100,7 @@
 	n.gate = newGateDuty(n, n.client)
 	n.peers = newPeersDuty(n)
 	n.checker = newLogChecker(n)
+	n.publisher = newAddressPublisher(n)
 	n.newLogReaders()
 	n.metrics.vars.Set("entry", n.entry.Vars())
 	n.metrics.vars.Set("gate", n.gate.Vars())
@@ -195,7 +197,7 @@
 	}
 	n.nodesReader = &logReader{
 		node: n, stream: keyed.StreamNodes, readPause: nodesReadPause, knownEnd: func() model.LogPosition { return model.LogPosition{} },
-		deliver: func(ctx context.Context, a logAnswer) { _ = n.peers.Ring().Put(ctx, nodesRead{records: a.records}) },
+		deliver: func(ctx context.Context, a logAnswer) { _ = n.peers.Ring().Put(ctx, nodesRead{answer: a}) },
 	}
 }
 
@@ -204,7 +206,8 @@
 	go n.documentsReader.run(ctx)
 	go n.nodesReader.run(ctx)
 	go n.checker.run(ctx)
-	go n.publishAddress(ctx)
+	n.publisher.request()
+	go n.publisher.run(ctx)
 }
 
 // Serve answers a request. It returns nil if the caller disconnects first.
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -34,8 +34,8 @@
 type peersMessage interface{ peersMessage() }
 
 type (
-	// nodesRead carries records read from the stream of nodes.
-	nodesRead struct{ records []keyed.Record }
+	// nodesRead carries the log's answer to a read of the stream of nodes.
+	nodesRead struct{ answer logAnswer }
 	// dialDone is the result of a dial.
 	dialDone struct {
 		peer  model.Instance
@@ -172,7 +172,7 @@
 func (h *peersHandler) handle(now time.Time, m peersMessage) {
 	switch m := m.(type) {
 	case nodesRead:
-		h.onNodesRead(now, m.records)
+		h.onNodesRead(now, m.answer)
 	case dialDone:
 		h.onDialDone(now, m)
 	case incomingOpened:
@@ -211,9 +211,11 @@
 	}
 }
 
-func (h *peersHandler) onNodesRead(now time.Time, records []keyed.Record) {
-	for _, r := range records {
+func (h *peersHandler) onNodesRead(now time.Time, a logAnswer) {
+	listed := false
+	for _, r := range a.records {
 		id := model.Instance(r.Key)
+		listed = listed || id == h.node.settings.Instance
 		if _, _, err := net.SplitHostPort(r.Key); err != nil {
 			h.node.log.Emit(event.MeshRecordRejected, "stream", keyed.StreamNodes, "key", r.Key, "detail", err)
 			continue
@@ -224,6 +226,9 @@
 		}
 		h.core.OnDiscovered(now, id)
 	}
+	if a.complete {
+		h.core.OnNodesLoaded(a.end.Era, listed)
+	}
 }
 
 func (h *peersHandler) closeLinks() {
@@ -390,6 +395,8 @@
 			delete(h.outgoing, a.Peer)
 			l.close(errPeerLeft)
 		}
+	case fleet.PublishAddress:
+		h.node.publisher.request()
 	case fleet.RequestDocuments:
 		if l := h.outgoing[a.Peer]; l != nil {
 			l.send(frame.DocumentsRequest{Known: a.Known})
--- a/policy/fleet/core.go
+++ b/policy/fleet/core.go
@@ -32,8 +32,8 @@
 	joinTimeout = time.Second
 )
 
-// Action is an operation that the node must execute: Dial, CloseLink or
-// RequestDocuments.
+// Action is an operation that the node must execute: Dial, CloseLink, RequestDocuments or
+// PublishAddress.
 type Action interface{ action() }
 
 // Dial opens a link to a peer.
@@ -48,9 +48,13 @@
 	Known model.DocumentsState // what the node has
 }
 
+// PublishAddress writes the node's address to the log again.
+type PublishAddress struct{}
+
 func (Dial) action()             {}
 func (CloseLink) action()        {}
 func (RequestDocuments) action() {}
+func (PublishAddress) action()   {}
 
 // Events of the state chart mesh_peer, in the chart's order.
 const (
@@ -72,6 +76,8 @@
 	dialTimers *timers.Queue[model.Instance]
 	actions    []Action
 
+	nodesEra uint64 // era in which the log was last searched for the node's address
+
 	documents         *documentSet
 	documentsChanged  bool           // documents have changed since the last call of TakeDocumentsChanged
 	joinDeadline      time.Time      // zero unless the node has started with a restored log and waits for a peer's documents
@@ -170,6 +176,19 @@
 // OnPeerLeft removes a peer that has left the fleet.
 func (c *Core) OnPeerLeft(now time.Time, id model.Instance) { c.step(now, id, eventLeft) }
 
+// OnNodesLoaded handles the complete list of nodes in the log. A log that was restored may
+// lack the node's address, which the node wrote when it started. Peers that the log lacks
+// stay known.
+func (c *Core) OnNodesLoaded(era uint64, listed bool) {
+	if era <= c.nodesEra {
+		return
+	}
+	c.nodesEra = era
+	if !listed {
+		c.actions = append(c.actions, PublishAddress{})
+	}
+}
+
 // OnConnected handles a successful Dial.
 func (c *Core) OnConnected(now time.Time, id model.Instance) { c.step(now, id, eventConnected) }
 
--- a/policy/fleet/core_test.go
+++ b/policy/fleet/core_test.go
@@ -295,3 +295,16 @@
 	assert.DeepEqual(t, values(c), map[string]string{"config": "v6", "zone": "out"})
 	assert.Equal(t, c.End(), at(1, 3))
 }
+
+// Guards against a restored log that never gets the node's address again, and against
+// writing an address again that the log has.
+func TestAddressIsPublishedOncePerRestore(t *testing.T) {
+	c := newCore()
+	c.OnNodesLoaded(0, false)
+	c.OnNodesLoaded(1, true)
+	assert.Equal(t, len(c.Actions()), 0)
+	c.OnNodesLoaded(3, false)
+	c.OnNodesLoaded(3, false)
+	c.OnNodesLoaded(2, false)
+	assert.DeepEqual(t, c.Actions(), []Action{PublishAddress{}})
+}
