Tell peers only about answers of the log to the node itself

A node passed on confirmations that it had from a peer; each hop made them younger by the delay of the link, and no node checked the log.

Reports carry the age of the latest answer to the node itself, while it is younger than the interval of checks, also in the first report on a link, which claimed an age of 0 before. TestSlowLinksDoNotHideOldDocuments fails when confirmations are passed on.

--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -179,6 +179,7 @@
 		h.incoming[m.link] = new(sentReport)
 		h.core.OnDiscovered(now, m.link.peer.Node.Instance)
 		h.node.log.Emit(event.MeshLinkOpened, "peer", m.link.peer.Node.Instance, "by", "peer")
+		h.reportDocuments(now)
 		h.sendTo(m.link, h.allUsage(), nil)
 	case outgoingClosed:
 		h.onOutgoingClosed(now, m)
@@ -194,7 +195,8 @@
 		h.onDocuments(h.core.OnPeerDocuments(now, d.Records, d.End, d.RetainedFor), false)
 	case peerConfirmed:
 		if m.end == h.core.End() {
-			h.onConfirmed(now, m.at)
+			h.freshness.OnPeerAnswer(now, m.at)
+			h.storeConfirmation()
 		}
 	case peerHasNewerDocuments:
 		h.core.OnPeerState(now, m.peer, m.state)
@@ -292,7 +294,8 @@
 		h.onDocuments(h.core.OnRecords(a.records, a.end), waited)
 	}
 	if !a.end.Before(h.core.End()) {
-		h.onConfirmed(now, a.answeredAt)
+		h.freshness.OnAnswer(now, a.answeredAt)
+		h.storeConfirmation()
 	}
 }
 
@@ -311,8 +314,8 @@
 	h.reportDue = true
 }
 
-func (h *peersHandler) onConfirmed(now, at time.Time) {
-	h.freshness.OnConfirmed(now, at)
+// storeConfirmation tells the other threads when the documents were confirmed.
+func (h *peersHandler) storeConfirmation() {
 	confirmedAt := h.freshness.ConfirmedAt()
 	h.node.confirmedAt.Store(&confirmedAt)
 }
@@ -408,10 +411,7 @@
 // availability zones is expensive, and peers in other zones rarely choose the
 // target, so they get its load only after a change by otherZoneLoadChange.
 func (h *peersHandler) sendReports(now time.Time) {
-	h.report.Documents, h.report.DocumentsAge = h.core.State(), -1
-	if at := h.freshness.ConfirmedAt(); !at.IsZero() {
-		h.report.DocumentsAge = now.Sub(at)
-	}
+	h.reportDocuments(now)
 	if h.report.Node != h.node.id {
 		h.report.Node = h.node.id
 		h.report.Service, h.report.Zone = h.node.settings.Service, h.node.settings.Zone
@@ -443,6 +443,11 @@
 	h.reportDue = false
 }
 
+// reportDocuments sets what the next reports say about the documents.
+func (h *peersHandler) reportDocuments(now time.Time) {
+	h.report.Documents, h.report.DocumentsAge = h.core.State(), h.freshness.AgeForPeers(now)
+}
+
 // loadChanged reports whether the load has changed enough since the last report on a
 // link to be reported again.
 func (h *peersHandler) loadChanged(l *link, sent *sentReport) bool {
--- a/model/report.go
+++ b/model/report.go
@@ -65,7 +65,7 @@
 	FailureRate  float64       // fraction of calls that fail at the target, 0 to 1
 	MeanRunTime  time.Duration // recent mean run time of a request; 0 if none ran recently
 	Documents    DocumentsState
-	DocumentsAge time.Duration   // time since the log confirmed that there are no newer documents; negative if it never has
+	DocumentsAge time.Duration   // time since the log confirmed to this node that there are no newer documents; negative if that is long ago
 	Usage        []CustomerUsage // customers whose usage has changed
 	Crashes      []CrashReport   // since the last report
 }
--- a/policy/freshness/core.go
+++ b/policy/freshness/core.go
@@ -48,6 +48,7 @@
 	now     time.Time // time of the current step
 
 	confirmedAt  time.Time // zero until the first confirmation
+	answeredAt   time.Time // of the latest confirmation by an answer to this node
 	checkAt      time.Time
 	backoff      time.Duration
 	links        int
@@ -78,9 +79,20 @@
 	c.state = c.machine.Step(c, c.state, e)
 }
 
-// OnConfirmed handles an answer of the log, to this node or to a peer, by which the
-// node's documents were up to date at the time at.
-func (c *Core) OnConfirmed(now, at time.Time) {
+// OnAnswer handles an answer of the log to this node, by which its documents were up to
+// date at the time at.
+func (c *Core) OnAnswer(now, at time.Time) {
+	if at.After(c.answeredAt) {
+		c.answeredAt = at
+	}
+	c.confirm(now, at)
+}
+
+// OnPeerAnswer handles an answer of the log to a peer, by which the documents of both
+// nodes were up to date at the time at.
+func (c *Core) OnPeerAnswer(now, at time.Time) { c.confirm(now, at) }
+
+func (c *Core) confirm(now, at time.Time) {
 	if !at.After(c.confirmedAt) {
 		return
 	}
@@ -135,3 +147,13 @@
 
 // ConfirmedAt returns the time of the latest confirmation, or zero if there is none.
 func (c *Core) ConfirmedAt() time.Time { return c.confirmedAt }
+
+// AgeForPeers returns the time since the latest answer of the log to this node, or -1 if
+// it is of no use to peers. Confirmations by peers are not passed on: each hop would add
+// its delay to the true age.
+func (c *Core) AgeForPeers(now time.Time) time.Duration {
+	if age := now.Sub(c.answeredAt); !c.answeredAt.IsZero() && age < checkInterval {
+		return age
+	}
+	return -1
+}
--- a/policy/freshness/core_test.go
+++ b/policy/freshness/core_test.go
@@ -14,6 +14,7 @@
 	nodes  []*Core
 	checks int
 	silent func(now time.Time) bool
+	relay  func(c *Core, sentAt time.Time) // handles an answer to c; tells all nodes at once by default
 	due    map[time.Time][]func()
 }
 
@@ -26,10 +27,11 @@
 
 func newSimulation(nodes int) *simulation {
 	s := &simulation{now: time.Unix(1, 0), silent: func(time.Time) bool { return false }, due: make(map[time.Time][]func())}
+	s.relay = s.tellAll
 	for i := range nodes {
 		c := New(rand.New(rand.NewPCG(uint64(i), 7)))
 		c.SetLinks(nodes - 1)
-		c.OnConfirmed(s.now, s.now)
+		c.OnAnswer(s.now, s.now)
 		s.nodes = append(s.nodes, c)
 	}
 	return s
@@ -65,12 +67,16 @@
 		return
 	}
 	s.after(answerTime, func() {
-		c.OnConfirmed(s.now, sentAt)
-		s.after(relayTime, func() {
-			for _, peer := range s.nodes {
-				peer.OnConfirmed(s.now, sentAt)
-			}
-		})
+		c.OnAnswer(s.now, sentAt)
+		s.relay(c, sentAt)
+	})
+}
+
+func (s *simulation) tellAll(_ *Core, sentAt time.Time) {
+	s.after(relayTime, func() {
+		for _, peer := range s.nodes {
+			peer.OnPeerAnswer(s.now, sentAt)
+		}
 	})
 }
 
@@ -120,7 +126,55 @@
 func TestOlderConfirmationIsIgnored(t *testing.T) {
 	c := New(rand.New(rand.NewPCG(1, 1)))
 	now := time.Unix(1, 0)
-	c.OnConfirmed(now, now)
-	c.OnConfirmed(now.Add(time.Second), now.Add(-time.Second))
+	c.OnPeerAnswer(now, now)
+	c.OnPeerAnswer(now.Add(time.Second), now.Add(-time.Second))
 	assert.Equal(t, c.ConfirmedAt(), now)
 }
+
+// Guards against confirmations that go round between nodes on slow links and become
+// younger with each hop.
+func TestSlowLinksDoNotHideOldDocuments(t *testing.T) {
+	const slowLink, reportInterval, bound = 300 * time.Millisecond, 250 * time.Millisecond, 1750 * time.Millisecond
+	s := newSimulation(14)
+	delay := func(i int) time.Duration {
+		if i < 3 {
+			return slowLink
+		}
+		return step
+	}
+	type claim struct {
+		node *Core
+		at   time.Time
+	}
+	answers := make(map[claim]time.Time) // when the log gave the answer behind a claim
+	latest := make(map[*Core]time.Time)
+	for _, c := range s.nodes {
+		answers[claim{c, s.now}], latest[c] = s.now, s.now
+	}
+	s.relay = func(c *Core, sentAt time.Time) { answers[claim{c, sentAt}], latest[c] = sentAt, sentAt }
+	for i, from := range s.nodes {
+		var report func()
+		report = func() {
+			s.after(reportInterval, report)
+			age := from.AgeForPeers(s.now)
+			if age < 0 {
+				return
+			}
+			answer := answers[claim{from, s.now.Add(-age)}]
+			for j, to := range s.nodes {
+				s.after(delay(i)+delay(j), func() {
+					if at := s.now.Add(-age); at.After(to.ConfirmedAt()) {
+						to.OnPeerAnswer(s.now, at)
+						answers[claim{to, at}], latest[to] = answer, answer
+					}
+				})
+			}
+		}
+		s.after(time.Duration(i)*step, report)
+	}
+	s.run(60*time.Second, func() {
+		for _, c := range s.nodes {
+			assert.Assert(t, s.now.Sub(latest[c]) < bound, "documents are %v old", s.now.Sub(latest[c]))
+		}
+	})
+}
