Check the log again after a check that peers' documents overtook

A check is sent from the end of the documents; if a peer sends newer documents before it is answered, the answer confirms nothing. Neither of the chart's events was raised and no further check was scheduled: a lost read could go unnoticed for 27 s again unless a peer's report came. Such an answer is now an event of its own, check_overtaken, after which the next check is due at once.

TestOvertakenCheckIsRepeated fails without it: no check for a minute.

--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -311,6 +311,9 @@
 		return
 	}
 	h.onLogAnswer(now, m.answer, false)
+	if m.answer.end.Before(h.core.End()) {
+		h.freshness.OnCheckOvertaken(now)
+	}
 	h.reportDue = true
 }
 
--- a/policy/freshness/core.go
+++ b/policy/freshness/core.go
@@ -37,6 +37,7 @@
 	eventCheckDue chart.EventID = iota
 	eventUpToDate
 	eventCheckFailed
+	eventCheckOvertaken
 )
 
 // Core holds the freshness of one node's documents. It is not safe for concurrent use:
@@ -61,7 +62,7 @@
 	c := &Core{rng: rng, backoff: minBackoff}
 	c.machine = chart.MustCompile(charts.MustRead("log_freshness"), chart.Binding[*Core]{
 		States: []string{"loading", "confirmed", "checking", "unconfirmed", "checking_again"},
-		Events: []string{"check_due", "up_to_date", "check_failed"},
+		Events: []string{"check_due", "up_to_date", "check_failed", "check_overtaken"},
 		Guards: map[string]func(*Core) bool{},
 		Actions: map[string]func(*Core){
 			"check":          func(c *Core) { c.checkDue = true },
@@ -103,6 +104,10 @@
 // OnCheckFailed handles a check that the log has not answered.
 func (c *Core) OnCheckFailed(now time.Time) { c.step(now, eventCheckFailed) }
 
+// OnCheckOvertaken handles the answer to a check that says nothing about the node's
+// documents, since newer ones have come from a peer meanwhile.
+func (c *Core) OnCheckOvertaken(now time.Time) { c.step(now, eventCheckOvertaken) }
+
 // SetLinks sets the number of peers that learn of a successful check from this node.
 func (c *Core) SetLinks(n int) { c.links = n }
 
--- a/policy/freshness/core_test.go
+++ b/policy/freshness/core_test.go
@@ -178,3 +178,26 @@
 		}
 	})
 }
+
+// Guards against a node that stops checking after a check whose answer was older than
+// the documents that a peer sent meanwhile.
+func TestOvertakenCheckIsRepeated(t *testing.T) {
+	for _, failedBefore := range []bool{false, true} {
+		s := newSimulation(1)
+		c := s.nodes[0]
+		nextCheck := func() {
+			for !c.TakeCheck() {
+				assert.Assert(t, s.now.Before(time.Unix(60, 0)), "no check for a minute")
+				s.now = s.now.Add(step)
+				c.Tick(s.now)
+			}
+		}
+		nextCheck()
+		if failedBefore {
+			c.OnCheckFailed(s.now)
+			nextCheck()
+		}
+		c.OnCheckOvertaken(s.now)
+		nextCheck()
+	}
+}
