Allow more time for checks of a slow log

The time for a check doubles with each failure, up to 1.2 s, and is then three times what the last answer took. 1.2 s and a backoff of at most 1.5 s keep the next success within 3 s of the end of an outage.

--- a/agent/mesh/log_checker.go
+++ b/agent/mesh/log_checker.go
@@ -11,17 +11,14 @@
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
-const (
-	// checkRingCapacity bounds the checks that wait. A check is sent only after the
-	// result of the one before.
-	checkRingCapacity = 1
-	// checkTimeout bounds a check of the log, which answers within milliseconds. If
-	// the log is slower than this, the reads that wait for records still deliver them.
-	checkTimeout = 500 * time.Millisecond
-)
+// checkRingCapacity bounds the checks that wait: one, while another is in progress.
+const checkRingCapacity = 1
 
 // checkRequest asks whether the log has operator's documents from a position on.
-type checkRequest struct{ from model.LogPosition }
+type checkRequest struct {
+	from    model.LogPosition
+	timeout time.Duration
+}
 
 // logChecker checks the end of the stream of the operator's documents on its own thread
 // and passes the results to the peers duty.
@@ -53,7 +50,7 @@
 // check reads without waiting for records. The time at which it was sent counts as the
 // time of its answer, since the answer may be late.
 func (c *logChecker) check(ctx context.Context, request checkRequest) logChecked {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	ctx, cancel := context.WithTimeout(ctx, request.timeout)
 	defer cancel()
 	c.node.metrics.logChecks.Add(1)
 	sentAt := time.Now()
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -310,6 +310,7 @@
 		}
 		return
 	}
+	h.freshness.OnCheckAnswered(now, m.answer.answeredAt)
 	h.onLogAnswer(now, m.answer, false)
 	if m.answer.end.Before(h.core.End()) {
 		h.freshness.OnCheckOvertaken(now)
@@ -379,7 +380,7 @@
 		h.node.entry.Ring().Offer(peersChanged{peers: peers})
 	}
 	h.freshness.SetLinks(len(h.incoming))
-	if h.freshness.TakeCheck() && !h.node.checker.requests.Offer(checkRequest{from: h.core.End()}) {
+	if h.freshness.TakeCheck() && !h.node.checker.requests.Offer(checkRequest{from: h.core.End(), timeout: h.freshness.CheckTimeout()}) {
 		h.freshness.OnCheckFailed(now)
 	}
 	if h.freshness.TakeRestart() {
--- a/policy/freshness/core.go
+++ b/policy/freshness/core.go
@@ -22,6 +22,14 @@
 	// node that checks first tells its peers the result. Few nodes check then, at any
 	// size of the fleet.
 	checkSpread = 500 * time.Millisecond
+	// minCheckTimeout and maxCheckTimeout bound the time for a check. The log answers
+	// within milliseconds; each check that fails doubles the time for the next one, so
+	// that a slow log is found to be up to date as well.
+	minCheckTimeout = 500 * time.Millisecond
+	maxCheckTimeout = 1200 * time.Millisecond
+	// slowAnswerFactor is the timeout of a check as a multiple of the time that the
+	// answer to the one before took.
+	slowAnswerFactor = 3
 	// minBackoff and maxBackoff bound the mean delay after a failed check; the delay is
 	// 0.5 to 1.5 times as long. An outage may end right after a check was sent; the next
 	// one must then succeed within three seconds of its end.
@@ -51,6 +59,7 @@
 	confirmedAt  time.Time // zero until the first confirmation
 	answeredAt   time.Time // of the latest confirmation by an answer to this node
 	checkAt      time.Time
+	checkTimeout time.Duration
 	backoff      time.Duration
 	links        int
 	checkDue     bool
@@ -59,7 +68,7 @@
 
 // New returns a core without a confirmation.
 func New(rng *rand.Rand) *Core {
-	c := &Core{rng: rng, backoff: minBackoff}
+	c := &Core{rng: rng, backoff: minBackoff, checkTimeout: minCheckTimeout}
 	c.machine = chart.MustCompile(charts.MustRead("log_freshness"), chart.Binding[*Core]{
 		States: []string{"loading", "confirmed", "checking", "unconfirmed", "checking_again"},
 		Events: []string{"check_due", "up_to_date", "check_failed", "check_overtaken"},
@@ -89,6 +98,12 @@
 	c.confirm(now, at)
 }
 
+// OnCheckAnswered handles the answer to a check that was sent at sentAt. OnAnswer or
+// OnCheckOvertaken tells what it says about the documents.
+func (c *Core) OnCheckAnswered(now, sentAt time.Time) {
+	c.checkTimeout = min(max(slowAnswerFactor*now.Sub(sentAt), minCheckTimeout), maxCheckTimeout)
+}
+
 // OnPeerAnswer handles an answer of the log to a peer, by which the documents of both
 // nodes were up to date at the time at.
 func (c *Core) OnPeerAnswer(now, at time.Time) { c.confirm(now, at) }
@@ -102,7 +117,13 @@
 }
 
 // OnCheckFailed handles a check that the log has not answered.
-func (c *Core) OnCheckFailed(now time.Time) { c.step(now, eventCheckFailed) }
+func (c *Core) OnCheckFailed(now time.Time) {
+	c.checkTimeout = min(2*c.checkTimeout, maxCheckTimeout)
+	c.step(now, eventCheckFailed)
+}
+
+// CheckTimeout returns the time after which the next check counts as failed.
+func (c *Core) CheckTimeout() time.Duration { return c.checkTimeout }
 
 // OnCheckOvertaken handles the answer to a check that says nothing about the node's
 // documents, since newer ones have come from a peer meanwhile.
