Spread the first checks after an outage begins over a large fleet

The first backoff now counts the links as well. The first check of each node is not spread further: it falls within half a second of the first missing answer.

--- a/policy/freshness/core.go
+++ b/policy/freshness/core.go
@@ -140,8 +140,9 @@
 }
 
 func (c *Core) backOff() {
-	c.checkAt = c.now.Add(c.backoff/2 + time.Duration(c.rng.Float64()*float64(c.backoff)))
-	c.backoff = min(2*c.backoff, max(maxBackoff, time.Duration(c.links)*peerCheckSpacing))
+	mean := max(c.backoff, time.Duration(c.links)*peerCheckSpacing)
+	c.checkAt = c.now.Add(mean/2 + time.Duration(c.rng.Float64()*float64(mean)))
+	c.backoff = min(2*c.backoff, maxBackoff)
 }
 
 // Tick runs the timer if it is due and returns the time of the next check, or zero if
--- a/policy/freshness/core_test.go
+++ b/policy/freshness/core_test.go
@@ -118,6 +118,18 @@
 	}
 }
 
+// Guards against a large fleet that overloads a log which has just fallen silent.
+func TestLargeFleetSpreadsFailedChecks(t *testing.T) {
+	const nodes, window = 1000, 5 * time.Second
+	s := newSimulation(nodes)
+	s.silent = func(time.Time) bool { return true }
+	s.run(2*time.Second, func() {}) // each node checks once
+	before := s.checks
+	s.run(window, func() {})
+	perSecond := float64(s.checks-before) / window.Seconds()
+	assert.Assert(t, perSecond < 200, "%.0f checks a second", perSecond)
+}
+
 // Guards against documents that stay unconfirmed after the log has recovered, and
 // against waiting reads that are kept although the log may have dropped them.
 func TestRecoveryAfterSilence(t *testing.T) {
