Deliver state again that a full ring did not accept

Configuration and peers are offered again until they are accepted; a link that the entry duty cannot be told of is closed and dialed again; a node's info counts as sent only if the link accepted the report. TestBusyDutiesGetStateLater fails before: version 0.

--- a/agent/mesh/config.go
+++ b/agent/mesh/config.go
@@ -29,6 +29,9 @@
 	config   *graph.Config
 	zonesOut []model.Zone
 
+	// Whether the duties still have to be told of config and zonesOut.
+	entryOutdated, gateOutdated bool
+
 	// The configuration that was decoded last: a record is compared with the one in
 	// force before it is loaded.
 	decodedValue  []byte
@@ -50,8 +53,19 @@
 		c.node.log.Emit(event.MeshZonesOut, "zones", zonesOut)
 	}
 	c.zonesOut = zonesOut
-	c.node.entry.Ring().Offer(entryConfigChanged{config: c.config, zonesOut: zonesOut})
-	c.node.gate.Ring().Offer(gateConfigChanged{config: c.config, zonesOut: zonesOut})
+	c.entryOutdated, c.gateOutdated = true, true
+	c.deliver()
+}
+
+// deliver passes the configuration to the duties that do not have it yet. A duty whose
+// ring is full gets it with a later call.
+func (c *configLoader) deliver() {
+	if c.entryOutdated {
+		c.entryOutdated = !c.node.entry.Ring().Offer(entryConfigChanged{config: c.config, zonesOut: c.zonesOut})
+	}
+	if c.gateOutdated {
+		c.gateOutdated = !c.node.gate.Ring().Offer(gateConfigChanged{config: c.config, zonesOut: c.zonesOut})
+	}
 }
 
 func (c *configLoader) load(r keyed.Record) {
--- /dev/null
+++ b/agent/mesh/delivery_test.go
@@ -0,0 +1,85 @@
+package mesh
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/core/ring"
+	"github.com/oleanderworks/oleanderworks/logservice/keyed"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/model/graph"
+	"github.com/oleanderworks/oleanderworks/policy/fleet"
+	"github.com/oleanderworks/oleanderworks/policy/freshness"
+)
+
+// versionDecoder decodes a configuration of one byte, its version.
+type versionDecoder struct{}
+
+func (versionDecoder) IsConfig(r keyed.Record) bool { return r.Key == "config" }
+func (versionDecoder) Config(value []byte) (*graph.Config, error) {
+	return &graph.Config{Version: uint64(value[0])}, nil
+}
+func (versionDecoder) ZonesOutOfService([]keyed.Record) []model.Zone { return nil }
+
+// newIdleNode returns a node whose duties do not run, and the handler of its peers duty.
+func newIdleNode() (*Node, *peersHandler) {
+	n := New(&Settings{Instance: "10.0.0.1:7000", Service: "s", Zone: "z"}, nil, versionDecoder{}, nil, hclog.NewNullLogger())
+	h := &peersHandler{
+		node: n, freshness: freshness.New(newRand()), outgoing: make(map[model.Instance]*link),
+		incoming: make(map[*link]*sentReport), loader: configLoader{node: n},
+	}
+	h.core = fleet.New(n.settings.Instance, h.loader.version, newRand())
+	return n, h
+}
+
+func drain[T any](t *testing.T, r *ring.Ring[T]) []T {
+	t.Helper()
+	var out []T
+	for batch := make([]T, 256); r.Stats().Length > 0; {
+		n, err := r.Take(batch, nil, context.Background().Done())
+		assert.NilError(t, err)
+		out = append(out, batch[:n]...)
+	}
+	return out
+}
+
+// Guards against a configuration and peers that are lost because a duty is busy.
+func TestBusyDutiesGetStateLater(t *testing.T) {
+	n, h := newIdleNode()
+	for n.entry.Ring().Offer(failRequests{}) {
+	}
+	for n.gate.Ring().Offer(refuseCalls{}) {
+	}
+	now := time.Now()
+	config := keyed.Record{Key: "config", Value: []byte{7}, Position: model.LogPosition{Offset: 0}}
+	h.Handle(now, []peersMessage{
+		documentsRead{answer: logAnswer{records: []keyed.Record{config}, end: model.LogPosition{Offset: 1}, complete: true, answeredAt: now}},
+		nodesRead{answer: logAnswer{records: []keyed.Record{{Key: "10.0.0.2:7000", Value: []byte("{}")}}}},
+	})
+	drain(t, n.entry.Ring())
+	drain(t, n.gate.Ring())
+	h.Tick(now.Add(time.Second))
+	var version uint64
+	var peers []model.Instance
+	for _, m := range drain(t, n.entry.Ring()) {
+		switch m := m.(type) {
+		case entryConfigChanged:
+			version = m.config.Version
+		case peersChanged:
+			peers = m.peers
+		}
+	}
+	assert.Equal(t, version, uint64(7))
+	assert.DeepEqual(t, peers, []model.Instance{"10.0.0.2:7000"})
+	version = 0
+	for _, m := range drain(t, n.gate.Ring()) {
+		if m, ok := m.(gateConfigChanged); ok {
+			version = m.config.Version
+		}
+	}
+	assert.Equal(t, version, uint64(7))
+}
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -43,6 +43,7 @@
 	errWrongNode = errors.New("the address belongs to another node")
 	errPeerLeft  = errors.New("the peer has left the fleet")
 	errStopped   = errors.New("the node has stopped")
+	errEntryBusy = errors.New("the entry duty's ring is full")
 )
 
 // Node is the sidecar process of one target.
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -112,12 +112,13 @@
 
 // peersHandler handles the messages of the peers duty, which runs the fleet policy.
 type peersHandler struct {
-	node      *Node
-	core      *fleet.Core
-	freshness *freshness.Core
-	outgoing  map[model.Instance]*link // opened by this node
-	incoming  map[*link]*sentReport    // opened by peers
-	loader    configLoader
+	node        *Node
+	core        *fleet.Core
+	freshness   *freshness.Core
+	outgoing    map[model.Instance]*link // opened by this node
+	incoming    map[*link]*sentReport    // opened by peers
+	loader      configLoader
+	unsentPeers []model.Instance // for the entry duty; nil if it has them
 
 	report        model.NodeReport // usage and crashes are set when it is sent
 	usage         map[model.Customer]model.CustomerUsage
@@ -272,7 +273,9 @@
 	l.start()
 	h.outgoing[m.peer] = l
 	h.core.OnConnected(now, m.peer)
-	h.node.entry.Ring().Offer(linkOpened{peer: m.peer, link: l})
+	if !h.node.entry.Ring().Offer(linkOpened{peer: m.peer, link: l}) {
+		l.close(errEntryBusy) // the peer is dialed again
+	}
 	h.node.log.Emit(event.MeshLinkOpened, "peer", m.peer, "by", "self")
 }
 
@@ -376,8 +379,12 @@
 	if h.core.TakeDocumentsChanged() {
 		h.applyDocuments()
 	}
+	h.loader.deliver()
 	if peers, changed := h.core.ChangedPeers(); changed {
-		h.node.entry.Ring().Offer(peersChanged{peers: peers})
+		h.unsentPeers = peers
+	}
+	if h.unsentPeers != nil && h.node.entry.Ring().Offer(peersChanged{peers: h.unsentPeers}) {
+		h.unsentPeers = nil
 	}
 	h.freshness.SetLinks(len(h.incoming))
 	if h.freshness.TakeCheck() && !h.node.checker.requests.Offer(checkRequest{from: h.core.End(), timeout: h.freshness.CheckTimeout()}) {
@@ -466,6 +473,7 @@
 	sent := h.incoming[l]
 	r := h.report
 	r.Usage, r.Crashes = usage, crashes
-	l.send(frame.Report{Report: &r, OmitsNodeInfo: sent.info == r.NodeInfo})
-	sent.info, sent.load = r.NodeInfo, r.Running+r.Queued
+	if l.send(frame.Report{Report: &r, OmitsNodeInfo: sent.info == r.NodeInfo}) {
+		sent.info, sent.load = r.NodeInfo, r.Running+r.Queued
+	}
 }
