fleet: only the address of a node makes a peer

Operators saw each record of the stream of nodes that has the form x:y counted as a node: "10.0.0.1:99999", a host name, 0.0.0.0, a multicast address, the node's own address in another spelling. Each was dialed about once a second for ever, and took an equal part of each customer's rate. An incoming connection whose hello named no address did the same. No process ended, and the records beside it were read.

Cause: whoever called fleet.Core.OnDiscovered had to check the address. The reader of the stream checked only that host and port are separated by a colon; for hellos nothing was checked.

Fix: OnDiscovered itself rejects what cannot be the address of one node: a unicast IP address and a port above 0, in the spelling of net/netip, so that one node has one name.

Values of records (deep nesting, large numbers) did no harm before: only their keys are used.

An address that is valid and at which no node has ever answered still has its part: a node that cannot be reached may be serving its own callers, so that leaving it out could exceed the customer's rate.

The tests of the package check the new error of OnDiscovered; nothing else in them changes.

--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -19,6 +19,7 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/fleet"
 	"github.com/oleanderworks/oleanderworks/policy/gate"
 	"github.com/oleanderworks/oleanderworks/transport/exchange"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
@@ -137,6 +138,9 @@
 // Start opens the listeners and starts the duties. The error names the address on
 // which the node cannot listen.
 func (n *Node) Start(h Handlers) error {
+	if err := fleet.CheckAddress(n.settings.Instance); err != nil {
+		return err // other nodes would reject it
+	}
 	var err error
 	if n.listener, err = net.Listen("tcp", n.settings.linkListenAddress()); err != nil {
 		return fault.Wrap("listen", n.settings.linkListenAddress(), err)
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -177,11 +177,7 @@
 	case dialDone:
 		h.onDialDone(now, m)
 	case incomingOpened:
-		h.incoming[m.link] = new(sentReport)
-		h.core.OnDiscovered(now, m.link.peer.Node.Instance)
-		h.node.log.Emit(event.MeshLinkOpened, "peer", m.link.peer.Node.Instance, "by", "peer")
-		h.reportDocuments(now)
-		h.sendTo(m.link, h.allUsage(), nil)
+		h.onIncomingOpened(now, m.link)
 	case outgoingClosed:
 		h.onOutgoingClosed(now, m)
 	case incomingClosed:
@@ -219,21 +215,31 @@
 	for _, r := range a.records {
 		id := model.Instance(r.Key)
 		listed = listed || id == h.node.settings.Instance
-		if _, _, err := net.SplitHostPort(r.Key); err != nil {
-			h.node.log.Emit(event.MeshRecordRejected, "stream", keyed.StreamNodes, "key", r.Key, "detail", err)
-			continue
-		}
 		if len(r.Value) == 0 {
 			h.core.OnPeerLeft(now, id)
 			continue
 		}
-		h.core.OnDiscovered(now, id)
+		if err := h.core.OnDiscovered(now, id); err != nil {
+			h.node.log.Emit(event.MeshRecordRejected, "stream", keyed.StreamNodes, "key", r.Key, "era", r.Position.Era, "offset", r.Position.Offset, "detail", err)
+		}
 	}
 	if a.complete {
 		h.core.OnNodesLoaded(a.end.Era, listed)
 	}
 }
 
+func (h *peersHandler) onIncomingOpened(now time.Time, l *link) {
+	peer := l.peer.Node.Instance
+	if err := h.core.OnDiscovered(now, peer); err != nil {
+		l.close(err)
+		return
+	}
+	h.incoming[l] = new(sentReport)
+	h.node.log.Emit(event.MeshLinkOpened, "peer", peer, "by", "peer")
+	h.reportDocuments(now)
+	h.sendTo(l, h.allUsage(), nil)
+}
+
 func (h *peersHandler) closeLinks() {
 	for _, l := range h.outgoing {
 		l.close(errStopped)
--- a/agent/mesh/settings.go
+++ b/agent/mesh/settings.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/fleet"
 )
 
 const (
@@ -47,7 +48,7 @@
 	if address == "" {
 		return nil
 	}
-	if _, _, err := net.SplitHostPort(address); err != nil {
+	if err := fleet.CheckAddress(model.Instance(address)); err != nil {
 		return errors.Wrapf(err, "the advertised address is %q, want IP:port", address)
 	}
 	s.ListenAddress, s.Instance = s.linkListenAddress(), model.Instance(address)
--- a/policy/fleet/core.go
+++ b/policy/fleet/core.go
@@ -161,16 +161,21 @@
 	return peers, true
 }
 
-// OnDiscovered handles a node that has announced itself or connected to this one.
-func (c *Core) OnDiscovered(now time.Time, id model.Instance) {
+// OnDiscovered handles a node that has announced itself or connected to this one. If id
+// cannot be the address of a node, it returns an error and changes nothing.
+func (c *Core) OnDiscovered(now time.Time, id model.Instance) error {
+	if err := CheckAddress(id); err != nil {
+		return err
+	}
 	if id == c.self {
-		return
+		return nil
 	}
 	if c.peers[id] == nil {
 		c.peers[id] = &peer{core: c, id: id, state: c.machine.Initial(), backoff: minBackoff}
 		c.peersChanged = true
 	}
 	c.step(now, id, eventDiscovered)
+	return nil
 }
 
 // OnPeerLeft removes a peer that has left the fleet.
--- a/policy/fleet/core_test.go
+++ b/policy/fleet/core_test.go
@@ -41,13 +41,13 @@
 // Guards against a node dialing itself, or dialing a peer twice.
 func TestDialsEachPeerOnce(t *testing.T) {
 	c := newCore()
-	c.OnDiscovered(start, self)
-	c.OnDiscovered(start, peer1)
-	c.OnDiscovered(start, peer1)
+	assert.NilError(t, c.OnDiscovered(start, self))
+	assert.NilError(t, c.OnDiscovered(start, peer1))
+	assert.NilError(t, c.OnDiscovered(start, peer1))
 	c.Tick(start)
 	assert.DeepEqual(t, c.Actions(), []Action{Dial{Peer: peer1}})
 	c.OnConnected(start, peer1)
-	c.OnDiscovered(start, peer1)
+	assert.NilError(t, c.OnDiscovered(start, peer1))
 	c.Tick(start.Add(time.Minute))
 	assert.Equal(t, len(c.Actions()), 0)
 }
@@ -56,7 +56,7 @@
 // a restarted peer stays unconnected.
 func TestBackOff(t *testing.T) {
 	c := newCore()
-	c.OnDiscovered(start, peer1)
+	assert.NilError(t, c.OnDiscovered(start, peer1))
 	now := start
 	dials := 0
 	for now.Before(start.Add(20 * time.Second)) {
@@ -74,7 +74,7 @@
 // Guards against not reopening a link after it broke.
 func TestClosedLinkIsOpenedAgain(t *testing.T) {
 	c := newCore()
-	c.OnDiscovered(start, peer1)
+	assert.NilError(t, c.OnDiscovered(start, peer1))
 	c.Tick(start)
 	c.Actions()
 	c.OnConnected(start, peer1)
@@ -109,7 +109,7 @@
 // log, and against requesting them while its own read of the log is likely to get them.
 func TestNewerDocumentsAreRequested(t *testing.T) {
 	c := newCore()
-	c.OnDiscovered(start, peer1)
+	assert.NilError(t, c.OnDiscovered(start, peer1))
 	c.Tick(start)
 	c.Actions()
 	c.OnConnected(start, peer1)
@@ -126,7 +126,7 @@
 // Guards against dialing a peer that has left.
 func TestPeerThatLeftIsNotDialed(t *testing.T) {
 	c := newCore()
-	c.OnDiscovered(start, peer1)
+	assert.NilError(t, c.OnDiscovered(start, peer1))
 	_, changed := c.ChangedPeers()
 	assert.Assert(t, changed)
 	c.OnPeerLeft(start, peer1)
@@ -308,3 +308,21 @@
 	c.OnNodesLoaded(2, false)
 	assert.DeepEqual(t, c.Actions(), []Action{PublishAddress{}})
 }
+
+// Guards against records and hellos that name no node but are dialed, and count among the
+// nodes that share the customers' rates.
+func TestInvalidAddressIsNotAPeer(t *testing.T) {
+	for _, id := range []model.Instance{
+		"", "10.0.0.2", ":7000", "10.0.0.2:", "10.0.0.2:0", "10.0.0.2:99999", "10.0.0.2:-1", "10.0.0.2:http",
+		"node.example:7000", "10.0.0.2:07000", "[::ffff:10.0.0.2]:7000", "0.0.0.0:7000", "[::]:7000",
+		"224.0.0.1:7000", "255.255.255.255:7000", "10.0.0.2:7000\n", "10.0.0.2:70\xff",
+		model.Instance(strings.Repeat("[", 200) + ":7000"),
+	} {
+		c := newCore()
+		assert.Assert(t, c.OnDiscovered(start, id) != nil, "%q is accepted", id)
+		_, changed := c.ChangedPeers()
+		assert.Assert(t, !changed, "%q shares the rates", id)
+		c.Tick(start)
+		assert.Equal(t, len(c.Actions()), 0, "%q is dialed", id)
+	}
+}
