gate: an announcement with a too large sequence does not hide later ones

After one announcement with the target's id and start time and a sequence such as 2^63, each later announcement of the target was acknowledged and ignored: the target said that it was leaving, got its 200, and its node went on sending it requests until a probe failed.

Cause: a sequence up to the latest one counted as overtaken, however far behind it was, so that one number decided about all later ones.

Fix: only the 10,000 sequences up to the latest one count as overtaken. An announcement further behind shows that the latest number was wrong, and is applied. No announcement is rejected for its number.

Evidence: before the fix TestTooLargeSequenceDoesNotHideLaterAnnouncements found the state serving after an acknowledged announcement of leaving.

--- a/policy/gate/core_test.go
+++ b/policy/gate/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -127,6 +128,21 @@
 	assert.Equal(t, c.State(), "serving")
 }
 
+// Guards against acknowledging, but not applying, all announcements after one whose
+// sequence is too large.
+func TestTooLargeSequenceDoesNotHideLaterAnnouncements(t *testing.T) {
+	for _, sequence := range []uint64{1 << 31, 1 << 53, math.MaxInt64, math.MaxUint64} {
+		c := newCore(t)
+		c.OnAnnouncement(start, announcement(sequence))
+		leaving := announcement(2)
+		leaving.Leaving = true
+		assert.Assert(t, c.OnAnnouncement(start, leaving))
+		assert.Equal(t, c.State(), "leaving", "after the sequence %d", sequence)
+		assert.Assert(t, c.OnAnnouncement(start, announcement(1)))
+		assert.Equal(t, c.State(), "leaving", "an overtaken announcement was applied")
+	}
+}
+
 // Guards against accepting announcements that name another service or no slots.
 func TestInvalidAnnouncementsAreRejected(t *testing.T) {
 	c := New(service, "north")
--- a/policy/gate/target.go
+++ b/policy/gate/target.go
@@ -40,6 +40,9 @@
 	// minProbeInterval is the minimum time between two probes of a serving target,
 	// since a probe occupies a slot.
 	minProbeInterval = time.Second
+	// sequenceWindow is how far an announcement's sequence may be behind the latest one
+	// for the announcement to count as overtaken.
+	sequenceWindow = 10_000
 	// maxMissedAnnouncements is the number of announcement intervals that a serving
 	// target may be silent before it is probed.
 	maxMissedAnnouncements = 3
@@ -160,8 +163,8 @@
 		return false // from an incarnation that has ended
 	}
 	newIncarnation := t.id != "" && (a.StartedAtMs > t.startedAtMs && t.startedAtMs != 0 || a.ID != t.id)
-	if !newIncarnation && a.ID == t.id && a.StartedAtMs == t.startedAtMs && a.Sequence <= t.sequence {
-		return true // a duplicate, or sent before the latest one
+	if !newIncarnation && a.ID == t.id && a.StartedAtMs == t.startedAtMs && t.overtaken(a.Sequence) {
+		return true
 	}
 	t.lastHeardAt, t.announceInterval = now, a.Interval
 	oldLimit := c.limit()
@@ -180,6 +183,13 @@
 	return true
 }
 
+// overtaken reports whether an announcement of the target is a duplicate, or was sent
+// before the latest one. A sequence far behind the latest one is not: the latest one was
+// invalid then.
+func (t *target) overtaken(sequence uint64) bool {
+	return sequence <= t.sequence && t.sequence-sequence < sequenceWindow
+}
+
 // OnDeregistered handles the deregistration of a target. It is ignored if it is from
 // an instance other than the known one, or from an earlier incarnation.
 func (c *Core) OnDeregistered(now time.Time, id model.Instance, startedAtMs int64) {
