gate: a start in the far future does not hide later announcements

After one announcement or deregistration whose field born is a number such as 2^53, each announcement of the true target was answered 400 as from an earlier incarnation, for the rest of the node's life: the target's node no longer heard that it was leaving, had become cold or had restarted. The deregistration also took the target out of service.

Cause: the start of an incarnation only grows, and any number was believed.

Fix: a start after 2200-01-01 is invalid in both messages. The bound does not depend on the node's clock, so that a clock that is wrong rejects no true announcement.

--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -152,8 +152,7 @@
 	case announcementReceived:
 		m.reply.Send(h.onAnnouncement(now, m.announcement))
 	case deregistrationReceived:
-		h.core.OnDeregistered(now, m.id, m.startedAtMs)
-		m.reply.Send(true)
+		m.reply.Send(h.onDeregistration(now, m))
 	case probeDone:
 		h.logProbe(m)
 		h.core.OnProbeResult(now, m.result)
@@ -173,7 +172,15 @@
 	ok := h.core.OnAnnouncement(now, a)
 	if !ok {
 		h.node.log.Emit(event.MeshAnnouncementRejected, "id", a.ID, "born", a.StartedAtMs, "sequence", a.Sequence,
-			"service", a.Service, "detail", "the announcement is from an earlier incarnation, or names no instance, another service or no slots")
+			"service", a.Service, "detail", "the announcement is from an earlier incarnation, names no instance, another service or no slots, or its start is too late")
+	}
+	return ok
+}
+
+func (h *gateHandler) onDeregistration(now time.Time, m deregistrationReceived) bool {
+	ok := h.core.OnDeregistered(now, m.id, m.startedAtMs)
+	if !ok {
+		h.node.log.Emit(event.MeshAnnouncementRejected, "id", m.id, "born", m.startedAtMs, "detail", "the start of the deregistered target is too late")
 	}
 	return ok
 }
--- a/policy/gate/core_test.go
+++ b/policy/gate/core_test.go
@@ -143,6 +143,22 @@
 	}
 }
 
+// Guards against rejecting all announcements after an announcement or a deregistration
+// whose start is too late.
+func TestTooLateStartDoesNotHideLaterAnnouncements(t *testing.T) {
+	for _, startedAtMs := range []int64{maxStartedAtMs + 1, 1 << 53, math.MaxInt64} {
+		c := newCore(t)
+		invalid := announcement(2)
+		invalid.StartedAtMs = startedAtMs
+		assert.Assert(t, !c.OnAnnouncement(start, invalid), "start %d", startedAtMs)
+		assert.Assert(t, !c.OnDeregistered(start, "t1", startedAtMs), "start %d", startedAtMs)
+		assert.Equal(t, c.State(), "serving")
+		restarted := announcement(1)
+		restarted.StartedAtMs = 300
+		assert.Assert(t, c.OnAnnouncement(start, restarted), "after the start %d", startedAtMs)
+	}
+}
+
 // Guards against accepting announcements that name another service or no slots.
 func TestInvalidAnnouncementsAreRejected(t *testing.T) {
 	c := New(service, "north")
--- a/policy/gate/target.go
+++ b/policy/gate/target.go
@@ -43,6 +43,10 @@
 	// sequenceWindow is how far an announcement's sequence may be behind the latest one
 	// for the announcement to count as overtaken.
 	sequenceWindow = 10_000
+	// maxStartedAtMs is the latest start of a target, 2200-01-01 as Unix time in ms. It
+	// does not depend on the node's clock, which may be wrong. A later start would make
+	// all true announcements look as if they came from an earlier incarnation.
+	maxStartedAtMs = 7_258_118_400_000
 	// maxMissedAnnouncements is the number of announcement intervals that a serving
 	// target may be silent before it is probed.
 	maxMissedAnnouncements = 3
@@ -152,15 +156,16 @@
 }
 
 // OnAnnouncement handles an announcement of the target and reports whether it is
-// valid: it must name an instance, this node's service and at least one slot, and must
-// not come from an incarnation before the known one.
+// valid: it must name an instance, this node's service and at least one slot, must not
+// come from an incarnation before the known one, and its start must be at most
+// maxStartedAtMs.
 func (c *Core) OnAnnouncement(now time.Time, a Announcement) bool {
 	t := &c.target
 	if a.ID == "" || a.Service != c.service || a.Slots <= 0 {
 		return false
 	}
-	if a.StartedAtMs < t.startedAtMs {
-		return false // from an incarnation that has ended
+	if a.StartedAtMs < t.startedAtMs || a.StartedAtMs > maxStartedAtMs {
+		return false
 	}
 	newIncarnation := t.id != "" && (a.StartedAtMs > t.startedAtMs && t.startedAtMs != 0 || a.ID != t.id)
 	if !newIncarnation && a.ID == t.id && a.StartedAtMs == t.startedAtMs && t.overtaken(a.Sequence) {
@@ -190,16 +195,21 @@
 	return sequence <= t.sequence && t.sequence-sequence < sequenceWindow
 }
 
-// OnDeregistered handles the deregistration of a target. It is ignored if it is from
-// an instance other than the known one, or from an earlier incarnation.
-func (c *Core) OnDeregistered(now time.Time, id model.Instance, startedAtMs int64) {
+// OnDeregistered handles the deregistration of a target and reports whether it is valid:
+// its start must be at most maxStartedAtMs. It is ignored if it is from an instance other
+// than the known one, or from an earlier incarnation.
+func (c *Core) OnDeregistered(now time.Time, id model.Instance, startedAtMs int64) bool {
 	t := &c.target
+	if startedAtMs > maxStartedAtMs {
+		return false
+	}
 	if (t.id != "" && id != t.id) || (startedAtMs != 0 && startedAtMs < t.startedAtMs) {
-		return
+		return true
 	}
 	t.id = id
 	t.startedAtMs = max(t.startedAtMs, startedAtMs)
 	t.step(now, eventDeregistered)
+	return true
 }
 
 // OnProbeResult handles the result of a probe that TakeProbeDue requested.
