gate: an announcement with too many slots is rejected

An announcement with a slot_count such as 2^31 was believed. Until the target's next announcement its node sent it every call at once, where the target queues a few and crashes when it holds more than its memory bears.

Cause: the number of slots had a lower bound, but no upper bound.

Fix: more than 65536 slots are invalid, since each running call needs a connection of its own from the node, and there are fewer ports.

--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -172,7 +172,8 @@
 	ok := h.core.OnAnnouncement(now, a)
 	if !ok {
 		h.node.log.Emit(event.MeshAnnouncementRejected, "id", a.ID, "born", a.StartedAtMs, "sequence", a.Sequence,
-			"service", a.Service, "detail", "the announcement is from an earlier incarnation, names no instance, another service or no slots, or its start is too late")
+			"service", a.Service, "slots", a.Slots,
+			"detail", "the announcement is from an earlier incarnation, names no instance or another service, or its slots or its start are out of range")
 	}
 	return ok
 }
--- a/policy/gate/core_test.go
+++ b/policy/gate/core_test.go
@@ -159,6 +159,19 @@
 	}
 }
 
+// Guards against a target that gets calls without limit after an announcement with too
+// many slots.
+func TestTooManySlotsAreRejected(t *testing.T) {
+	for _, slots := range []int{maxSlots + 1, math.MaxInt32, math.MaxInt64, -1, math.MinInt64} {
+		c := newCore(t)
+		limit := c.Load().Limit
+		invalid := announcement(2)
+		invalid.Slots = slots
+		assert.Assert(t, !c.OnAnnouncement(start, invalid), "%d slots", slots)
+		assert.Equal(t, c.Load().Limit, limit, "%d slots", slots)
+	}
+}
+
 // Guards against accepting announcements that name another service or no slots.
 func TestInvalidAnnouncementsAreRejected(t *testing.T) {
 	c := New(service, "north")
--- a/policy/gate/target.go
+++ b/policy/gate/target.go
@@ -43,6 +43,9 @@
 	// sequenceWindow is how far an announcement's sequence may be behind the latest one
 	// for the announcement to count as overtaken.
 	sequenceWindow = 10_000
+	// maxSlots is the largest number of slots of a target. A call needs a connection, and
+	// there are fewer ports than this on the node's side.
+	maxSlots = 1 << 16
 	// maxStartedAtMs is the latest start of a target, 2200-01-01 as Unix time in ms. It
 	// does not depend on the node's clock, which may be wrong. A later start would make
 	// all true announcements look as if they came from an earlier incarnation.
@@ -156,12 +159,12 @@
 }
 
 // OnAnnouncement handles an announcement of the target and reports whether it is
-// valid: it must name an instance, this node's service and at least one slot, must not
-// come from an incarnation before the known one, and its start must be at most
+// valid: it must name an instance, this node's service and from 1 to maxSlots slots, must
+// not come from an incarnation before the known one, and its start must be at most
 // maxStartedAtMs.
 func (c *Core) OnAnnouncement(now time.Time, a Announcement) bool {
 	t := &c.target
-	if a.ID == "" || a.Service != c.service || a.Slots <= 0 {
+	if a.ID == "" || a.Service != c.service || a.Slots <= 0 || a.Slots > maxSlots {
 		return false
 	}
 	if a.StartedAtMs < t.startedAtMs || a.StartedAtMs > maxStartedAtMs {
