mesh: a heartbeat without an address is rejected

A heartbeat without the field addr was taken for one of the node's own target if it named its service. With another id, or a later start, it counted as a new incarnation: calls were sent with the wrong expected instance and came back as misdirected, and the true target's heartbeats were answered 400 from then on.

Cause: the address was compared only if it was there.

Fix: an announcement without the configured address of the target is rejected and logged (event 1025).

Evidence: before the fix TestHeartbeatWithoutAddressIsRejected got 400 for the next heartbeat of the true target.

--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -165,7 +165,7 @@
 
 func (h *gateHandler) onAnnouncement(now time.Time, a gate.Announcement) bool {
 	a.Interval = h.node.settings.AnnounceInterval
-	if a.Address != "" && a.Address != h.node.settings.TargetAddress {
+	if a.Address != h.node.settings.TargetAddress {
 		h.node.log.Emit(event.MeshAnnouncementRejected, "id", a.ID, "address", a.Address, "detail", "the address differs from the configured address of the target")
 		return false
 	}
