platform: a deregistration that cannot be read is rejected

A deregistration with the target's id and a body that is not JSON, or whose field born has another type, took the target out of service: callers got 503 until its next heartbeat or start.

Cause: after an error of the decoder the message was used without its start time, as if it had no body.

The catalogue no longer says that such a body is ignored.

--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -37,7 +37,7 @@
 	MeshProbed = define(1024, "mesh_probed", hclog.Info,
 		"The node probed the health of its target.", "None.")
 	MeshAnnouncementRejected = define(1025, "mesh_announcement_rejected", hclog.Warn,
-		"A target's announcement was rejected, or the body of its deregistration could not be decoded and was ignored.", "See the field detail; an announcement that arrives after its target has stopped is harmless.")
+		"A target's announcement or deregistration was rejected.", "See the field detail; an announcement that arrives after its target has stopped is harmless.")
 	MeshCrashed = defineWithHigherRateLimit(1026, "mesh_crashed", hclog.Warn,
 		"The target crashed while it ran a request, or a request suspected of causing crashes completed (crashes is 0).",
 		"Check the target's own log; a request that is sent again after three crashes is refused.")
