graph: a negative rate or burst of a customer is invalid

A configuration with the rate -171 was accepted, and the customer had no limit at all: the limiter treats each rate up to 0 as no limit. The operator's store accepts only valid configurations, so that no caller has met this.

Cause: weights, attempts and timeouts were checked, the numbers of customers were not.

Fix: the configuration is rejected, and the previous one stays in force.

Evidence: before the fix TestInvalidConfigsAreRejected failed for "negative rate" or "negative burst".

--- a/model/graph/graph.go
+++ b/model/graph/graph.go
@@ -132,6 +132,9 @@
 	if customer.Name == "" {
 		return errors.New("has no name")
 	}
+	if customer.Rate < 0 || customer.Burst < 0 {
+		return errors.Errorf("rate %v and burst %v, want at least 0", customer.Rate, customer.Burst)
+	}
 	c.Customers[customer.Name] = customer
 	for _, key := range customer.Keys {
 		if other := c.customersByKey[key]; other != nil && other != customer {
