mesh: the length of a hello is limited

Ten connections whose first five bytes announced a hello of 64 MiB made a node allocate 640 MB of heap for a second each, more than the 284 MB that the settings of the test allow a process. A record in the stream of nodes with the address of another server makes a node open such a connection itself, about once a second.

Cause: the first frame, which is read before the sender is known to be a node, had the limit of the largest message, and memory for it was allocated before its bytes arrived.

Fix: a hello has at most 64 KiB.

--- a/agent/mesh/link.go
+++ b/agent/mesh/link.go
@@ -168,13 +168,9 @@
 	if _, err := conn.Write(frame.Append(nil, own)); err != nil {
 		return frame.Hello{}, err
 	}
-	m, err := frame.Read(conn)
+	peer, err := frame.ReadHello(conn)
 	if err != nil {
-		return frame.Hello{}, err
-	}
-	peer, ok := m.(frame.Hello)
-	if !ok {
-		return frame.Hello{}, fault.New("read hello", "", "the first frame is %T", m)
+		return frame.Hello{}, fault.Wrap("read hello", "", err)
 	}
 	return peer, conn.SetDeadline(time.Time{})
 }
--- a/agent/mesh/peers_test.go
+++ b/agent/mesh/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -49,3 +50,17 @@
 	_, err := other.Read(make([]byte, 1))
 	assert.ErrorContains(t, err, "EOF")
 }
+
+// Guards against a connection that is not from a node and makes the node allocate as much
+// memory as for the largest message.
+func TestOversizedHelloIsRejected(t *testing.T) {
+	own, other := net.Pipe()
+	defer own.Close()
+	defer other.Close()
+	go func() {
+		_, _ = io.CopyN(io.Discard, other, int64(len(frame.Append(nil, frame.Hello{}))))
+		_, _ = other.Write([]byte{0x04, 0, 0, 0, byte(frame.KindHello)})
+	}()
+	_, err := handshake(own, frame.Hello{})
+	assert.ErrorContains(t, err, "frame of 67108864 bytes")
+}
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -43,6 +43,9 @@
 	// body, that of an answer (maxAnswerBytes in transport/exchange), by enough
 	// for the headers.
 	MaxBytes = 80 << 20
+	// MaxHelloBytes is the same for a hello, which is read before the sender is known to
+	// be a node.
+	MaxHelloBytes = 64 << 10
 )
 
 // kindNames are the names of the kinds in metrics.
@@ -136,14 +139,29 @@
 
 // Read reads one frame and decodes its message, which does not share memory with
 // messages read later.
-func Read(r io.Reader) (Message, error) {
+func Read(r io.Reader) (Message, error) { return read(r, MaxBytes) }
+
+// ReadHello reads the first frame of a connection, which must be a hello.
+func ReadHello(r io.Reader) (Hello, error) {
+	m, err := read(r, MaxHelloBytes)
+	if err != nil {
+		return Hello{}, err
+	}
+	hello, ok := m.(Hello)
+	if !ok {
+		return Hello{}, errors.Errorf("the first frame is %T, want a hello", m)
+	}
+	return hello, nil
+}
+
+func read(r io.Reader, maxBytes uint32) (Message, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
-	if size < 1 || size > MaxBytes {
-		return nil, errors.Errorf("frame of %d bytes, want 1 to %d", size, MaxBytes)
+	if size < 1 || size > maxBytes {
+		return nil, errors.Errorf("frame of %d bytes, want 1 to %d", size, maxBytes)
 	}
 	payload := make([]byte, size-1)
 	if _, err := io.ReadFull(r, payload); err != nil {
