configlog: a join record without a valid address adds no member

Cause: each join record that could be decoded made a member, and the zones of all members count for the majority that contact needs.

Fix: a join needs an instance and an address IP:port with a port above 0, as the settings of a node do.

Evidence: before the fix TestJoinWithInvalidAddressAddsNoMember found 8 members instead of 1.

The members in the tests of the package have addresses now; no check changed. The fuzz target has a valid join among its seeds beside the former one.

--- a/policy/configlog/core_test.go
+++ b/policy/configlog/core_test.go
@@ -226,7 +226,7 @@
 	f := newFleet(t, time.Hour)
 	n := f.add("suva")
 	member := func(incarnation model.Incarnation, leave bool) {
-		m := model.Member{NodeID: model.NodeID{Instance: "tally-1", Incarnation: incarnation}, Service: "tally"}
+		m := model.Member{NodeID: model.NodeID{Instance: "tally-1", Incarnation: incarnation}, Service: "tally", PeerAddress: "10.0.0.1:7400"}
 		f.append(n, model.MemberStream("tally"), uuid.NewString(), model.MemberRecord{Leave: leave, Member: m})
 	}
 	group := func(epoch uint64, from int64) {
@@ -248,12 +248,36 @@
 	assert.Equal(t, compositions[1].From.Unix(), int64(20))
 }
 
+// Guards against a join record without a valid address that adds a member, whose
+// availability zone then counts for the majority that contact needs.
+func TestJoinWithInvalidAddressAddsNoMember(t *testing.T) {
+	f := newFleet(t, time.Hour)
+	n := f.add("suva")
+	join := func(instance, address string) {
+		m := model.Member{
+			NodeID:  model.NodeID{Instance: model.Instance(instance), Incarnation: 1},
+			Service: "tally", Zone: "nadi", Region: "viti", PeerAddress: address,
+		}
+		f.append(n, model.MemberStream("tally"), uuid.NewString(), model.MemberRecord{Member: m})
+	}
+	for i, address := range []string{"", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:99999", "10.0.0.1:-1", "tally.example:7400"} {
+		join(fmt.Sprint("invalid-", i), address)
+	}
+	join("", "10.0.0.1:7400")
+	join("tally-1", "10.0.0.1:7400")
+	f.publish(model.Publication{Amendments: zones("suva")})
+	f.run(time.Second, defaultStep)
+	members := n.latestSnapshot.Members["tally"]
+	assert.Equal(t, len(members), 1)
+	assert.Equal(t, members[0].Instance, model.Instance("tally-1"))
+}
+
 // Guards against a node that does not follow the members of a service that is
 // listed in the calls of its own service's document.
 func TestMembersOfCalledServicesAreFollowed(t *testing.T) {
 	f := newFleet(t, time.Hour)
 	n := f.add("suva")
-	registry := model.Member{NodeID: model.NodeID{Instance: "registry-1", Incarnation: 1}, Service: "registry"}
+	registry := model.Member{NodeID: model.NodeID{Instance: "registry-1", Incarnation: 1}, Service: "registry", PeerAddress: "10.0.0.9:7400"}
 	f.append(n, model.MemberStream("registry"), uuid.NewString(), model.MemberRecord{Member: registry})
 	service := model.Amendment{Document: "service/tally", Body: json.RawMessage(`{"calls":["registry"]}`)}
 	f.publish(model.Publication{Amendments: []model.Amendment{service}})
--- a/policy/configlog/fleet_test.go
+++ b/policy/configlog/fleet_test.go
@@ -53,7 +53,8 @@
 
 func (f *fleet) add(zone model.Zone) *testNode {
 	name := model.Instance(fmt.Sprintf("node-%d", len(f.nodes)))
-	self := model.Member{NodeID: model.NodeID{Instance: name, Incarnation: 1}, Service: "tally", Zone: zone, Region: "viti"}
+	self := model.Member{NodeID: model.NodeID{Instance: name, Incarnation: 1}, Service: "tally", Zone: zone, Region: "viti",
+		PeerAddress: fmt.Sprintf("10.0.0.%d:7400", len(f.nodes)+1)}
 	checker := invariant.New(event.Discard(), func(name, detail string) { f.t.Errorf("%s: %s", name, detail) })
 	n := &testNode{self: self, core: New(self, f.streams, rand.New(rand.NewPCG(uint64(len(f.nodes)), 7)), checker)}
 	f.nodes = append(f.nodes, n)
--- a/policy/configlog/members.go
+++ b/policy/configlog/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -59,6 +60,9 @@
 		m.rebuildCurrent()
 		return true, nil
 	}
+	if err := checkJoin(&member); err != nil {
+		return false, errors.Wrapf(err, "record at offset %d", r.Offset)
+	}
 	m.joins[member.Instance] = &memberJoin{member: member, record: r, appendedAt: appendedAt}
 	if known != nil && known.member == member {
 		return false, nil // the record only refreshes the join
@@ -67,6 +71,22 @@
 	return true, nil
 }
 
+// checkJoin returns an error if a join record names no node. Such a member could never
+// answer, but its availability zone would count for the majority that contact needs.
+func checkJoin(m *model.Member) error {
+	if m.Instance == "" {
+		return errors.New("join without an instance")
+	}
+	address, err := netip.ParseAddrPort(m.PeerAddress)
+	if err != nil {
+		return errors.Wrapf(err, "join of instance %s", m.Instance)
+	}
+	if address.Port() == 0 {
+		return errors.Errorf("join of instance %s: address %s has port 0", m.Instance, m.PeerAddress)
+	}
+	return nil
+}
+
 // Expire drops the members whose newest join record was appended before cutoff,
 // since their nodes have not refreshed it. It reports whether the members
 // changed.
--- a/policy/configlog/random_test.go
+++ b/policy/configlog/random_test.go
@@ -113,6 +113,7 @@
 		model.Publication{ID: "b", Refresh: []model.Document{{Name: "customer/herders", Version: 3, Body: json.RawMessage(`{}`)}}},
 		model.Publication{ID: "c", Withdraw: []string{model.HashKey("k").String(), "short"}},
 		model.MemberRecord{ID: "d", Member: model.Member{Service: "tally"}},
+		model.MemberRecord{ID: "f", Member: model.Member{NodeID: model.NodeID{Instance: "tally-9"}, PeerAddress: "10.0.0.9:7400"}},
 		model.GroupRecord{ID: "e", Region: "viti", Epoch: 2},
 	}
 	for _, s := range seeds {
