exchange: attribute an answer without an attempt id only on a new connection

Callers would see: "not run, try again" (503) for a request that the target was running, and the body of another request's answer, when a target repeats an earlier answer without its attempt id on a kept connection. The caller, or the entry node, then sends a non-idempotent request to a second target.

Cause: an answer was taken as the current call's unless it named another call. An answer that names no call was therefore taken as the answer to whichever call was next, although it may be a late or repeated answer to any call that the connection carried before. The decision was also left to the codec, which does not know what the connection carried.

The exchange now attributes answers; the codec only reads the attempt id. An answer belongs to a call if it carries the call's attempt id, or if it is the first answer on a connection that carried only this call. Anything else is skipped and is neither the caller's answer nor a statement about it. A connection on which something was skipped is closed after the call. A call without an attempt id gets a new connection, since its answer cannot be recognized elsewhere.

TestCallWithoutIDGetsItsOwnConnection fails with 1 connection instead of 3. TestRefusalWithIDOnReusedConnectionIsNotRun passed before and keeps true refusals believed.

conn.go holds the connections and their pool, moved from client.go.

--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -15,8 +15,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -35,15 +33,8 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	// defaultIdleTimeout is the idle timeout that the client assumes of a
-	// target that sends no timeout in Keep-Alive.
-	defaultIdleTimeout = 4 * time.Second
-	// idleMargin is how long before the target's idle timeout a connection is
-	// no longer used, so that the target does not close it while a request is
-	// on the way.
-	idleMargin = 1500 * time.Millisecond
 	// maxAnswersRead limits how many answers are read for one call, including
-	// skipped answers to other calls.
+	// skipped answers that do not belong to it.
 	maxAnswersRead = 4
 	// maxAnswerBytes is the maximum size of an answer's body.
 	maxAnswerBytes  = 64 << 20
@@ -53,14 +44,12 @@
 	deadlineGrace = 100 * time.Millisecond
 )
 
-// AnswerKind classifies an answer from the target's address by what it means for
-// the call.
+// AnswerKind classifies the answer to a call by what it means for the call.
 type AnswerKind uint8
 
 // Kinds of answers, as Codec.Classify returns them.
 const (
-	AnswerOwn         AnswerKind = iota // the target's answer to this call
-	AnswerToOtherCall                   // the answer to another call
+	AnswerOwn         AnswerKind = iota // the target ran the call
 	AnswerTargetFull                    // not run: the target is at capacity
 	AnswerNotRun                        // not run for another reason
 	AnswerOtherTarget                   // not run: the address belongs to another target now
@@ -73,8 +62,11 @@
 	// AppendRequest appends the head of a call's request to b. The client appends
 	// the body after it.
 	AppendRequest(b []byte, call *model.Call, target model.Instance, remaining time.Duration) []byte
-	// Classify returns the kind of an answer from the head of the response.
-	Classify(call *model.Call, resp *http.Response) AnswerKind
+	// AttemptID returns the attempt id of the call that a response answers, or "" if
+	// the response names none.
+	AttemptID(resp *http.Response) string
+	// Classify returns the kind of the answer to a call from the head of the response.
+	Classify(resp *http.Response) AnswerKind
 	// AppendProbe appends a request for the target's health.
 	AppendProbe(b []byte, path string) []byte
 	// ParseHealth reads the target's health from the answer to a probe.
@@ -105,19 +97,11 @@
 	}
 }
 
-// conn is one connection to the target.
-type conn struct {
-	net.Conn
-	r             *bufio.Reader
-	reused        bool
-	reusableUntil time.Time // set when the connection becomes idle
-}
-
 // Do sends a call to the target and returns the complete answer. It returns
 // early when ctx is canceled.
 func (c *Client) Do(ctx context.Context, call *model.Call, target model.Instance) (*model.Answer, model.RunOutcome) {
 	for {
-		cn, err := c.acquireConn(ctx)
+		cn, err := c.acquireConn(ctx, call)
 		if err != nil {
 			return c.notSentRefusal(ctx, call, err)
 		}
@@ -143,34 +127,6 @@
 	return model.NewRefusal(call.ID, model.ReasonTargetFailed, detail), model.OutcomeConnectionBroken
 }
 
-// acquireConn returns the most recently used idle connection, or a new one.
-func (c *Client) acquireConn(ctx context.Context) (*conn, error) {
-	now := time.Now()
-	c.mu.Lock()
-	for len(c.idle) > 0 {
-		cn := c.idle[len(c.idle)-1]
-		c.idle = c.idle[:len(c.idle)-1]
-		if now.Before(cn.reusableUntil) {
-			c.mu.Unlock()
-			cn.reused = true
-			return cn, nil
-		}
-		cn.Close()
-	}
-	c.mu.Unlock()
-	netConn, err := c.dialer.DialContext(ctx, "tcp", c.address)
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: netConn, r: bufio.NewReaderSize(netConn, readBufferBytes)}, nil
-}
-
-func (c *Client) addIdle(cn *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle = append(c.idle, cn)
-}
-
 // exchange sends a call on a connection and reads its answer. resend is true if
 // a reused connection failed and the call can safely be sent again: no byte of
 // it was written, or readAnswer requests the resend.
@@ -178,13 +134,14 @@
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	defer stop()
 	now := time.Now()
+	cn.calls++
 	_ = cn.SetDeadline(call.Deadline.Add(deadlineGrace))
 	request := make([]byte, 0, 512+len(call.Body))
 	request = c.codec.AppendRequest(request, call, target, call.Deadline.Sub(now))
 	request = append(request, call.Body...)
 	if n, err := cn.Write(request); err != nil {
 		cn.Close()
-		if n == 0 && cn.reused && ctx.Err() == nil {
+		if n == 0 && cn.reused() && ctx.Err() == nil {
 			return nil, model.OutcomeConnectionBroken, true
 		}
 		if n == 0 {
@@ -196,30 +153,32 @@
 	return c.readAnswer(ctx, cn, call)
 }
 
-// readAnswer reads the answer to a call that was sent. Its last result requests
-// a resend of an idempotent call if reading the head of the answer fails with
-// io.EOF on a reused connection. If the target has closed the connection, the call
-// is not resent but fails, since http.ReadResponse then returns
+// readAnswer reads the answer to a call that was sent, and skips answers that do not
+// belong to it. Its last result requests a resend of an idempotent call if reading the
+// head of the answer fails with io.EOF on a reused connection. If the target has closed
+// the connection, the call is not resent but fails, since http.ReadResponse then returns
 // io.ErrUnexpectedEOF.
 func (c *Client) readAnswer(ctx context.Context, cn *conn, call *model.Call) (*model.Answer, model.RunOutcome, bool) {
 	for range maxAnswersRead {
 		resp, err := readHead(cn, call.Method)
 		if err != nil {
 			cn.Close()
-			if cn.reused && call.Idempotent && errors.Is(err, io.EOF) && ctx.Err() == nil {
+			if cn.reused() && call.Idempotent && errors.Is(err, io.EOF) && ctx.Err() == nil {
 				return nil, model.OutcomeConnectionBroken, true
 			}
 			return c.exchangeFailure(ctx, call, "read answer", err), failureOutcome(ctx, err), false
 		}
-		kind := c.codec.Classify(call, resp)
+		cn.answers++
 		body, err := readBody(resp)
 		if err != nil {
 			cn.Close()
 			return c.exchangeFailure(ctx, call, "read answer's body", err), failureOutcome(ctx, err), false
 		}
-		if kind == AnswerToOtherCall {
+		if !cn.belongsTo(call, c.codec.AttemptID(resp)) {
+			cn.faulty = true
 			continue
 		}
+		kind := c.codec.Classify(resp)
 		if kind == AnswerCorrupt {
 			cn.Close()
 			return c.exchangeFailure(ctx, call, "read answer", errAnswerCorrupt), model.OutcomeFailed, false
@@ -235,7 +194,7 @@
 
 var (
 	errAnswerCorrupt = errors.New("the answer is not the target's own")
-	errOtherAnswers  = errors.New("the connection carries answers to other calls")
+	errOtherAnswers  = errors.New("the connection carries answers that do not belong to the call")
 )
 
 func failureOutcome(ctx context.Context, err error) model.RunOutcome {
@@ -277,40 +236,6 @@
 	return b.Bytes(), err
 }
 
-// releaseConn keeps a connection for the next call. It closes the connection
-// instead if the target will close it soon or has sent bytes beyond the answer.
-func (c *Client) releaseConn(cn *conn, resp *http.Response) {
-	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	if resp.Close || closeDelimited || cn.r.Buffered() > 0 {
-		cn.Close()
-		return
-	}
-	idleTimeout := defaultIdleTimeout
-	if advertised, ok := parseKeepAlive(resp.Header.Get("Keep-Alive")); ok {
-		idleTimeout = advertised
-	}
-	if idleTimeout <= idleMargin {
-		cn.Close()
-		return
-	}
-	cn.reusableUntil = time.Now().Add(idleTimeout - idleMargin)
-	c.addIdle(cn)
-}
-
-// parseKeepAlive parses the parameter "timeout" of the Keep-Alive header.
-func parseKeepAlive(value string) (time.Duration, bool) {
-	for part := range strings.SplitSeq(value, ",") {
-		text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-		if !found {
-			continue
-		}
-		if seconds, err := strconv.Atoi(text); err == nil {
-			return time.Duration(seconds) * time.Second, true
-		}
-	}
-	return 0, false
-}
-
 // trimHeader removes the hop-by-hop fields, and Content-Length if there is a body,
 // whose length is known anyway. This saves bytes on the links between
 // availability zones.
--- a/transport/exchange/client_test.go
+++ b/transport/exchange/client_test.go
@@ -29,10 +29,10 @@
 	return append(b, "\r\n\r\n"...)
 }
 
-func (testCodec) Classify(call *model.Call, resp *http.Response) AnswerKind {
+func (testCodec) AttemptID(resp *http.Response) string { return resp.Header.Get("Id") }
+
+func (testCodec) Classify(resp *http.Response) AnswerKind {
 	switch {
-	case resp.Header.Get("Id") != "" && resp.Header.Get("Id") != call.AttemptID:
-		return AnswerToOtherCall
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return AnswerOtherTarget
 	case resp.Header.Get("Full") != "":
@@ -118,6 +118,14 @@
 		string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
 
+// refusal returns an answer that states that a call was not run. An empty id is left out.
+func refusal(status, id string) string {
+	if id != "" {
+		id = "Id: " + id + "\r\n"
+	}
+	return "HTTP/1.1 " + status + "\r\n" + id + "Full: 1\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n"
+}
+
 // Guards against opening a new connection for each call.
 func TestConnectionsAreReused(t *testing.T) {
 	s := serveScript(t, func(_ int64, r *http.Request) string { return okAnswer(r.Header.Get("Id"), "body") })
@@ -141,6 +149,61 @@
 	assert.Equal(t, string(a.Body), "mine")
 }
 
+// Guards against reporting a call that runs as not run because the target repeats an
+// earlier refusal on the connection.
+func TestRepeatedRefusalIsNotTheAnswerToTheNextCall(t *testing.T) {
+	for name, repeated := range map[string]string{
+		"id of the earlier call":           refusal("503 Busy", "a"),
+		"no id":                            refusal("503 Busy", ""),
+		"no id, other target":              refusal("421 Misdirected Request", ""),
+		"no id, twice":                     refusal("503 Busy", "") + refusal("503 Busy", ""),
+		"no id, status of a completed run": "HTTP/1.1 500 Error\r\nContent-Length: 3\r\n\r\nold",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serveScript(t, func(n int64, r *http.Request) string {
+				switch n {
+				case 1:
+					return refusal("503 Busy", r.Header.Get("Id"))
+				case 2:
+					return repeated + okAnswer(r.Header.Get("Id"), "mine")
+				}
+				return okAnswer(r.Header.Get("Id"), "next")
+			})
+			c := New(s.Addr().String(), testCodec{})
+			_, outcome := c.Do(context.Background(), newCall("a"), "t1")
+			assert.Equal(t, outcome, model.OutcomeTargetFull)
+			call := newCall("b")
+			call.Idempotent = false
+			a, outcome := c.Do(context.Background(), call, "t1")
+			assert.Equal(t, a.Run, model.Completed)
+			assert.Equal(t, outcome, model.OutcomeAnswered)
+			assert.Equal(t, string(a.Body), "mine")
+			a, _ = c.Do(context.Background(), newCall("c"), "t1")
+			assert.Equal(t, string(a.Body), "next")
+			assert.Equal(t, s.connections.Load(), int64(2), "a connection that gave a surplus answer was reused")
+		})
+	}
+}
+
+// Guards against reporting a refused call as one that may have run: the target's load
+// shedding would then use up the retry budgets.
+func TestRefusalWithIDOnReusedConnectionIsNotRun(t *testing.T) {
+	s := serveScript(t, func(_ int64, r *http.Request) string { return refusal("503 Busy", r.Header.Get("Id")) })
+	a, outcome := do(t, s, newCall("a"), newCall("b"))
+	assert.Equal(t, a.Run, model.NotRun)
+	assert.Equal(t, outcome, model.OutcomeTargetFull)
+	assert.Equal(t, s.connections.Load(), int64(1))
+}
+
+// Guards against attributing a repeated refusal to a call without an attempt id, and
+// against not recognizing the refusal of such a call.
+func TestCallWithoutIDGetsItsOwnConnection(t *testing.T) {
+	s := serveScript(t, func(n int64, _ *http.Request) string { return refusal("400 Bad Request", "") })
+	a, _ := do(t, s, newCall("a"), newCall(""), newCall(""))
+	assert.Equal(t, a.Run, model.NotRun)
+	assert.Equal(t, s.connections.Load(), int64(3))
+}
+
 // Guards against surplus bytes after a complete answer that are read as the
 // answer to the next call.
 func TestExtraBytesCloseTheConnection(t *testing.T) {
--- /dev/null
+++ b/transport/exchange/conn.go
@@ -0,0 +1,117 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+const (
+	// defaultIdleTimeout is the idle timeout that the client assumes of a
+	// target that sends no timeout in Keep-Alive.
+	defaultIdleTimeout = 4 * time.Second
+	// idleMargin is how long before the target's idle timeout a connection is
+	// no longer used, so that the target does not close it while a request is
+	// on the way.
+	idleMargin = 1500 * time.Millisecond
+)
+
+// conn is one connection to the target.
+type conn struct {
+	net.Conn
+	r             *bufio.Reader
+	calls         int       // calls sent
+	answers       int       // answers read, including skipped ones
+	faulty        bool      // an answer arrived that belongs to no call in progress
+	reusableUntil time.Time // set when the connection becomes idle
+}
+
+// reused reports whether the connection carried another call before the latest one.
+func (cn *conn) reused() bool { return cn.calls > 1 }
+
+// belongsTo reports whether the answer that was read last is the answer to the latest
+// call. An answer without an attempt id may be a late or repeated answer to any earlier
+// call, unless the connection carried only this call and this answer.
+func (cn *conn) belongsTo(call *model.Call, attemptID string) bool {
+	if attemptID == "" {
+		return cn.calls <= 1 && cn.answers == 1
+	}
+	return attemptID == call.AttemptID
+}
+
+// acquireConn returns the most recently used idle connection, or a new one. A call
+// without an attempt id gets a new one, since its answer is recognized only there.
+func (c *Client) acquireConn(ctx context.Context, call *model.Call) (*conn, error) {
+	if call.AttemptID != "" {
+		if cn := c.takeIdle(time.Now()); cn != nil {
+			return cn, nil
+		}
+	}
+	netConn, err := c.dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: netConn, r: bufio.NewReaderSize(netConn, readBufferBytes)}, nil
+}
+
+// takeIdle removes the most recently used idle connection from the pool and returns it.
+// It returns nil if there is none.
+func (c *Client) takeIdle(now time.Time) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.idle) > 0 {
+		cn := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if now.Before(cn.reusableUntil) {
+			return cn
+		}
+		cn.Close()
+	}
+	return nil
+}
+
+func (c *Client) addIdle(cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = append(c.idle, cn)
+}
+
+// releaseConn keeps a connection for the next call. It closes the connection
+// instead if the target will close it soon or has sent anything beyond the answer.
+func (c *Client) releaseConn(cn *conn, resp *http.Response) {
+	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if resp.Close || closeDelimited || cn.faulty || cn.r.Buffered() > 0 {
+		cn.Close()
+		return
+	}
+	idleTimeout := defaultIdleTimeout
+	if advertised, ok := parseKeepAlive(resp.Header.Get("Keep-Alive")); ok {
+		idleTimeout = advertised
+	}
+	if idleTimeout <= idleMargin {
+		cn.Close()
+		return
+	}
+	cn.reusableUntil = time.Now().Add(idleTimeout - idleMargin)
+	c.addIdle(cn)
+}
+
+// parseKeepAlive parses the parameter "timeout" of the Keep-Alive header.
+func parseKeepAlive(value string) (time.Duration, bool) {
+	for part := range strings.SplitSeq(value, ",") {
+		text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		if seconds, err := strconv.Atoi(text); err == nil {
+			return time.Duration(seconds) * time.Second, true
+		}
+	}
+	return 0, false
+}
