exchange: never send an attempt twice on one connection

Callers would see: "not run, try again" (503) for a request that the target was running. The attempt was refused and came to the same target again on the same kept connection, and the target wrote the earlier refusal once more.

Cause: an answer is attributed by its attempt id, which identifies the call only if the connection carried that attempt once. The pool did not ensure this.

A connection now remembers the hashes of the attempts that it carried, and the pool gives a call only a connection that did not carry its attempt. A connection is closed after 1024 calls, which bounds the memory for them at 8 KiB. A collision of hashes only leads to another connection.

Evidence: TestRepeatedRefusalIsNotTheAnswerToTheSameAttempt fails on: "not-run != completed". The entry node (policy/dispatch) does not send an attempt to a target that it has tried, so the sender must be a caller that repeats its attempt id or another node.

--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -12,6 +12,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -78,6 +79,7 @@
 	address string
 	codec   Codec
 	dialer  net.Dialer
+	seed    maphash.Seed // of the hashes of attempt ids
 
 	mu   sync.Mutex
 	idle []*conn
@@ -88,6 +90,7 @@
 	return &Client{
 		address: address,
 		codec:   codec,
+		seed:    maphash.MakeSeed(),
 		dialer: net.Dialer{
 			Timeout: dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
@@ -134,7 +137,7 @@
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	defer stop()
 	now := time.Now()
-	cn.calls++
+	cn.attempts = append(cn.attempts, c.hashAttempt(call))
 	_ = cn.SetDeadline(call.Deadline.Add(deadlineGrace))
 	request := make([]byte, 0, 512+len(call.Body))
 	request = c.codec.AppendRequest(request, call, target, call.Deadline.Sub(now))
--- a/transport/exchange/client_test.go
+++ b/transport/exchange/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -86,6 +87,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
+		req.RemoteAddr = conn.RemoteAddr().String()
 		text := s.answer(s.requests.Add(1), req)
 		if text == "" {
 			return
@@ -185,6 +187,38 @@
 	}
 }
 
+// Guards against taking the repeated refusal of an attempt as the answer when the same
+// attempt is sent again and runs.
+func TestRepeatedRefusalIsNotTheAnswerToTheSameAttempt(t *testing.T) {
+	refused := make(map[string]bool) // by connection; requests come one at a time
+	s := serveScript(t, func(n int64, r *http.Request) string {
+		id := r.Header.Get("Id")
+		switch {
+		case n == 1:
+			refused[r.RemoteAddr] = true
+			return refusal("503 Busy", id)
+		case refused[r.RemoteAddr]:
+			return refusal("503 Busy", id) + okAnswer(id, "mine")
+		}
+		return okAnswer(id, "mine")
+	})
+	a, outcome := do(t, s, newCall("a"), newCall("a"))
+	assert.Equal(t, a.Run, model.Completed)
+	assert.Equal(t, outcome, model.OutcomeAnswered)
+	assert.Equal(t, string(a.Body), "mine")
+}
+
+// Guards against a connection whose record of attempts grows without a limit.
+func TestConnectionCarriesLimitedCalls(t *testing.T) {
+	s := serveScript(t, func(_ int64, r *http.Request) string { return okAnswer(r.Header.Get("Id"), "body") })
+	calls := make([]*model.Call, maxCallsPerConn+1)
+	for i := range calls {
+		calls[i] = newCall(strconv.Itoa(i))
+	}
+	do(t, s, calls...)
+	assert.Equal(t, s.connections.Load(), int64(2))
+}
+
 // Guards against reporting a refused call as one that may have run: the target's load
 // shedding would then use up the retry budgets.
 func TestRefusalWithIDOnReusedConnectionIsNotRun(t *testing.T) {
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -20,36 +22,42 @@
 	// no longer used, so that the target does not close it while a request is
 	// on the way.
 	idleMargin = 1500 * time.Millisecond
+	// maxCallsPerConn limits the calls on one connection, and so the memory for their
+	// attempts.
+	maxCallsPerConn = 1024
 )
 
 // conn is one connection to the target.
 type conn struct {
 	net.Conn
 	r             *bufio.Reader
-	calls         int       // calls sent
+	attempts      []uint64  // hashes of the attempt ids of the calls sent
 	answers       int       // answers read, including skipped ones
 	faulty        bool      // an answer arrived that belongs to no call in progress
 	reusableUntil time.Time // set when the connection becomes idle
 }
 
 // reused reports whether the connection carried another call before the latest one.
-func (cn *conn) reused() bool { return cn.calls > 1 }
+func (cn *conn) reused() bool { return len(cn.attempts) > 1 }
 
 // belongsTo reports whether the answer that was read last is the answer to the latest
-// call. An answer without an attempt id may be a late or repeated answer to any earlier
-// call, unless the connection carried only this call and this answer.
+// call. The connection has carried no other call with its attempt id (acquireConn). An
+// answer without an attempt id may be a late or repeated answer to any earlier call,
+// unless the connection carried only this call and this answer.
 func (cn *conn) belongsTo(call *model.Call, attemptID string) bool {
 	if attemptID == "" {
-		return cn.calls <= 1 && cn.answers == 1
+		return !cn.reused() && cn.answers == 1
 	}
 	return attemptID == call.AttemptID
 }
 
 // acquireConn returns the most recently used idle connection, or a new one. A call
-// without an attempt id gets a new one, since its answer is recognized only there.
+// without an attempt id gets a new one, since its answer is recognized only there. A call
+// whose attempt was sent before gets a connection that did not carry it, since answers to
+// both have the same attempt id.
 func (c *Client) acquireConn(ctx context.Context, call *model.Call) (*conn, error) {
 	if call.AttemptID != "" {
-		if cn := c.takeIdle(time.Now()); cn != nil {
+		if cn := c.takeIdle(time.Now(), c.hashAttempt(call)); cn != nil {
 			return cn, nil
 		}
 	}
@@ -60,14 +68,19 @@
 	return &conn{Conn: netConn, r: bufio.NewReaderSize(netConn, readBufferBytes)}, nil
 }
 
-// takeIdle removes the most recently used idle connection from the pool and returns it.
-// It returns nil if there is none.
-func (c *Client) takeIdle(now time.Time) *conn {
+func (c *Client) hashAttempt(call *model.Call) uint64 { return maphash.String(c.seed, call.AttemptID) }
+
+// takeIdle removes the most recently used idle connection that has not carried an attempt
+// from the pool and returns it. It returns nil if there is none.
+func (c *Client) takeIdle(now time.Time, attempt uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.idle) > 0 {
-		cn := c.idle[len(c.idle)-1]
-		c.idle = c.idle[:len(c.idle)-1]
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		cn := c.idle[i]
+		if slices.Contains(cn.attempts, attempt) {
+			continue
+		}
+		c.idle = slices.Delete(c.idle, i, i+1)
 		if now.Before(cn.reusableUntil) {
 			return cn
 		}
@@ -83,10 +96,11 @@
 }
 
 // releaseConn keeps a connection for the next call. It closes the connection
-// instead if the target will close it soon or has sent anything beyond the answer.
+// instead if the target will close it soon or has sent anything beyond the answer, or if
+// it has carried maxCallsPerConn calls.
 func (c *Client) releaseConn(cn *conn, resp *http.Response) {
 	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	if resp.Close || closeDelimited || cn.faulty || cn.r.Buffered() > 0 {
+	if resp.Close || closeDelimited || cn.faulty || cn.r.Buffered() > 0 || len(cn.attempts) >= maxCallsPerConn {
 		cn.Close()
 		return
 	}
