exchange: check a kept connection for unread bytes before its reuse

Callers would see: 502 or 504 for a request that was sent on a connection whose target had already written bytes that no call awaits, or had closed it. A non-idempotent request is lost by this, as it may have run. Bytes that looked like the answer to the request were returned to its caller.

Cause: surplus bytes were looked for only at the end of a call, in the read buffer. What arrives afterwards waits in the socket, and the next call was written all the same.

A connection is taken from the pool only if its buffer is empty and a peek at its socket finds neither bytes nor the end of the stream. Otherwise it is closed, and the call gets another connection before any byte of it is written.

--- a/transport/exchange/client_test.go
+++ b/transport/exchange/client_test.go
@@ -251,6 +251,74 @@
 	assert.Equal(t, string(a.Body), "two")
 }
 
+// Guards against sending a call on a connection on which the target has sent something,
+// or which it has closed, since the answer before.
+func TestConnectionThatIsNotSilentIsNotReused(t *testing.T) {
+	for name, surplus := range map[string]string{
+		"bytes that are no answer":     "garbage\r\n\r\n",
+		"a repeated refusal":           refusal("503 Busy", "a"),
+		"a refusal without an id":      refusal("503 Busy", ""),
+		"the first byte of an answer":  "H",
+		"the end of the connection":    "",
+		"an answer to the next call":   okAnswer("b", "early"),
+		"more bytes than the buffer":   strings.Repeat("x", 4*readBufferBytes),
+		"answers that are not awaited": strings.Repeat(okAnswer("a", "late"), maxAnswersRead),
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			proceed, surplusSent := make(chan struct{}), make(chan struct{})
+			go func() {
+				first, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer first.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(first))
+				_, _ = io.WriteString(first, okAnswer("a", "one"))
+				<-proceed
+				if _, _ = io.WriteString(first, surplus); surplus == "" {
+					first.Close()
+				}
+				close(surplusSent)
+				second, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer second.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(second))
+				_, _ = io.WriteString(second, okAnswer("b", "two"))
+			}()
+			c := New(l.Addr().String(), testCodec{})
+			c.Do(context.Background(), newCall("a"), "t1")
+			close(proceed)
+			<-surplusSent
+			time.Sleep(20 * time.Millisecond) // for the loopback interface
+			call := newCall("b")
+			call.Idempotent = false
+			call.Deadline = time.Now().Add(time.Second)
+			a, outcome := c.Do(context.Background(), call, "t1")
+			assert.Equal(t, outcome, model.OutcomeAnswered, a.Detail)
+			assert.Equal(t, string(a.Body), "two")
+		})
+	}
+}
+
+// Guards against closing a sound connection because the deadline of its latest call has
+// passed.
+func TestConnectionIsReusedAfterDeadlineOfLatestCall(t *testing.T) {
+	s := serveScript(t, func(_ int64, r *http.Request) string { return okAnswer(r.Header.Get("Id"), "body") })
+	c := New(s.Addr().String(), testCodec{})
+	call := newCall("a")
+	call.Deadline = time.Now().Add(50 * time.Millisecond)
+	c.Do(context.Background(), call, "t1")
+	time.Sleep(time.Until(call.Deadline) + deadlineGrace + 20*time.Millisecond)
+	_, outcome := c.Do(context.Background(), newCall("b"), "t1")
+	assert.Equal(t, outcome, model.OutcomeAnswered)
+	assert.Equal(t, s.connections.Load(), int64(1))
+}
+
 // Guards against accepting a truncated answer as a complete one.
 func TestTruncatedAnswerIsNotAccepted(t *testing.T) {
 	for name, text := range map[string]string{
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"hash/maphash"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
@@ -51,6 +53,26 @@
 	return attemptID == call.AttemptID
 }
 
+// silent reports whether the target has sent nothing and has not closed the connection
+// since the last answer. Bytes that arrive while no call is in progress answer no call.
+func (cn *conn) silent() bool {
+	socket, ok := cn.Conn.(syscall.Conn)
+	if !ok || cn.r.Buffered() > 0 {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peekErr error
+	// Control, unlike Read, also works after the deadline of the latest call.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && errors.Is(peekErr, syscall.EAGAIN)
+}
+
 // acquireConn returns the most recently used idle connection, or a new one. A call
 // without an attempt id gets a new one, since its answer is recognized only there. A call
 // whose attempt was sent before gets a connection that did not carry it, since answers to
@@ -70,8 +92,8 @@
 
 func (c *Client) hashAttempt(call *model.Call) uint64 { return maphash.String(c.seed, call.AttemptID) }
 
-// takeIdle removes the most recently used idle connection that has not carried an attempt
-// from the pool and returns it. It returns nil if there is none.
+// takeIdle removes the most recently used idle connection that is silent and has not
+// carried an attempt from the pool and returns it. It returns nil if there is none.
 func (c *Client) takeIdle(now time.Time, attempt uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -81,7 +103,7 @@
 			continue
 		}
 		c.idle = slices.Delete(c.idle, i, i+1)
-		if now.Before(cn.reusableUntil) {
+		if now.Before(cn.reusableUntil) && cn.silent() {
 			return cn
 		}
 		cn.Close()
