exchange: limit the head of a target's answer

Callers would see: a node that ends because its memory is used up, and with it every call in progress there, after one target answered with a head without end. The call itself ended seconds after its deadline, since the node was busy with gigabytes of memory.

Cause: http.ReadResponse limits neither the head nor its lines, and informational responses were skipped in a loop without a limit. Only the call's deadline ended the read. A probe had the same fault, and took an informational response as the target's health.

Calls and probes now read heads with readHead. Beyond it the connection is closed, and the call ends as one that may have run.

--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -8,7 +8,6 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -38,8 +37,7 @@
 	// skipped answers that do not belong to it.
 	maxAnswersRead = 4
 	// maxAnswerBytes is the maximum size of an answer's body.
-	maxAnswerBytes  = 64 << 20
-	readBufferBytes = 8 << 10
+	maxAnswerBytes = 64 << 20
 	// deadlineGrace is how long the client waits for the answer after a call's
 	// deadline, since the target itself answers at the deadline.
 	deadlineGrace = 100 * time.Millisecond
@@ -205,25 +203,12 @@
 	switch {
 	case ctx.Err() != nil:
 		return model.OutcomeCanceled
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, errHeadTooLarge):
 		return model.OutcomeFailed
 	}
 	return model.OutcomeConnectionBroken
 }
 
-// readHead reads the head of a response and skips informational responses.
-func readHead(cn *conn, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(cn.r, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-}
-
 func readBody(resp *http.Response) ([]byte, error) {
 	defer resp.Body.Close()
 	if n := resp.ContentLength; n >= 0 && n <= maxAnswerBytes {
@@ -292,7 +277,7 @@
 	if _, err := netConn.Write(c.codec.AppendProbe(nil, path)); err != nil {
 		return model.Health{}, fault.Wrap("send probe", c.address, err)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(netConn), &http.Request{Method: http.MethodGet})
+	resp, err := readHead(newConn(netConn), http.MethodGet)
 	if err != nil {
 		return model.Health{}, fault.Wrap("read probe's answer", c.address, err)
 	}
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -32,11 +32,17 @@
 // conn is one connection to the target.
 type conn struct {
 	net.Conn
-	r             *bufio.Reader
-	attempts      []uint64  // hashes of the attempt ids of the calls sent
-	answers       int       // answers read, including skipped ones
-	faulty        bool      // an answer arrived that belongs to no call in progress
-	reusableUntil time.Time // set when the connection becomes idle
+	received      *limitedReader
+	r             *bufio.Reader // of received
+	attempts      []uint64      // hashes of the attempt ids of the calls sent
+	answers       int           // answers read, including skipped ones
+	faulty        bool          // an answer arrived that belongs to no call in progress
+	reusableUntil time.Time     // set when the connection becomes idle
+}
+
+func newConn(netConn net.Conn) *conn {
+	received := &limitedReader{reader: netConn}
+	return &conn{Conn: netConn, received: received, r: bufio.NewReaderSize(received, readBufferBytes)}
 }
 
 // reused reports whether the connection carried another call before the latest one.
@@ -87,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: netConn, r: bufio.NewReaderSize(netConn, readBufferBytes)}, nil
+	return newConn(netConn), nil
 }
 
 func (c *Client) hashAttempt(call *model.Call) uint64 { return maphash.String(c.seed, call.AttemptID) }
--- /dev/null
+++ b/transport/exchange/endless_test.go
@@ -0,0 +1,126 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// endlessTarget reads a request and then sends start, and part again and again, waiting
+// for pause before each part, until the client closes the connection.
+type endlessTarget struct {
+	address string
+	sent    chan int // bytes that were sent when the client had closed the connection
+}
+
+func serveEndless(t *testing.T, start, part string, pause time.Duration) *endlessTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	e := &endlessTarget{address: l.Addr().String(), sent: make(chan int, 1)}
+	go func() {
+		netConn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer netConn.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(netConn))
+		sent, err := io.WriteString(netConn, start)
+		for err == nil {
+			time.Sleep(pause)
+			var n int
+			n, err = io.WriteString(netConn, part)
+			sent += n
+		}
+		e.sent <- sent
+	}()
+	return e
+}
+
+// bytesSent waits until the client has closed the connection and returns the bytes that
+// were sent by then.
+func (e *endlessTarget) bytesSent(t *testing.T) int {
+	t.Helper()
+	select {
+	case n := <-e.sent:
+		return n
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection is still open")
+		return 0
+	}
+}
+
+const (
+	okHead = "HTTP/1.1 200 OK\r\nId: a\r\n"
+	// socketBufferBytes bounds the bytes that the kernel holds for a connection, which
+	// the target has sent and the client has not read.
+	socketBufferBytes = 12 << 20
+)
+
+// endlessHeads are heads that never end: what is sent once, and what is repeated.
+var endlessHeads = map[string][2]string{
+	"bytes without a line end": {"", strings.Repeat("x", 64<<10)},
+	"name of one field":        {okHead, strings.Repeat("x", 64<<10)},
+	"fields":                   {okHead, strings.Repeat("Field: value\r\n", 4<<10)},
+	"value of one field":       {okHead + "Field: ", strings.Repeat("v", 64<<10)},
+	"informational responses":  {"", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 2<<10)},
+}
+
+// Guards against a head without end that fills the node's memory until the call's deadline.
+func TestEndlessHeadEndsTheCall(t *testing.T) {
+	for name, text := range endlessHeads {
+		t.Run(name, func(t *testing.T) {
+			target := serveEndless(t, text[0], text[1], 0)
+			call := newCall("a")
+			call.Deadline = time.Now().Add(3 * time.Second)
+			start := time.Now()
+			a, outcome := New(target.address, testCodec{}).Do(context.Background(), call, "t1")
+			assert.Assert(t, time.Since(start) < time.Second, "the call took %v", time.Since(start))
+			assert.Equal(t, a.Run, model.RunUnknown)
+			assert.Equal(t, a.Reason, model.ReasonAnswerCut)
+			assert.Equal(t, outcome, model.OutcomeFailed)
+			assert.Assert(t, target.bytesSent(t) < socketBufferBytes)
+		})
+	}
+}
+
+// Guards against an answer to a probe without end that fills the node's memory.
+func TestEndlessHeadEndsTheProbe(t *testing.T) {
+	for name, text := range endlessHeads {
+		t.Run(name, func(t *testing.T) {
+			target := serveEndless(t, text[0], text[1], 0)
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			start := time.Now()
+			_, err := New(target.address, testCodec{}).Probe(ctx, "/healthz")
+			assert.Assert(t, err != nil)
+			assert.Assert(t, time.Since(start) < time.Second, "the probe took %v", time.Since(start))
+			assert.Assert(t, target.bytesSent(t) < socketBufferBytes)
+		})
+	}
+}
+
+// Guards against a limit on the head that also cuts the body, and against one that adds up
+// over the answers of a connection.
+func TestLargeAnswersAreReadOnOneConnection(t *testing.T) {
+	body := strings.Repeat("b", 4<<20)
+	head := strings.Repeat("Field: "+strings.Repeat("v", 100)+"\r\n", 50)
+	s := serveScript(t, func(_ int64, r *http.Request) string {
+		return "HTTP/1.1 103 Early Hints\r\n" + head + "\r\nHTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\n" + head +
+			"Transfer-Encoding: chunked\r\n\r\n400000\r\n" + body + "\r\n0\r\n\r\n"
+	})
+	a, outcome := do(t, s, newCall("a"), newCall("b"), newCall("c"))
+	assert.Equal(t, outcome, model.OutcomeAnswered)
+	assert.Equal(t, len(a.Body), len(body))
+	assert.Equal(t, s.connections.Load(), int64(1))
+}
--- a/transport/exchange/fuzz_test.go
+++ b/transport/exchange/fuzz_test.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -30,7 +29,7 @@
 			remote.Close()
 		}()
 		defer local.Close()
-		cn := &conn{Conn: local, r: bufio.NewReader(local)}
+		cn := newConn(local)
 		call := &model.Call{ID: 1, AttemptID: "a1", Method: "GET", Deadline: time.Now().Add(time.Second)}
 		a, _, resend := New("test", testCodec{}).readAnswer(context.Background(), cn, call)
 		if resend {
