exchange: accept the answer to a HEAD request with a length

Callers saw: 502 for a HEAD request that the target answered with Content-Length, and a target that counted as lost.

Cause: the length in the answer to HEAD is that of a body that does not follow, and readBody waited for that body.

A response that net/http knows to have no body has none.

Evidence: TestAnswerToHeadHasLengthWithoutBody fails on the commit before: OutcomeConnectionBroken instead of OutcomeAnswered.

--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -211,6 +211,9 @@
 
 func readBody(resp *http.Response) ([]byte, error) {
 	defer resp.Body.Close()
+	if resp.Body == http.NoBody {
+		return nil, nil // ContentLength is positive in the answer to a HEAD request
+	}
 	if n := resp.ContentLength; n >= 0 && n <= maxAnswerBytes {
 		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
--- a/transport/exchange/client_test.go
+++ b/transport/exchange/client_test.go
@@ -319,6 +319,20 @@
 	assert.Equal(t, s.connections.Load(), int64(1))
 }
 
+// Guards against failing a HEAD request because its answer lacks the body whose length it
+// gives.
+func TestAnswerToHeadHasLengthWithoutBody(t *testing.T) {
+	s := serveScript(t, func(_ int64, r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 42\r\n\r\n"
+	})
+	first, second := newCall("a"), newCall("b")
+	first.Method, second.Method = http.MethodHead, http.MethodHead
+	a, outcome := do(t, s, first, second)
+	assert.Equal(t, outcome, model.OutcomeAnswered)
+	assert.Equal(t, a.Header.Get("Content-Length"), "42")
+	assert.Equal(t, s.connections.Load(), int64(1))
+}
+
 // Guards against accepting a truncated answer as a complete one.
 func TestTruncatedAnswerIsNotAccepted(t *testing.T) {
 	for name, text := range map[string]string{
