exchange: do not read on after the end of a call or a probe

Callers would see: calls that hold their slot at the target and a core of the node until their deadline, although their answer was given up, when a target's body has no end.

Cause: http.Response.Body.Close reads a body with a length or with chunks to its end. It was deferred, so it ran before the connection was closed: after the body had exceeded its limit, and after a probe, which needs no body.

Neither closes the body any more. After an error the connection is closed at once; without one the body has been read to its end, and Close does nothing else.

--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -209,8 +209,9 @@
 	return model.OutcomeConnectionBroken
 }
 
+// readBody reads a complete body. The caller closes the connection after an error;
+// resp.Body.Close would read an endless body until the deadline.
 func readBody(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
 	if resp.Body == http.NoBody {
 		return nil, nil // ContentLength is positive in the answer to a HEAD request
 	}
@@ -284,6 +285,5 @@
 	if err != nil {
 		return model.Health{}, fault.Wrap("read probe's answer", c.address, err)
 	}
-	defer resp.Body.Close()
-	return c.codec.ParseHealth(resp), nil
+	return c.codec.ParseHealth(resp), nil // the body may be endless and is not read
 }
