exchange: limit the memory of the answers that are being read

Callers would see: a node that ends because its memory is used up, and with it every call in progress there, when a target's answers are large, endless or only announce a length.

Cause: a buffer of up to 64 MiB was allocated when the head gave the length, a body without a length was kept up to 64 MiB, also one that belongs to another call, and nothing limited the answers of all calls together. The nodes of package agent have such a limit (core/budget); package mesh had none.

A body that belongs to another call is read without keeping it. The node reserves the memory of each answer in a budget of a quarter of its memory limit until the answer is passed on (metric answer_bytes). Beyond a limit the connection is closed, and the call ends as one that may have run. OutcomeFailed, and not OutcomeConnectionBroken, keeps a large answer from counting as a crash of the target.

--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/ring"
@@ -270,7 +271,9 @@
 
 func (h *gateHandler) performCall(ctx context.Context, cancel context.CancelFunc, d gate.Decision, callerLink *link) {
 	defer cancel()
-	answer, outcome := h.client.Do(ctx, d.Run, d.Target)
+	reservation := h.node.answerBytes.NewReservation()
+	defer reservation.Release()
+	answer, outcome := h.client.Do(budget.NewContext(ctx, reservation), d.Run, d.Target)
 	answer.Load = h.node.targetLoad()
 	h.node.deliver(callerLink, answer)
 	_ = h.node.entry.Ring().Put(context.Background(), parentEnded{call: d.Run})
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
@@ -38,6 +39,10 @@
 	// confirmationStep is how much newer a peer's confirmation of the documents must be
 	// to be passed to the peers duty. Each report carries one.
 	confirmationStep = 100 * time.Millisecond
+	// answerMemoryDivisor is the ratio of the node's memory limit to the memory for the
+	// target's answers that are being read. The link to a caller's node holds another copy
+	// of an answer, and the buffer for a body is copied when it grows.
+	answerMemoryDivisor = 4
 )
 
 var (
@@ -61,6 +66,8 @@
 	gate   *duty.Duty[gateMessage]
 	peers  *duty.Duty[peersMessage]
 	client *exchange.Client
+	// answerBytes limits the memory of the target's answers that are being read.
+	answerBytes *budget.Bytes
 
 	documentsReader *logReader
 	nodesReader     *logReader
@@ -97,6 +104,8 @@
 		log:       event.New(out),
 		metrics:   newMetrics(),
 		client:    exchange.New(s.TargetAddress, codec),
+
+		answerBytes: budget.NewBytes(s.MemoryBytes / answerMemoryDivisor),
 	}
 	n.entry = newEntryDuty(n)
 	n.gate = newGateDuty(n, n.client)
@@ -107,6 +116,7 @@
 	n.metrics.vars.Set("entry", n.entry.Vars())
 	n.metrics.vars.Set("gate", n.gate.Vars())
 	n.metrics.vars.Set("peers", n.peers.Vars())
+	n.metrics.vars.Set("answer_bytes", n.answerBytes.Var())
 	n.metrics.vars.Set("documents_age_ms", expvar.Func(func() any { return n.documentsAge().Milliseconds() }))
 	return n
 }
--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -8,7 +8,6 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"hash/maphash"
@@ -19,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/transport/hop"
@@ -36,8 +36,6 @@
 	// maxAnswersRead limits how many answers are read for one call, including
 	// skipped answers that do not belong to it.
 	maxAnswersRead = 4
-	// maxAnswerBytes is the maximum size of an answer's body.
-	maxAnswerBytes = 64 << 20
 	// deadlineGrace is how long the client waits for the answer after a call's
 	// deadline, since the target itself answers at the deadline.
 	deadlineGrace = 100 * time.Millisecond
@@ -99,7 +97,8 @@
 }
 
 // Do sends a call to the target and returns the complete answer. It returns
-// early when ctx is canceled.
+// early when ctx is canceled. The memory of the answer is acquired from the reservation
+// in ctx (package budget), if there is one.
 func (c *Client) Do(ctx context.Context, call *model.Call, target model.Instance) (*model.Answer, model.RunOutcome) {
 	for {
 		cn, err := c.acquireConn(ctx, call)
@@ -170,12 +169,18 @@
 			return c.exchangeFailure(ctx, call, "read answer", err), failureOutcome(ctx, err), false
 		}
 		cn.answers++
-		body, err := readBody(resp)
+		own := cn.belongsTo(call, c.codec.AttemptID(resp))
+		var body []byte
+		if own {
+			body, err = readBody(resp, budget.FromContext(ctx))
+		} else {
+			err = skipBody(resp)
+		}
 		if err != nil {
 			cn.Close()
 			return c.exchangeFailure(ctx, call, "read answer's body", err), failureOutcome(ctx, err), false
 		}
-		if !cn.belongsTo(call, c.codec.AttemptID(resp)) {
+		if !own {
 			cn.faulty = true
 			continue
 		}
@@ -203,31 +208,13 @@
 	switch {
 	case ctx.Err() != nil:
 		return model.OutcomeCanceled
-	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, errHeadTooLarge):
+	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, errHeadTooLarge),
+		errors.Is(err, errBodyTooLarge), errors.Is(err, budget.ErrExceeded):
 		return model.OutcomeFailed
 	}
 	return model.OutcomeConnectionBroken
 }
 
-// readBody reads a complete body. The caller closes the connection after an error;
-// resp.Body.Close would read an endless body until the deadline.
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.Body == http.NoBody {
-		return nil, nil // ContentLength is positive in the answer to a HEAD request
-	}
-	if n := resp.ContentLength; n >= 0 && n <= maxAnswerBytes {
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	var b bytes.Buffer
-	_, err := b.ReadFrom(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && b.Len() > maxAnswerBytes {
-		err = errors.New("the body is too large")
-	}
-	return b.Bytes(), err
-}
-
 // trimHeader removes the hop-by-hop fields, and Content-Length if there is a body,
 // whose length is known anyway. This saves bytes on the links between
 // availability zones.
--- a/transport/exchange/endless_test.go
+++ b/transport/exchange/endless_test.go
@@ -6,13 +6,16 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
@@ -189,6 +192,78 @@
 	}
 }
 
+// Guards against a length without a body that takes the node's memory.
+func TestAnnouncedLengthTakesNoMemory(t *testing.T) {
+	const calls = 64
+	var before, during runtime.MemStats
+	runtime.ReadMemStats(&before)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	arrived := make(chan struct{}, calls)
+	head := okHead + "Content-Length: " + strconv.Itoa(maxAnswerBytes) + "\r\n\r\nbody"
+	s := serveScript(t, func(int64, *http.Request) string { arrived <- struct{}{}; return head })
+	c := New(s.Addr().String(), testCodec{})
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() { c.Do(ctx, newCall("a"), "t1") })
+	}
+	for range calls {
+		<-arrived
+	}
+	time.Sleep(200 * time.Millisecond) // until the heads have been read
+	runtime.ReadMemStats(&during)
+	cancel()
+	wg.Wait()
+	growth := int64(during.HeapAlloc) - int64(before.HeapAlloc)
+	assert.Assert(t, growth < 64<<20, "%d calls hold %d bytes", calls, growth)
+}
+
+// Guards against answers that are read at the same time and together fill the node's
+// memory.
+func TestAnswersReadTogetherStayWithinBudget(t *testing.T) {
+	const calls, limit = 16, 8 << 20
+	body := strings.Repeat("b", 4<<20)
+	framings := map[string]string{
+		"length": okHead + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body,
+		"chunks": okHead + "Transfer-Encoding: chunked\r\n\r\n400000\r\n" + body + "\r\n0\r\n\r\n",
+		"close":  okHead + "Connection: close\r\n\r\n" + body,
+	}
+	for name, text := range framings {
+		t.Run(name, func(t *testing.T) {
+			bytes := budget.NewBytes(limit)
+			s := serveScript(t, func(int64, *http.Request) string { return text })
+			c := New(s.Addr().String(), testCodec{})
+			reservations := make([]*budget.Reservation, calls)
+			answers := make([]*model.Answer, calls)
+			var wg sync.WaitGroup
+			for i := range calls {
+				reservations[i] = bytes.NewReservation()
+				wg.Go(func() {
+					answers[i], _ = c.Do(budget.NewContext(context.Background(), reservations[i]), newCall("a"), "t1")
+				})
+			}
+			wg.Wait()
+			complete := 0
+			for i, a := range answers {
+				switch {
+				case a.Run == model.Completed:
+					complete++
+					assert.Equal(t, len(a.Body), len(body))
+				default:
+					assert.Equal(t, a.Run, model.RunUnknown)
+					assert.Equal(t, a.Reason, model.ReasonAnswerCut)
+				}
+				reservations[i].Release()
+			}
+			assert.Assert(t, complete*len(body) <= limit, "%d answers of %d bytes were held", complete, len(body))
+			assert.Equal(t, bytes.Held(), int64(0))
+			reservation := bytes.NewReservation()
+			a, outcome := c.Do(budget.NewContext(context.Background(), reservation), newCall("a"), "t1")
+			assert.Equal(t, outcome, model.OutcomeAnswered, a.Detail)
+		})
+	}
+}
+
 // Guards against cutting an answer that is large or arrives slowly.
 func TestLargeSlowAnswersAreComplete(t *testing.T) {
 	const size = 3<<20 + 1
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -40,8 +40,8 @@
 const (
 	headerBytes = 5 // 4 for the length of kind and payload, 1 for the kind
 	// MaxBytes is the maximum length of kind and payload. It exceeds the largest
-	// body, that of an answer (maxAnswerBytes in transport/exchange), by enough
-	// for the headers.
+	// body of an answer from nodes of earlier versions, 64 MiB, by enough for the
+	// headers. Nodes of this version send less (maxAnswerBytes in transport/exchange).
 	MaxBytes = 80 << 20
 	// MaxHelloBytes is the same for a hello, which is read before the sender is known to
 	// be a node.
