target: limit the head of a target's answer

Cause: the budget for bodies does not count heads, and net/http reads up to 10 MB of them for each call by default.

The head is limited to 64 KiB. net/http closes the connection beyond it, and the call ends as one that may have run.

--- a/transport/target/body_test.go
+++ b/transport/target/body_test.go
@@ -48,3 +48,25 @@
 	reservation.Release()
 	assert.Equal(t, byteBudget.Held(), int64(0))
 }
+
+// Guards against a body without end that keeps its call until the deadline although its
+// memory is used up.
+func TestEndlessBodyEndsTheCall(t *testing.T) {
+	closed := make(chan struct{})
+	reservation := budget.NewBytes(1 << 20).NewReservation()
+	defer reservation.Release()
+	start := time.Now()
+	answer := callHandler(t, func(w http.ResponseWriter, _ *http.Request) {
+		defer close(closed)
+		for err := error(nil); err == nil; {
+			_, err = w.Write(make([]byte, 64<<10))
+		}
+	}, budget.NewContext(context.Background(), reservation))
+	assert.Equal(t, answer.Run, model.RunUnknown)
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+	assert.Assert(t, time.Since(start) < 2*time.Second)
+}
--- a/transport/target/client.go
+++ b/transport/target/client.go
@@ -37,6 +37,9 @@
 	// maxIdleConns limits the idle connections. The dialer enforces the limit on
 	// all open connections.
 	maxIdleConns = 4096
+	// maxHeadBytes limits the head of an answer, including the informational responses
+	// before it, since the budget for bodies does not count heads.
+	maxHeadBytes = 64 << 10
 	// maxSends limits how often a call is sent if no byte of it was written
 	// because a reused connection turned out to be closed.
 	maxSends = 3
@@ -65,10 +68,11 @@
 	c := &Client{baseURL: u, dialer: &dialer{Dialer: newDialer()}}
 	c.SetMaxConnections(maxConnections)
 	transport := &http.Transport{
-		DialContext:         c.dialer.dial,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            c.dialer.dial,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
 	}
 	c.http = &http.Client{Transport: transport, CheckRedirect: noRedirect}
 	return c, nil
--- a/transport/target/client_test.go
+++ b/transport/target/client_test.go
@@ -126,6 +126,33 @@
 	}
 }
 
+// Guards against a head without end that fills the node's memory: a head is not counted
+// against the budget for bodies.
+func TestEndlessHeadEndsTheCall(t *testing.T) {
+	for name, text := range map[string][2]string{
+		"fields":                  {"HTTP/1.1 200 OK\r\n", strings.Repeat("Field: value\r\n", 100)},
+		"one line":                {"HTTP/1.1 200 OK\r\nField: ", strings.Repeat("v", 1000)},
+		"informational responses": {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\nField: value\r\n\r\n", 100)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			url, _ := rawTarget(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				_ = c.(*net.TCPConn).SetWriteBuffer(4 << 10)
+				n := 0
+				for ok := writeText(c, text[0]); ok; n += len(text[1]) {
+					ok = writeText(c, text[1])
+				}
+				sent <- n
+				return false
+			})
+			answer := do(newClient(t, url, 4), newCall(http.MethodGet, ""))
+			assert.Equal(t, answer.Run, model.RunUnknown)
+			n := <-sent
+			assert.Assert(t, n < 4<<20, "%d bytes were sent", n)
+		})
+	}
+}
+
 // Guards against surplus bytes after a complete answer that are read as the
 // answer to the next call on the connection.
 func TestExtraBytesReachNoOtherCall(t *testing.T) {
