exchange: return a connection to the pool only when its call has ended

Callers saw: 502 for a request, which is lost if it is non-idempotent, although the target and the connection were sound.

Cause: a connection became idle before the function that closes it on cancellation was removed. A call that was canceled in between closed the connection under the next call.

A connection becomes idle only after that function has been removed and has not run. Keeping and closing now stand in one place, exchange.

--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -127,12 +127,25 @@
 	return model.NewRefusal(call.ID, model.ReasonTargetFailed, detail), model.OutcomeConnectionBroken
 }
 
-// exchange sends a call on a connection and reads its answer. resend is true if
-// a reused connection failed and the call can safely be sent again: no byte of
-// it was written, or readAnswer requests the resend.
+// exchange sends a call on a connection, reads its answer, and keeps or closes the
+// connection. resend is true if a reused connection failed and the call can safely be sent
+// again: no byte of it was written, or readAnswer requests the resend.
 func (c *Client) exchange(ctx context.Context, cn *conn, call *model.Call, target model.Instance) (answer *model.Answer, outcome model.RunOutcome, resend bool) {
+	cn.reusableUntil = time.Time{}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
-	defer stop()
+	answer, outcome, resend = c.sendAndRead(ctx, cn, call, target)
+	// A cancellation of this call must not close the connection once another call uses it.
+	if stop() && !cn.reusableUntil.IsZero() {
+		c.addIdle(cn)
+	} else {
+		cn.Close()
+	}
+	return answer, outcome, resend
+}
+
+// sendAndRead sends a call on a connection and reads its answer. Its results are those of
+// exchange.
+func (c *Client) sendAndRead(ctx context.Context, cn *conn, call *model.Call, target model.Instance) (answer *model.Answer, outcome model.RunOutcome, resend bool) {
 	now := time.Now()
 	cn.attempts = append(cn.attempts, c.hashAttempt(call))
 	_ = cn.SetDeadline(call.Deadline.Add(deadlineGrace))
@@ -140,7 +153,6 @@
 	request = c.codec.AppendRequest(request, call, target, call.Deadline.Sub(now))
 	request = append(request, call.Body...)
 	if n, err := cn.Write(request); err != nil {
-		cn.Close()
 		if n == 0 && cn.reused() && ctx.Err() == nil {
 			return nil, model.OutcomeConnectionBroken, true
 		}
@@ -162,7 +174,6 @@
 	for range maxAnswersRead {
 		resp, err := readHead(cn, call.Method)
 		if err != nil {
-			cn.Close()
 			if cn.reused() && call.Idempotent && errors.Is(err, io.EOF) && ctx.Err() == nil {
 				return nil, model.OutcomeConnectionBroken, true
 			}
@@ -177,7 +188,6 @@
 			err = skipBody(resp)
 		}
 		if err != nil {
-			cn.Close()
 			return c.exchangeFailure(ctx, call, "read answer's body", err), failureOutcome(ctx, err), false
 		}
 		if !own {
@@ -186,15 +196,13 @@
 		}
 		kind := c.codec.Classify(resp)
 		if kind == AnswerCorrupt {
-			cn.Close()
 			return c.exchangeFailure(ctx, call, "read answer", errAnswerCorrupt), model.OutcomeFailed, false
 		}
-		c.releaseConn(cn, resp)
+		cn.reusableUntil = cn.reuseLimit(time.Now(), resp)
 		trimHeader(resp.Header, body)
 		answer, outcome := newAnswer(call, kind, resp, body)
 		return answer, outcome, false
 	}
-	cn.Close()
 	return c.exchangeFailure(ctx, call, "read answer", errOtherAnswers), model.OutcomeFailed, false
 }
 
--- a/transport/exchange/client_test.go
+++ b/transport/exchange/client_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -425,6 +426,33 @@
 	}
 }
 
+// Guards against closing the connection of another call when a call is canceled just after
+// its answer.
+func TestLateCancelDoesNotCloseReusedConnection(t *testing.T) {
+	s := serveScript(t, func(_ int64, r *http.Request) string { return okAnswer(r.Header.Get("Id"), "body") })
+	c := New(s.Addr().String(), testCodec{})
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	for worker := range 16 {
+		wg.Go(func() {
+			for i := range 2000 {
+				call := newCall(strconv.Itoa(worker) + "." + strconv.Itoa(i))
+				call.Idempotent = false
+				ctx, cancel := context.WithCancel(context.Background())
+				if worker%2 == 0 {
+					time.AfterFunc(time.Duration(i%200)*time.Microsecond, cancel)
+				}
+				if a, _ := c.Do(ctx, call, "t1"); a.Run != model.Completed && ctx.Err() == nil {
+					failed.Add(1)
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, failed.Load(), int64(0))
+}
+
 // Guards against a probe that does not report which target answered.
 func TestProbeReportsTarget(t *testing.T) {
 	s := serveScript(t, func(_ int64, r *http.Request) string {
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -37,7 +37,7 @@
 	attempts      []uint64      // hashes of the attempt ids of the calls sent
 	answers       int           // answers read, including skipped ones
 	faulty        bool          // an answer arrived that belongs to no call in progress
-	reusableUntil time.Time     // set when the connection becomes idle
+	reusableUntil time.Time     // set after an answer; zero if the connection must be closed
 }
 
 func newConn(netConn net.Conn) *conn {
@@ -123,25 +123,22 @@
 	c.idle = append(c.idle, cn)
 }
 
-// releaseConn keeps a connection for the next call. It closes the connection
-// instead if the target will close it soon or has sent anything beyond the answer, or if
-// it has carried maxCallsPerConn calls.
-func (c *Client) releaseConn(cn *conn, resp *http.Response) {
+// reuseLimit returns until when another call may be sent on the connection after an answer.
+// It returns the zero time if the target will close the connection soon or has sent anything
+// beyond the answer, or if the connection has carried maxCallsPerConn calls.
+func (cn *conn) reuseLimit(now time.Time, resp *http.Response) time.Time {
 	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if resp.Close || closeDelimited || cn.faulty || cn.r.Buffered() > 0 || len(cn.attempts) >= maxCallsPerConn {
-		cn.Close()
-		return
+		return time.Time{}
 	}
 	idleTimeout := defaultIdleTimeout
 	if advertised, ok := parseKeepAlive(resp.Header.Get("Keep-Alive")); ok {
 		idleTimeout = advertised
 	}
 	if idleTimeout <= idleMargin {
-		cn.Close()
-		return
+		return time.Time{}
 	}
-	cn.reusableUntil = time.Now().Add(idleTimeout - idleMargin)
-	c.addIdle(cn)
+	return now.Add(idleTimeout - idleMargin)
 }
 
 // parseKeepAlive parses the parameter "timeout" of the Keep-Alive header.
