Do not wait at a start for peers that have nothing more than the log

A node that starts no longer waits for peers that start as well or refuse its dial. Whether the log was restored lately cannot be told from the era, so that it still asks a peer that is up.

TestStartWithoutPeerThatHasMoreDoesNotWait failed before: the node waited for joinTimeout.

--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -366,8 +366,8 @@
 // onPeerDocuments compares a peer's documents with those of this node.
 func (n *Node) onPeerDocuments(peer model.Instance, r *model.NodeReport) {
 	switch known := n.knownDocuments(); {
-	case known.Lacks(r.Documents):
-		n.peers.Ring().Offer(peerHasNewerDocuments{peer: peer, state: r.Documents})
+	case known.Lacks(r.Documents) || known.Incomplete():
+		n.peers.Ring().Offer(peerStatedDocuments{peer: peer, state: r.Documents})
 	case r.Documents.End == known.End && r.DocumentsAge >= 0 && r.DocumentsAge+confirmationStep < n.documentsAge():
 		n.peers.Ring().Offer(peerConfirmed{end: known.End, at: time.Now().Add(-r.DocumentsAge)})
 	}
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -71,9 +71,9 @@
 		end model.LogPosition
 		at  time.Time
 	}
-	// peerHasNewerDocuments reports that a peer has documents that this node does
-	// not have.
-	peerHasNewerDocuments struct {
+	// peerStatedDocuments carries the state of a peer's documents, if this node lacks
+	// some of them or is incomplete.
+	peerStatedDocuments struct {
 		peer  model.Instance
 		state model.DocumentsState
 	}
@@ -94,21 +94,21 @@
 	closeAllLinks struct{}
 )
 
-func (nodesRead) peersMessage()             {}
-func (dialDone) peersMessage()              {}
-func (incomingOpened) peersMessage()        {}
-func (outgoingClosed) peersMessage()        {}
-func (incomingClosed) peersMessage()        {}
-func (documentsRead) peersMessage()         {}
-func (logChecked) peersMessage()            {}
-func (peerDocuments) peersMessage()         {}
-func (peerConfirmed) peersMessage()         {}
-func (peerHasNewerDocuments) peersMessage() {}
-func (documentsRequested) peersMessage()    {}
-func (ownReport) peersMessage()             {}
-func (ownUsage) peersMessage()              {}
-func (otherZoneUsage) peersMessage()        {}
-func (closeAllLinks) peersMessage()         {}
+func (nodesRead) peersMessage()           {}
+func (dialDone) peersMessage()            {}
+func (incomingOpened) peersMessage()      {}
+func (outgoingClosed) peersMessage()      {}
+func (incomingClosed) peersMessage()      {}
+func (documentsRead) peersMessage()       {}
+func (logChecked) peersMessage()          {}
+func (peerDocuments) peersMessage()       {}
+func (peerConfirmed) peersMessage()       {}
+func (peerStatedDocuments) peersMessage() {}
+func (documentsRequested) peersMessage()  {}
+func (ownReport) peersMessage()           {}
+func (ownUsage) peersMessage()            {}
+func (otherZoneUsage) peersMessage()      {}
+func (closeAllLinks) peersMessage()       {}
 
 // peersHandler handles the messages of the peers duty, which runs the fleet policy.
 type peersHandler struct {
@@ -195,7 +195,7 @@
 			h.freshness.OnPeerAnswer(now, m.at)
 			h.storeConfirmation()
 		}
-	case peerHasNewerDocuments:
+	case peerStatedDocuments:
 		h.core.OnPeerState(now, m.peer, m.state)
 	case documentsRequested:
 		h.sendDocuments(now, m)
--- a/policy/fleet/core.go
+++ b/policy/fleet/core.go
@@ -27,8 +27,8 @@
 	// the node requests them, and the time between two such requests. Usually the node
 	// reads them from the log before that.
 	documentRequestDelay = 300 * time.Millisecond
-	// joinTimeout is how long a node that starts with a restored log waits for the
-	// documents of a peer. Without peers that have been up for longer there are none.
+	// joinTimeout is how long a node that starts waits for the peers that neither answer
+	// nor refuse its dial.
 	joinTimeout = time.Second
 )
 
@@ -76,11 +76,12 @@
 	dialTimers *timers.Queue[model.Instance]
 	actions    []Action
 
-	nodesEra uint64 // era in which the log was last searched for the node's address
+	nodesEra    uint64 // era in which the log was last searched for the node's address
+	nodesLoaded bool   // the nodes in the log are known
 
 	documents         *documentSet
 	documentsChanged  bool           // documents have changed since the last call of TakeDocumentsChanged
-	joinDeadline      time.Time      // zero unless the node has started with a restored log and waits for a peer's documents
+	joinDeadline      time.Time      // zero unless the node has started and waits for a peer's documents
 	requestDelayStart time.Time      // when a peer first reported newer documents, or when they were last requested; zero if no peer has newer ones
 	documentSource    model.Instance // peer that last reported newer documents
 	peersChanged      bool           // the set of peers has changed since the last call of ChangedPeers
@@ -92,6 +93,9 @@
 	state   chart.StateID
 	now     time.Time
 	backoff time.Duration
+	// hasNoMore is set if the peer has no documents that a node which starts lacks: it
+	// could not be reached, or starts as well.
+	hasNoMore bool
 }
 
 // New returns a core without peers and documents.
@@ -185,6 +189,7 @@
 // lack the node's address, which the node wrote when it started. Peers that the log lacks
 // stay known.
 func (c *Core) OnNodesLoaded(era uint64, listed bool) {
+	c.nodesLoaded = true
 	if era <= c.nodesEra {
 		return
 	}
@@ -198,15 +203,21 @@
 func (c *Core) OnConnected(now time.Time, id model.Instance) { c.step(now, id, eventConnected) }
 
 // OnDialFailed handles a failed Dial.
-func (c *Core) OnDialFailed(now time.Time, id model.Instance) { c.step(now, id, eventDialFailed) }
+func (c *Core) OnDialFailed(now time.Time, id model.Instance) {
+	c.step(now, id, eventDialFailed)
+	c.noteNoMore(id)
+}
 
 // OnLinkClosed handles the end of a link.
 func (c *Core) OnLinkClosed(now time.Time, id model.Instance) { c.step(now, id, eventClosed) }
 
 // OnPeerState handles a peer's report of the documents that it has. A node that joins
-// requests them at once.
+// requests them at once. A peer whose log was in an older era may have more than it says.
 func (c *Core) OnPeerState(now time.Time, id model.Instance, state model.DocumentsState) {
 	if !c.State().Lacks(state) {
+		if state.End.Era >= c.documents.end.Era {
+			c.noteNoMore(id)
+		}
 		return
 	}
 	if c.requestDelayStart.IsZero() {
@@ -231,7 +242,7 @@
 	if c.documents.expire(now) {
 		c.documentsChanged = true
 	}
-	if c.Joining() && !now.Before(c.joinDeadline) {
+	if c.Joining() && (!now.Before(c.joinDeadline) || c.nobodyHasMore()) {
 		c.joinDeadline = time.Time{}
 	}
 	next := timers.Earlier(c.dialTimers.NextDue(), timers.Earlier(c.documents.retainUntil, c.joinDeadline))
@@ -251,7 +262,8 @@
 // not newer than the known ones, it changes nothing and returns false. After a restore of
 // the log, documents that the log lacks stay in force: the configuration until there is a
 // newer version, others for retentionTime. A node that has just started does not know
-// these, and waits for the documents of a peer.
+// these, nor whether the log was restored lately, and waits for the documents of a peer
+// unless no peer has more than the log.
 func (c *Core) OnDocuments(now time.Time, records []keyed.Record, end model.LogPosition) bool {
 	joins := end.Era > 0 && c.documents.end == (model.LogPosition{})
 	replaced := c.replaceDocuments(now, records, end)
@@ -317,11 +329,30 @@
 	return outdated
 }
 
-// Joining reports whether the node waits for a peer's documents, since it has started with
-// a restored log, which may lack documents that are in force. Until it ends, the node's
-// documents must not be applied or sent to peers.
+// Joining reports whether the node has started and waits for a peer's documents, since a
+// restored log may lack some that are in force. Until it ends, the node's documents must
+// not be applied or sent to peers.
 func (c *Core) Joining() bool { return !c.joinDeadline.IsZero() }
 
+func (c *Core) noteNoMore(id model.Instance) {
+	if p := c.peers[id]; p != nil {
+		p.hasNoMore = true
+	}
+}
+
+// nobodyHasMore reports whether no known peer has documents that the node lacks.
+func (c *Core) nobodyHasMore() bool {
+	if !c.nodesLoaded {
+		return false
+	}
+	for _, p := range c.peers {
+		if !p.hasNoMore {
+			return false
+		}
+	}
+	return true
+}
+
 // State states which documents the node has.
 func (c *Core) State() model.DocumentsState {
 	state := model.DocumentsState{End: c.documents.end}
--- a/policy/fleet/core_test.go
+++ b/policy/fleet/core_test.go
@@ -326,3 +326,31 @@
 		assert.Equal(t, len(c.Actions()), 0, "%q is dialed", id)
 	}
 }
+
+// Guards against a wait at each start, also when the whole fleet starts and no peer has
+// more than the log.
+func TestStartWithoutPeerThatHasMoreDoesNotWait(t *testing.T) {
+	const peer2 = model.Instance("10.0.0.3:7000")
+	c := joiningCore()
+	c.OnDiscovered(start, peer2)
+	c.OnNodesLoaded(1, true)
+	c.OnPeerState(start, peer1, model.DocumentsState{})
+	c.OnDialFailed(start, peer2)
+	c.Tick(start)
+	assert.Assert(t, c.Joining(), "peer1 has not read the log yet")
+	c.OnPeerState(start, peer1, model.DocumentsState{End: at(1, 2)})
+	c.Tick(start)
+	assert.Assert(t, c.TakeDocumentsChanged())
+	assert.Equal(t, c.State(), model.DocumentsState{End: at(1, 2), Version: 2})
+}
+
+// Guards against a start that does not wait for peers which it does not know yet.
+func TestStartWaitsForListOfNodes(t *testing.T) {
+	c := newCore()
+	c.OnDocuments(start, []keyed.Record{recordIn(1, "config", "v2", 1)}, at(1, 2))
+	c.Tick(start)
+	assert.Assert(t, c.Joining())
+	c.OnNodesLoaded(1, true)
+	c.Tick(start)
+	assert.Assert(t, !c.Joining())
+}
