Write the address again only if the restored log lacks it

An append that was done before a restore and a list that was loaded after it could also leave the address unwritten, if that was the first list.

Append returns the era in which the record was added, and policy/fleet compares it with the era of the list.

--- a/agent/mesh/address_publisher.go
+++ b/agent/mesh/address_publisher.go
@@ -51,9 +51,10 @@
 	backoff := initialBackoff
 	value := []byte(`{"zone":"` + string(n.settings.Zone) + `"}`)
 	for ctx.Err() == nil {
-		err := n.store.Append(ctx, keyed.StreamNodes, string(n.settings.Instance), value)
+		era, err := n.store.Append(ctx, keyed.StreamNodes, string(n.settings.Instance), value)
 		if err == nil {
-			n.log.Emit(event.MeshAnnounced, "address", n.settings.Instance)
+			n.log.Emit(event.MeshAnnounced, "address", n.settings.Instance, "era", era)
+			_ = n.peers.Ring().Put(ctx, addressPublished{era: era}) // fails only when the node stops
 			return
 		}
 		n.log.Emit(event.MeshAnnounceFailed, "error", err)
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -36,6 +36,8 @@
 type (
 	// nodesRead carries the log's answer to a read of the stream of nodes.
 	nodesRead struct{ answer logAnswer }
+	// addressPublished reports that the log has this node's address.
+	addressPublished struct{ era uint64 }
 	// dialDone is the result of a dial.
 	dialDone struct {
 		peer  model.Instance
@@ -95,6 +97,7 @@
 )
 
 func (nodesRead) peersMessage()           {}
+func (addressPublished) peersMessage()    {}
 func (dialDone) peersMessage()            {}
 func (incomingOpened) peersMessage()      {}
 func (outgoingClosed) peersMessage()      {}
@@ -174,6 +177,8 @@
 	switch m := m.(type) {
 	case nodesRead:
 		h.onNodesRead(now, m.answer)
+	case addressPublished:
+		h.core.OnAddressPublished(m.era)
 	case dialDone:
 		h.onDialDone(now, m)
 	case incomingOpened:
--- a/logservice/keyed/keyed.go
+++ b/logservice/keyed/keyed.go
@@ -46,7 +46,7 @@
 	// there are none, it waits for a record for at most wait. It returns ErrExpired or
 	// ErrOtherEra if the log does not have the position any more.
 	Read(ctx context.Context, stream string, from model.LogPosition, wait time.Duration) ([]Record, model.LogPosition, error)
-	// Append adds a record. After an error the record may have been added, or may
-	// still be added later.
-	Append(ctx context.Context, stream, key string, value []byte) error
+	// Append adds a record and returns the era in which it was added. After an error
+	// the record may have been added, or may still be added later.
+	Append(ctx context.Context, stream, key string, value []byte) (era uint64, err error)
 }
--- a/policy/fleet/core.go
+++ b/policy/fleet/core.go
@@ -76,8 +76,10 @@
 	dialTimers *timers.Queue[model.Instance]
 	actions    []Action
 
-	nodesEra    uint64 // era in which the log was last searched for the node's address
-	nodesLoaded bool   // the nodes in the log are known
+	nodesEra         uint64 // era of the nodes that were loaded last
+	nodesLoaded      bool   // the nodes in the log are known
+	addressEra       uint64 // newest era in which the log is known to have the node's address
+	addressPublished bool   // no append of the address is in progress
 
 	documents         *documentSet
 	documentsChanged  bool           // documents have changed since the last call of TakeDocumentsChanged
@@ -186,15 +188,29 @@
 func (c *Core) OnPeerLeft(now time.Time, id model.Instance) { c.step(now, id, eventLeft) }
 
 // OnNodesLoaded handles the complete list of nodes in the log. A log that was restored may
-// lack the node's address, which the node wrote when it started. Peers that the log lacks
-// stay known.
+// lack the node's address. Peers that the log lacks stay known.
 func (c *Core) OnNodesLoaded(era uint64, listed bool) {
 	c.nodesLoaded = true
-	if era <= c.nodesEra {
-		return
+	c.nodesEra = max(c.nodesEra, era)
+	if listed {
+		c.addressEra = max(c.addressEra, era)
 	}
-	c.nodesEra = era
-	if !listed {
+	c.publishLostAddress()
+}
+
+// OnAddressPublished handles the result of an append of the node's address: the first,
+// which the node makes when it starts, or one after PublishAddress.
+func (c *Core) OnAddressPublished(era uint64) {
+	c.addressPublished = true
+	c.addressEra = max(c.addressEra, era)
+	c.publishLostAddress()
+}
+
+// publishLostAddress publishes the address again if the log began a new era after the last
+// append and lacks it.
+func (c *Core) publishLostAddress() {
+	if c.addressPublished && c.addressEra < c.nodesEra {
+		c.addressPublished = false
 		c.actions = append(c.actions, PublishAddress{})
 	}
 }
--- a/policy/fleet/core_test.go
+++ b/policy/fleet/core_test.go
@@ -297,15 +297,28 @@
 }
 
 // Guards against a restored log that never gets the node's address again, and against
-// writing an address again that the log has.
+// writing an address that the log has or that is being written.
 func TestAddressIsPublishedOncePerRestore(t *testing.T) {
 	c := newCore()
-	c.OnNodesLoaded(0, false)
-	c.OnNodesLoaded(1, true)
+	c.OnNodesLoaded(1, false) // the append at the start is in progress
+	c.OnAddressPublished(1)
+	c.OnNodesLoaded(1, false)
+	c.OnNodesLoaded(2, true)
 	assert.Equal(t, len(c.Actions()), 0)
+	c.OnNodesLoaded(4, false)
+	c.OnNodesLoaded(4, false)
 	c.OnNodesLoaded(3, false)
-	c.OnNodesLoaded(3, false)
+	assert.DeepEqual(t, c.Actions(), []Action{PublishAddress{}})
+	c.OnAddressPublished(4)
+	assert.Equal(t, len(c.Actions()), 0)
+}
+
+// Guards against an address that is lost because the log was restored after the append at
+// the start and before the first list of nodes was loaded.
+func TestAddressAppendedBeforeRestoreIsPublishedAgain(t *testing.T) {
+	c := newCore()
 	c.OnNodesLoaded(2, false)
+	c.OnAddressPublished(1)
 	assert.DeepEqual(t, c.Actions(), []Action{PublishAddress{}})
 }
 
