Wait at a start for peers whose addresses the log has lost

A node that started right after a restore which had lost the addresses of its peers took the empty list for a fleet without peers, and applied the older configuration at once.

A node that knows no peers waits for them, at most 1 s; they dial it when they read its address.

--- a/policy/fleet/core.go
+++ b/policy/fleet/core.go
@@ -27,8 +27,8 @@
 	// the node requests them, and the time between two such requests. Usually the node
 	// reads them from the log before that.
 	documentRequestDelay = 300 * time.Millisecond
-	// joinTimeout is how long a node that starts waits for the peers that neither answer
-	// nor refuse its dial.
+	// joinTimeout is how long a node that starts waits for peers that it does not know or
+	// that neither answer nor refuse its dial.
 	joinTimeout = time.Second
 )
 
@@ -356,9 +356,10 @@
 	}
 }
 
-// nobodyHasMore reports whether no known peer has documents that the node lacks.
+// nobodyHasMore reports whether no known peer has documents that the node lacks. If there
+// are no known peers, the log may have lost their addresses.
 func (c *Core) nobodyHasMore() bool {
-	if !c.nodesLoaded {
+	if !c.nodesLoaded || len(c.peers) == 0 {
 		return false
 	}
 	for _, p := range c.peers {
--- a/policy/fleet/core_test.go
+++ b/policy/fleet/core_test.go
@@ -357,13 +357,19 @@
 	assert.Equal(t, c.State(), model.DocumentsState{End: at(1, 2), Version: 2})
 }
 
-// Guards against a start that does not wait for peers which it does not know yet.
-func TestStartWaitsForListOfNodes(t *testing.T) {
+// Guards against a start that does not wait for peers which it does not know yet, since
+// the log has not been read or has lost their addresses.
+func TestStartWaitsForUnknownPeers(t *testing.T) {
 	c := newCore()
 	c.OnDocuments(start, []keyed.Record{recordIn(1, "config", "v2", 1)}, at(1, 2))
 	c.Tick(start)
 	assert.Assert(t, c.Joining())
-	c.OnNodesLoaded(1, true)
+	c.OnNodesLoaded(1, false)
 	c.Tick(start)
-	assert.Assert(t, !c.Joining())
+	assert.Assert(t, c.Joining())
+	c.OnDiscovered(start, peer1)
+	c.OnPeerState(start, peer1, model.DocumentsState{End: at(1, 2), Version: 5})
+	c.OnPeerDocuments(start, []keyed.Record{record("config", "v5", 3)}, at(1, 2), 0)
+	assert.Equal(t, values(c)["config"], "v5")
+	assert.Assert(t, c.TakeDocumentsChanged())
 }
--- a/policy/fleet/documents.go
+++ b/policy/fleet/documents.go
@@ -167,7 +167,7 @@
 
 // retained returns the sorted keys of the documents that the log lacks.
 func (s *documentSet) retained() []string {
-	var keys []string
+	keys := []string{}
 	for key, d := range s.byKey {
 		if d.record.Position.Era < s.end.Era {
 			keys = append(keys, key)
