soak: restore the store from a backup

The new fault backs up the store, takes it down later, restores the backup, and writes the operator's documents again up to 1.5 s after. It is one of the faults that a seed chooses, so that each seed now plays other faults than before.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -84,6 +84,7 @@
 	{"store_down", func(f *fleet, rng *rand.Rand) { f.failStore(storetest.Fault{Down: true}, rng) }},
 	{"store_loses", func(f *fleet, rng *rand.Rand) { f.failStore(storetest.Fault{LoseAppendAnswer: true}, rng) }},
 	{"store_slow", func(f *fleet, rng *rand.Rand) { f.failStore(storetest.Fault{Delay: 400 * time.Millisecond}, rng) }},
+	{"store_restored", func(f *fleet, rng *rand.Rand) { f.restoreStore(rng) }},
 	{"store_expires", func(f *fleet, rng *rand.Rand) { f.store.Expire(operatorTopic) }},
 	{"target_loses", func(f *fleet, rng *rand.Rand) {
 		f.failTarget(f.pick(rng).target, rng, func(t *target) { t.lostAnswerShare = 0.3 }, func(t *target) { t.lostAnswerShare = 0 })
@@ -162,6 +163,42 @@
 	f.after(d, func() { f.store.SetFault(storetest.Fault{}) })
 }
 
+// restoreStore backs up the store and later takes it down, restores the backup and, after
+// another moment, writes the operator's documents again.
+func (f *fleet) restoreStore(rng *rand.Rand) {
+	backup := f.store.Backup()
+	age, downTime := randomDuration(rng, 500*time.Millisecond, 4*time.Second), randomDuration(rng, 100*time.Millisecond, 3*time.Second)
+	rewriteDelay := randomDuration(rng, 0, 1500*time.Millisecond)
+	f.after(age, func() {
+		f.markAllAffected(downTime + rewriteDelay + settleTime)
+		f.store.SetFault(storetest.Fault{Down: true})
+		f.after(downTime, func() {
+			f.store.Restore(backup)
+			f.store.SetFault(storetest.Fault{})
+			f.after(rewriteDelay, f.writeDocumentsAgain)
+		})
+	})
+}
+
+// writeDocumentsAgain writes the operator's documents as they should be.
+func (f *fleet) writeDocumentsAgain() {
+	f.publishConfig(func() {})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, zone := range zones {
+		f.putZone(zone)
+	}
+}
+
+// putZone writes the document of an availability zone. The caller holds f.mu.
+func (f *fleet) putZone(zone string) {
+	value := ""
+	if f.zonesOut[zone] {
+		value = "{}"
+	}
+	f.store.Put(operatorTopic, standin.ZoneKey(zone), value)
+}
+
 // failTarget changes the behavior of a target for a random time.
 func (f *fleet) failTarget(t *target, rng *rand.Rand, apply, undo func(*target)) {
 	change := func(modify func(*target)) {
@@ -199,11 +236,14 @@
 
 // setZoneOut takes an availability zone out of service or puts it back.
 func (f *fleet) setZoneOut(zone string, out bool) {
-	value, since := "", time.Time{}
+	since := time.Time{}
 	if out {
-		value, since = "{}", time.Now()
+		since = time.Now()
 	}
-	f.store.Put(operatorTopic, standin.ZoneKey(zone), value)
+	f.mu.Lock()
+	f.zonesOut[zone] = out
+	f.putZone(zone)
+	f.mu.Unlock()
 	for _, inst := range f.instances {
 		if inst.zone == zone {
 			inst.faultState.setZoneOut(since)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -70,6 +70,7 @@
 	configVersion  int
 	keyWithdrawnAt time.Time       // zero while k-guest is valid
 	guestKeys      map[string]bool // whether the keys that faults withdraw are valid
+	zonesOut       map[string]bool // whether each availability zone is out of service
 }
 
 // instance is a node process with the target beside it, and the proxies on their links.
@@ -88,7 +89,7 @@
 func newFleet(t *testing.T, seed uint64, size int, dir string) *fleet {
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), recorder: newRecorder(), store: storetest.New(t),
-		guestKeys: map[string]bool{"k-guest": true},
+		guestKeys: map[string]bool{"k-guest": true}, zonesOut: make(map[string]bool),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.publishConfig(func() {})
