--- /dev/null
+++ b/agent/mesh/config_test.go
@@ -0,0 +1,37 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/logservice/keyed"
+	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/model/graph"
+)
+
+// limitDecoder decodes a configuration of two bytes, its version and a limit.
+type limitDecoder struct{ versionDecoder }
+
+func (limitDecoder) Config(value []byte) (*graph.Config, error) {
+	return &graph.Config{Version: uint64(value[0]), Limits: graph.Limits{HeaderBytes: int(value[1])}}, nil
+}
+
+// Guards against a configuration that the log lost before it was acknowledged, and that
+// stays in force although the restored log has another one with its version.
+func TestRestoredLogDecidesBetweenConfigsOfOneVersion(t *testing.T) {
+	n, h := newIdleNode()
+	n.decoder = limitDecoder{}
+	now := time.Now()
+	read := func(limit byte, position model.LogPosition) {
+		r := keyed.Record{Key: "config", Value: []byte{7, limit}, Position: position}
+		end := model.LogPosition{Era: position.Era, Offset: position.Offset + 1}
+		h.Handle(now, []peersMessage{documentsRead{answer: logAnswer{records: []keyed.Record{r}, end: end, complete: true, answeredAt: now}}})
+		now = now.Add(2 * time.Second)
+		h.Tick(now)
+	}
+	read(1, model.LogPosition{Era: 1, Offset: 5})
+	read(2, model.LogPosition{Era: 2, Offset: 3})
+	assert.Equal(t, h.loader.config.Limits.HeaderBytes, 2)
+}
