agent/mesh: read no clock for a request's configuration age, and restart reads in one place

For each request the entry duty took the age of the documents, which reads the clock, only to subtract it from the time again; it now gets the time of the confirmation. The restart of both reads stood twice.

--- a/agent/mesh/documents.go
+++ b/agent/mesh/documents.go
@@ -29,8 +29,7 @@
 	if m.err != nil {
 		h.freshness.OnCheckFailed(now)
 		if positionLost(m.err) {
-			h.node.documentsReader.restart()
-			h.node.nodesReader.restart()
+			h.node.restartReads()
 		}
 		return
 	}
--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -135,7 +135,7 @@
 	switch m := m.(type) {
 	case *requestReceived:
 		h.pending[m.request.ID] = &pendingRequest{reply: m.reply, arrivedAt: now, attemptID: m.request.AttemptID}
-		h.core.SetConfirmedAt(now.Add(-h.node.documentsAge()))
+		h.core.SetConfirmedAt(h.node.documentsConfirmedAt())
 		h.core.OnRequest(now, m.request)
 	case requestCanceled:
 		delete(h.pending, m.id)
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -129,15 +129,18 @@
 	return model.DocumentsState{}
 }
 
-// documentsAge returns the time since the log last confirmed the operator's documents,
-// or since the start of the node if it never has.
-func (n *Node) documentsAge() time.Duration {
+// documentsConfirmedAt returns when the log last confirmed the operator's documents, or
+// the start of the node if it never has.
+func (n *Node) documentsConfirmedAt() time.Time {
 	if at := n.confirmedAt.Load(); at != nil {
-		return time.Since(*at)
+		return *at
 	}
-	return time.Since(n.createdAt)
+	return n.createdAt
 }
 
+// documentsAge returns the time since documentsConfirmedAt.
+func (n *Node) documentsAge() time.Duration { return time.Since(n.documentsConfirmedAt()) }
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // Handlers holds the HTTP handlers for a node's addresses.
@@ -216,6 +219,12 @@
 	}
 }
 
+// restartReads sends the reads that wait for records again.
+func (n *Node) restartReads() {
+	n.documentsReader.restart()
+	n.nodesReader.restart()
+}
+
 // startLogThreads starts the threads that read the log and append to it.
 func (n *Node) startLogThreads(ctx context.Context) {
 	go n.documentsReader.run(ctx)
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -319,8 +319,7 @@
 	}
 	if h.freshness.TakeRestart() {
 		h.node.log.Emit(event.MeshReadsRestarted, "era", h.core.End().Era, "offset", h.core.End().Offset)
-		h.node.documentsReader.restart()
-		h.node.nodesReader.restart()
+		h.node.restartReads()
 	}
 	if h.reportDue {
 		h.sendReports(now)
