--- a/agent/mesh/config.go
+++ b/agent/mesh/config.go
@@ -77,6 +77,9 @@
 		c.config = config
 		c.node.log.Emit(event.MeshConfigured, "version", config.Version, "era", r.Position.Era, "offset", r.Position.Offset,
 			"routes", len(config.Routes), "services", len(config.Services), "customers", len(config.Customers))
+		for _, warning := range config.Warnings {
+			c.node.log.Emit(event.MeshConfigWarning, "version", config.Version, "detail", warning)
+		}
 	case config.Version == c.config.Version && r.Position.Era != c.position.Era:
 		// The operator has written the configuration in force again after a restore.
 	default:
--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -71,4 +71,7 @@
 		"A link to another node was closed.", "If it repeats, check the network between the two nodes.")
 	MeshDialFailed = define(1042, "mesh_dial_failed", hclog.Info,
 		"A connection to or from a peer could not be established; the node retries its own connection attempts.", "None if the peer is down.")
+	MeshConfigWarning = define(1043, "mesh_config_warning", hclog.Warn,
+		"A version of the configuration has a part that this build does not know; the node handles it as the field detail says.",
+		"Update the nodes.")
 )
--- a/model/graph/graph.go
+++ b/model/graph/graph.go
@@ -67,6 +67,7 @@
 	Routes    []*Route
 	Services  map[model.Service]*Service
 	Customers map[model.Customer]*Customer
+	Warnings  []string // what the decoder did not understand and handled in a safe way, for logs
 
 	routesByHost   map[string][]*Route // longest prefix first
 	customersByKey map[string]*Customer
