fleet: wait at a start for the newest stated documents, and ask only peers that have them

Cause: a node that starts after a restore ended its wait with the first set of documents, kept "has no more" of a peer that stated more later, and counted peers that it could not reach as peers without more even if it reached none. It also remembered only the peer that had stated newer documents last, and went on asking it after it had left.

Ruled out: a longer wait for all starts.

Change: the statements of the peers that the node lacks are kept until their link closes or they leave. The wait ends when the newest stated version is in force, or when all peers that can be reached, at least one, have no more. Requests go to the peer with the newest statement, and end when there is none.

--- a/policy/fleet/core.go
+++ b/policy/fleet/core.go
@@ -84,8 +84,10 @@
 	documents         *documentSet
 	documentsChanged  bool           // documents have changed since the last call of TakeDocumentsChanged
 	joinDeadline      time.Time      // zero unless the node has started and waits for a peer's documents
-	requestDelayStart time.Time      // when a peer first reported newer documents, or when they were last requested; zero if no peer has newer ones
-	documentSource    model.Instance // peer that last reported newer documents
+	requestDelayStart time.Time // when a peer first reported newer documents, or when they were last requested; zero if no peer has newer ones
+	// stated holds what the peers with a link have stated last, if the node lacked some of
+	// it then.
+	stated map[model.Instance]model.DocumentsState
 	peersChanged      bool           // the set of peers has changed since the last call of ChangedPeers
 }
 
@@ -95,9 +97,8 @@
 	state   chart.StateID
 	now     time.Time
 	backoff time.Duration
-	// hasNoMore is set if the peer has no documents that a node which starts lacks: it
-	// could not be reached, or starts as well.
-	hasNoMore bool
+	unreachable  bool // the latest dial has failed
+	statedNoMore bool // by its latest statement, it has no documents that the node lacks
 }
 
 // New returns a core without peers and documents.
@@ -108,6 +109,7 @@
 		peers:      make(map[model.Instance]*peer),
 		dialTimers: timers.New[model.Instance](),
 		documents:  newDocumentSet(version),
+		stated:     make(map[model.Instance]model.DocumentsState),
 	}
 	c.machine = chart.MustCompile(charts.MustRead("mesh_peer"), chart.Binding[*peer]{
 		States: []string{"waiting", "dialing", "up", "removed"},
@@ -185,7 +187,10 @@
 }
 
 // OnPeerLeft removes a peer that has left the fleet.
-func (c *Core) OnPeerLeft(now time.Time, id model.Instance) { c.step(now, id, eventLeft) }
+func (c *Core) OnPeerLeft(now time.Time, id model.Instance) {
+	c.step(now, id, eventLeft)
+	delete(c.stated, id)
+}
 
 // OnNodesLoaded handles the complete list of nodes in the log. A log that was restored may
 // lack the node's address. Peers that the log lacks stay known.
@@ -221,28 +226,58 @@
 // OnDialFailed handles a failed Dial.
 func (c *Core) OnDialFailed(now time.Time, id model.Instance) {
 	c.step(now, id, eventDialFailed)
-	c.noteNoMore(id)
+	if p := c.peers[id]; p != nil {
+		p.unreachable = true
+	}
 }
 
 // OnLinkClosed handles the end of a link.
-func (c *Core) OnLinkClosed(now time.Time, id model.Instance) { c.step(now, id, eventClosed) }
+func (c *Core) OnLinkClosed(now time.Time, id model.Instance) {
+	c.step(now, id, eventClosed)
+	delete(c.stated, id)
+}
 
 // OnPeerState handles a peer's report of the documents that it has. A node that joins
 // requests them at once. A peer whose log was in an older era may have more than it says.
 func (c *Core) OnPeerState(now time.Time, id model.Instance, state model.DocumentsState) {
-	if !c.State().Lacks(state) {
-		if state.End.Era >= c.documents.end.Era {
-			c.noteNoMore(id)
-		}
+	lacks := c.State().Lacks(state)
+	if p := c.peers[id]; p != nil {
+		p.unreachable = false
+		p.statedNoMore = !lacks && state.End.Era >= c.documents.end.Era
+	}
+	if !lacks {
+		delete(c.stated, id)
 		return
 	}
+	c.stated[id] = state
 	if c.requestDelayStart.IsZero() {
 		c.requestDelayStart = now
 		if c.Joining() {
 			c.requestDelayStart = now.Add(-documentRequestDelay)
 		}
 	}
-	c.documentSource = id
+}
+
+// documentSource returns the peer that has stated the newest documents, or "" if no peer
+// has stated any that the node lacks.
+func (c *Core) documentSource() model.Instance {
+	known := c.State()
+	var source model.Instance
+	var newest model.DocumentsState
+	for id, state := range c.stated {
+		if known.Lacks(state) && (source == "" || newerDocuments(state, newest) || state == newest && id < source) {
+			source, newest = id, state
+		}
+	}
+	return source
+}
+
+// newerDocuments reports whether a is a statement of newer documents than b.
+func newerDocuments(a, b model.DocumentsState) bool {
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	return b.End.Before(a.End)
 }
 
 // Tick runs the timers that are due and returns the time of the next one, or zero if
@@ -266,12 +301,17 @@
 		return next
 	}
 	requestAt := c.requestDelayStart.Add(documentRequestDelay)
-	if !now.Before(requestAt) {
-		c.actions = append(c.actions, RequestDocuments{Peer: c.documentSource, Known: c.State()})
-		c.requestDelayStart = now
-		requestAt = now.Add(documentRequestDelay)
+	if now.Before(requestAt) {
+		return timers.Earlier(next, requestAt)
+	}
+	source := c.documentSource()
+	if source == "" { // the peers that had newer documents are gone
+		c.requestDelayStart = time.Time{}
+		return next
 	}
-	return timers.Earlier(next, requestAt)
+	c.actions = append(c.actions, RequestDocuments{Peer: source, Known: c.State()})
+	c.requestDelayStart = now
+	return timers.Earlier(next, now.Add(documentRequestDelay))
 }
 
 // OnDocuments replaces all documents with those of the log up to a position. If they are
@@ -285,7 +325,7 @@
 	replaced := c.replaceDocuments(now, records, end)
 	if joins {
 		c.joinDeadline = now.Add(joinTimeout)
-		if c.documentSource != "" {
+		if c.documentSource() != "" {
 			c.requestDelayStart = now.Add(-documentRequestDelay)
 		}
 	}
@@ -293,12 +333,17 @@
 }
 
 // OnPeerDocuments takes what the node lacks from a peer's documents, and reports whether
-// there was any. retainedFor is how long the peer retains documents without a version.
+// there was any. retainedFor is how long the peer retains documents without a version. A
+// node that joins goes on waiting if another peer has stated a newer version.
 func (c *Core) OnPeerDocuments(now time.Time, records []keyed.Record, end model.LogPosition, retainedFor time.Duration) bool {
-	c.joinDeadline, c.requestDelayStart = time.Time{}, time.Time{}
 	replaced := c.replaceDocuments(now, records, end)
 	merged := c.documents.merge(now, records, end, retainedFor)
 	c.documentsChanged = c.documentsChanged || merged
+	if c.Joining() && c.newestStatedVersion() > c.documents.newestVersion() {
+		c.requestDelayStart = now.Add(-documentRequestDelay)
+	} else {
+		c.joinDeadline, c.requestDelayStart = time.Time{}, time.Time{}
+	}
 	return replaced || merged
 }
 
@@ -350,24 +395,28 @@
 // not be applied or sent to peers.
 func (c *Core) Joining() bool { return !c.joinDeadline.IsZero() }
 
-func (c *Core) noteNoMore(id model.Instance) {
-	if p := c.peers[id]; p != nil {
-		p.hasNoMore = true
+func (c *Core) newestStatedVersion() uint64 {
+	newest := uint64(0)
+	for _, state := range c.stated {
+		newest = max(newest, state.Version)
 	}
+	return newest
 }
 
-// nobodyHasMore reports whether no known peer has documents that the node lacks. If there
-// are no known peers, the log may have lost their addresses.
+// nobodyHasMore reports whether no known peer that can be reached has documents that the
+// node lacks. If none can be reached, the log may have lost the addresses of others.
 func (c *Core) nobodyHasMore() bool {
-	if !c.nodesLoaded || len(c.peers) == 0 {
+	if !c.nodesLoaded {
 		return false
 	}
+	stated := false
 	for _, p := range c.peers {
-		if !p.hasNoMore {
+		if !p.unreachable && !p.statedNoMore {
 			return false
 		}
+		stated = stated || p.statedNoMore
 	}
-	return true
+	return stated
 }
 
 // State states which documents the node has.
