fleet: remember deletions of documents over a restore of the log

Cause: deletions were noted only while documents were retained, and forgotten when the log began a new era. A peer that had not read the deletion brought the document back for up to 10 s: an availability zone that was in service again went out.

Change: the position of a deletion stays known until the key is written again; an older record of the key from a peer is not taken.

--- a/policy/fleet/documents.go
+++ b/policy/fleet/documents.go
@@ -26,8 +26,10 @@
 	version     VersionFunc
 	byKey       map[string]document
 	end         model.LogPosition
-	retainUntil time.Time       // zero if only documents with a version can be retained
-	deleted     map[string]bool // keys deleted in the current era, until retainUntil
+	retainUntil time.Time // zero if only documents with a version can be retained
+	// deleted holds the positions at which keys were deleted. Peers may have older
+	// documents, also after a restore.
+	deleted map[string]model.LogPosition
 	outdated    []keyed.Record  // records that were not taken because of their version
 }
 
@@ -37,7 +39,7 @@
 }
 
 func newDocumentSet(version VersionFunc) *documentSet {
-	return &documentSet{version: version, byKey: make(map[string]document), deleted: make(map[string]bool)}
+	return &documentSet{version: version, byKey: make(map[string]document), deleted: make(map[string]model.LogPosition)}
 }
 
 // replace takes the complete set of documents up to end, which is after the known end,
@@ -45,7 +47,6 @@
 func (s *documentSet) replace(now time.Time, records []keyed.Record, end model.LogPosition) {
 	if end.Era != s.end.Era {
 		s.retainUntil = now.Add(retentionTime)
-		clear(s.deleted)
 	}
 	known := s.byKey
 	s.end, s.byKey = end, make(map[string]document)
@@ -87,7 +88,10 @@
 		s.reject(current.record)
 		return true
 	}
-	if known || s.deleted[key] || d.record.Position.Era >= s.end.Era || !now.Before(s.retainUntil) {
+	if deletedAt, ok := s.deleted[key]; ok && d.record.Position.Before(deletedAt) {
+		return false
+	}
+	if known || d.record.Position.Era >= s.end.Era || !now.Before(s.retainUntil) {
 		return false
 	}
 	s.byKey[key] = d
@@ -128,11 +132,10 @@
 		if known.version == 0 {
 			delete(s.byKey, r.Key)
 		}
-		if !s.retainUntil.IsZero() {
-			s.deleted[r.Key] = true
-		}
+		s.deleted[r.Key] = r.Position
 		return
 	}
+	delete(s.deleted, r.Key)
 	d := document{record: r, version: s.version(r)}
 	if d.version < known.version {
 		s.reject(r)
@@ -148,7 +151,6 @@
 		return false
 	}
 	s.retainUntil = time.Time{}
-	clear(s.deleted)
 	count := len(s.byKey)
 	maps.DeleteFunc(s.byKey, func(_ string, d document) bool {
 		return d.version == 0 && d.record.Position.Era < s.end.Era
