fleet: retain documents while the log is silent, and get a peer's set after a lone start

Cause: (1) a document that a restored log lacks was dropped 10 s after the restore although the log had not answered meanwhile, so that the operator could not write it again. (2) A node that ended its start without a peer's documents had the peers' position and version, and never asked for what they retain.

Ruled out: a longer fixed time for (1), since an outage has no bound; asking at each new link for (2), which costs each node a set per peer.

Change: the retention does not count time without answers of the log, and ends with an answer. While it waits it sets no timer. A node that started alone states no version in its requests until a peer has sent its set, for 10 s at most.

TestDocumentThatRestoredLogLacksIsRetained and two others dropped documents without an answer of the log, which is the fault; the log now answers in them once a second, with the same bounds.

--- a/agent/mesh/documents.go
+++ b/agent/mesh/documents.go
@@ -44,6 +44,7 @@
 // storeConfirmation tells the other threads when the documents were confirmed.
 func (h *peersHandler) storeConfirmation() {
 	confirmedAt := h.freshness.ConfirmedAt()
+	h.core.OnLogAnswered(confirmedAt)
 	h.node.confirmedAt.Store(&confirmedAt)
 }
 
@@ -68,7 +69,7 @@
 
 // storeState tells the other threads which documents are known.
 func (h *peersHandler) storeState() {
-	if state := h.core.State(); state != h.node.knownDocuments() {
+	if state := h.core.Needed(); state != h.node.knownDocuments() {
 		h.node.documents.Store(&state)
 	}
 }
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -81,7 +81,7 @@
 	serving    atomic.Int64 // requests of callers in progress
 	running    atomic.Int64 // calls that run at the target
 	queued     atomic.Int64 // calls that wait for the target
-	// documents states which documents are known; nil if none are.
+	// documents states which documents the node needs no peer for; nil if there are none.
 	documents atomic.Pointer[model.DocumentsState]
 	// confirmedAt is when the log last confirmed to this node or to a peer that there
 	// are no newer documents; nil until then.
--- a/policy/fleet/core.go
+++ b/policy/fleet/core.go
@@ -82,21 +82,22 @@
 	addressPublished bool   // no append of the address is in progress
 
 	documents         *documentSet
-	documentsChanged  bool           // documents have changed since the last call of TakeDocumentsChanged
-	joinDeadline      time.Time      // zero unless the node has started and waits for a peer's documents
+	documentsChanged  bool      // documents have changed since the last call of TakeDocumentsChanged
+	joinDeadline      time.Time // zero unless the node has started and waits for a peer's documents
+	aloneUntil        time.Time // until then, documents that only a peer retains may be in force; zero if the node has a peer's set
 	requestDelayStart time.Time // when a peer first reported newer documents, or when they were last requested; zero if no peer has newer ones
 	// stated holds what the peers with a link have stated last, if the node lacked some of
 	// it then.
-	stated map[model.Instance]model.DocumentsState
-	peersChanged      bool           // the set of peers has changed since the last call of ChangedPeers
+	stated       map[model.Instance]model.DocumentsState
+	peersChanged bool // the set of peers has changed since the last call of ChangedPeers
 }
 
 type peer struct {
-	core    *Core
-	id      model.Instance
-	state   chart.StateID
-	now     time.Time
-	backoff time.Duration
+	core         *Core
+	id           model.Instance
+	state        chart.StateID
+	now          time.Time
+	backoff      time.Duration
 	unreachable  bool // the latest dial has failed
 	statedNoMore bool // by its latest statement, it has no documents that the node lacks
 }
@@ -240,7 +241,7 @@
 // OnPeerState handles a peer's report of the documents that it has. A node that joins
 // requests them at once. A peer whose log was in an older era may have more than it says.
 func (c *Core) OnPeerState(now time.Time, id model.Instance, state model.DocumentsState) {
-	lacks := c.State().Lacks(state)
+	lacks := c.Needed().Lacks(state)
 	if p := c.peers[id]; p != nil {
 		p.unreachable = false
 		p.statedNoMore = !lacks && state.End.Era >= c.documents.end.Era
@@ -261,7 +262,7 @@
 // documentSource returns the peer that has stated the newest documents, or "" if no peer
 // has stated any that the node lacks.
 func (c *Core) documentSource() model.Instance {
-	known := c.State()
+	known := c.Needed()
 	var source model.Instance
 	var newest model.DocumentsState
 	for id, state := range c.stated {
@@ -294,9 +295,12 @@
 		c.documentsChanged = true
 	}
 	if c.Joining() && (!now.Before(c.joinDeadline) || c.nobodyHasMore()) {
-		c.joinDeadline = time.Time{}
+		c.joinDeadline, c.aloneUntil = time.Time{}, now.Add(retentionTime)
 	}
-	next := timers.Earlier(c.dialTimers.NextDue(), timers.Earlier(c.documents.retainUntil, c.joinDeadline))
+	if !c.aloneUntil.IsZero() && !now.Before(c.aloneUntil) {
+		c.aloneUntil = time.Time{}
+	}
+	next := timers.Earlier(c.dialTimers.NextDue(), timers.Earlier(c.documents.nextExpiry(now), c.joinDeadline))
 	if c.requestDelayStart.IsZero() {
 		return next
 	}
@@ -309,7 +313,7 @@
 		c.requestDelayStart = time.Time{}
 		return next
 	}
-	c.actions = append(c.actions, RequestDocuments{Peer: source, Known: c.State()})
+	c.actions = append(c.actions, RequestDocuments{Peer: source, Known: c.Needed()})
 	c.requestDelayStart = now
 	return timers.Earlier(next, now.Add(documentRequestDelay))
 }
@@ -338,6 +342,7 @@
 func (c *Core) OnPeerDocuments(now time.Time, records []keyed.Record, end model.LogPosition, retainedFor time.Duration) bool {
 	replaced := c.replaceDocuments(now, records, end)
 	merged := c.documents.merge(now, records, end, retainedFor)
+	c.aloneUntil = time.Time{}
 	c.documentsChanged = c.documentsChanged || merged
 	if c.Joining() && c.newestStatedVersion() > c.documents.newestVersion() {
 		c.requestDelayStart = now.Add(-documentRequestDelay)
@@ -428,12 +433,27 @@
 	return state
 }
 
+// Needed states which documents the node does not need from a peer. It has no version if
+// the node has started after a restore of the log without any peer's documents, since the
+// peers may retain some that the log lacks.
+func (c *Core) Needed() model.DocumentsState {
+	state := c.State()
+	if !c.aloneUntil.IsZero() {
+		state.Version = 0
+	}
+	return state
+}
+
 // RetainedFor returns how long documents without a version stay in force that the log
 // lacks.
 func (c *Core) RetainedFor(now time.Time) time.Duration {
-	return max(c.documents.retainUntil.Sub(now), 0)
+	return c.documents.retainedFor(now)
 }
 
+// OnLogAnswered handles an answer of the log to this node or to a peer, by which the
+// documents were up to date at the time at.
+func (c *Core) OnLogAnswered(at time.Time) { c.documents.confirm(at) }
+
 // TakeDocumentsChanged reports whether the documents have changed since it last returned
 // true. It returns false while the node joins.
 func (c *Core) TakeDocumentsChanged() bool {
--- a/policy/fleet/core_test.go
+++ b/policy/fleet/core_test.go
@@ -141,6 +141,13 @@
 	return keyed.Record{Key: key, Value: []byte(value), Position: at(era, offset)}
 }
 
+// confirmUntil makes the log answer once a second from start to end.
+func confirmUntil(c *Core, end time.Time) {
+	for at := start; !at.After(end); at = at.Add(time.Second) {
+		c.OnLogAnswered(at)
+	}
+}
+
 func values(c *Core) map[string]string {
 	list, _ := c.Documents()
 	out := make(map[string]string)
@@ -200,6 +207,7 @@
 	assert.Assert(t, !c.TakeDocumentsChanged())
 	assert.Equal(t, values(c)["zone"], "out")
 	assert.Equal(t, c.Tick(start.Add(retentionTime-time.Millisecond)), start.Add(retentionTime))
+	confirmUntil(c, start.Add(retentionTime))
 	c.Tick(start.Add(retentionTime))
 	assert.Assert(t, c.TakeDocumentsChanged())
 	assert.Equal(t, len(values(c)), 0)
@@ -217,6 +225,7 @@
 	// The set of a peer that has not read the deletion.
 	c.OnPeerDocuments(start, []keyed.Record{recordIn(1, "north", "out", 1), record("south", "out", 4)}, at(1, 4), retentionTime)
 	assert.DeepEqual(t, values(c), map[string]string{"north": "out"})
+	confirmUntil(c, start.Add(retentionTime))
 	c.Tick(start.Add(retentionTime))
 	assert.DeepEqual(t, values(c), map[string]string{"north": "out"})
 }
@@ -245,6 +254,7 @@
 	assert.Assert(t, !c.Joining() && c.TakeDocumentsChanged())
 	assert.DeepEqual(t, values(c), map[string]string{"config": "v5", "zone": "out"})
 	assert.Equal(t, c.State(), model.DocumentsState{End: at(1, 2), Version: 5})
+	confirmUntil(c, start.Add(time.Second))
 	c.Tick(start.Add(time.Second)) // the end of the peer's retention
 	assert.DeepEqual(t, values(c), map[string]string{"config": "v5"})
 }
--- a/policy/fleet/documents.go
+++ b/policy/fleet/documents.go
@@ -12,8 +12,14 @@
 // retentionTime is how long a document without a version stays in force after a restore
 // of the log, if the log lacks it. The operator writes such a document again within it;
 // one that is not wanted any more must not stay.
+// Time in which the log does not answer does not count, since nothing can be written then.
 const retentionTime = 10 * time.Second
 
+// maxConfirmationGap is the time between two answers of the log from which on it counts as
+// one without answers. A log that answers confirms the documents more often (package
+// freshness).
+const maxConfirmationGap = 1500 * time.Millisecond
+
 // VersionFunc returns the version of a document that must never be replaced by an older
 // one, or 0 if the document has none or is invalid.
 type VersionFunc func(keyed.Record) uint64
@@ -27,6 +33,7 @@
 	byKey       map[string]document
 	end         model.LogPosition
 	retainUntil time.Time // zero if only documents with a version can be retained
+	confirmedAt time.Time // when the log last answered to this node or a peer
 	// deleted holds the positions at which keys were deleted. Peers may have older
 	// documents, also after a restore.
 	deleted map[string]model.LogPosition
@@ -46,7 +53,7 @@
 // and retains known documents that the log lacks. It ignores records of older eras.
 func (s *documentSet) replace(now time.Time, records []keyed.Record, end model.LogPosition) {
 	if end.Era != s.end.Era {
-		s.retainUntil = now.Add(retentionTime)
+		s.retainUntil, s.confirmedAt = now.Add(retentionTime), now
 	}
 	known := s.byKey
 	s.end, s.byKey = end, make(map[string]document)
@@ -144,10 +151,39 @@
 	s.byKey[r.Key] = d
 }
 
-// expire drops the retained documents without a version when their time is up, and
-// reports whether there were any.
+// confirm handles an answer of the log at the time at, and extends the retention by the
+// time before it in which the log did not answer.
+func (s *documentSet) confirm(at time.Time) {
+	if !at.After(s.confirmedAt) {
+		return
+	}
+	if gap := at.Sub(s.confirmedAt); gap > maxConfirmationGap && !s.retainUntil.IsZero() {
+		s.retainUntil = s.retainUntil.Add(gap)
+	}
+	s.confirmedAt = at
+}
+
+// nextExpiry returns when expire is due, or zero if it is not before the next answer of
+// the log.
+func (s *documentSet) nextExpiry(now time.Time) time.Time {
+	if !now.Before(s.retainUntil) {
+		return time.Time{}
+	}
+	return s.retainUntil
+}
+
+// retainedFor returns how much longer documents without a version are retained.
+func (s *documentSet) retainedFor(now time.Time) time.Duration {
+	if s.retainUntil.IsZero() {
+		return 0
+	}
+	return max(s.retainUntil.Sub(now), maxConfirmationGap) // at least until the log answers
+}
+
+// expire drops the retained documents without a version when their time is up and the log
+// has answered lately, and reports whether there were any.
 func (s *documentSet) expire(now time.Time) bool {
-	if s.retainUntil.IsZero() || now.Before(s.retainUntil) {
+	if s.retainUntil.IsZero() || now.Before(s.retainUntil) || s.retainUntil.Sub(s.confirmedAt) > maxConfirmationGap {
 		return false
 	}
 	s.retainUntil = time.Time{}
--- a/policy/fleet/restore_test.go
+++ b/policy/fleet/restore_test.go
@@ -54,8 +54,18 @@
 	c := newCore()
 	c.OnDocuments(start, []keyed.Record{recordIn(1, "config", "v5", 2), recordIn(1, "zone", "out", 3)}, at(1, 4))
 	c.OnDocuments(start, []keyed.Record{recordIn(2, "config", "v5", 2)}, at(2, 3))
-	c.Tick(start.Add(retentionTime))
+	assert.Assert(t, c.Tick(start.Add(retentionTime)).IsZero(), "the node waits for the log without a timer")
 	assert.Equal(t, values(c)["zone"], "out")
+	// The operator has the whole time after the log is back.
+	back := start.Add(retentionTime + 5*time.Second)
+	c.OnLogAnswered(back)
+	c.Tick(back)
+	assert.Equal(t, values(c)["zone"], "out")
+	for at := back; !at.After(back.Add(retentionTime)); at = at.Add(time.Second) {
+		c.OnLogAnswered(at)
+	}
+	c.Tick(back.Add(retentionTime))
+	assert.Equal(t, len(values(c)), 1)
 }
 
 // Guards against a document that only a peer retains and a node at the same position never
