mesh: take the restored log's configuration of the version in force

Cause: after a restore a configuration with the version of the one in force counted as written again, also if its content differed. A node that had a version which was lost before it was acknowledged kept it, beside nodes with the new one.

Change: in a newer era, another value with the same version replaces the one in force. Also a test that warnings of the decoder are logged.

--- a/agent/mesh/config.go
+++ b/agent/mesh/config.go
@@ -27,6 +27,7 @@
 	node     *Node
 	position model.LogPosition // of the configuration record that was seen last
 	config   *graph.Config
+	value    []byte // of the record with config
 	zonesOut []model.Zone
 
 	// Whether the duties still have to be told of config and zonesOut.
@@ -73,8 +74,8 @@
 	switch {
 	case err != nil:
 		c.logRejected(r)
-	case c.config == nil || config.Version > c.config.Version:
-		c.config = config
+	case c.config == nil || config.Version > c.config.Version || c.replacesLost(r, config):
+		c.config, c.value = config, r.Value
 		c.node.log.Emit(event.MeshConfigured, "version", config.Version, "era", r.Position.Era, "offset", r.Position.Offset,
 			"routes", len(config.Routes), "services", len(config.Services), "customers", len(config.Customers))
 		for _, warning := range config.Warnings {
@@ -87,6 +88,13 @@
 	}
 }
 
+// replacesLost reports whether a record has another configuration with the version of the
+// one in force, written since a restore of the log. The one in force was lost by the
+// restore; the operator's next version builds on the one in the log.
+func (c *configLoader) replacesLost(r keyed.Record, config *graph.Config) bool {
+	return config.Version == c.config.Version && r.Position.Era > c.position.Era && !bytes.Equal(r.Value, c.value)
+}
+
 func (c *configLoader) decode(r keyed.Record) (*graph.Config, error) {
 	if c.decodedValue == nil || !bytes.Equal(r.Value, c.decodedValue) {
 		c.decodedValue = r.Value
--- a/agent/mesh/config_test.go
+++ b/agent/mesh/config_test.go
@@ -1,11 +1,15 @@
 package mesh
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
@@ -18,6 +22,23 @@
 	return &graph.Config{Version: uint64(value[0]), Limits: graph.Limits{HeaderBytes: int(value[1])}}, nil
 }
 
+// Guards against a warning of the decoder that no log line shows.
+func TestConfigWarningIsLogged(t *testing.T) {
+	n, h := newIdleNode()
+	var log bytes.Buffer
+	n.log = event.New(hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: &log}))
+	n.decoder = warningDecoder{}
+	h.loader.apply([]keyed.Record{{Key: "config", Value: []byte{7}, Position: model.LogPosition{Offset: 1}}})
+	assert.Assert(t, strings.Contains(log.String(), "unknown type"), log.String())
+}
+
+// warningDecoder decodes a configuration with a warning.
+type warningDecoder struct{ versionDecoder }
+
+func (warningDecoder) Config(value []byte) (*graph.Config, error) {
+	return &graph.Config{Version: uint64(value[0]), Warnings: []string{"unknown type"}}, nil
+}
+
 // Guards against a configuration that the log lost before it was acknowledged, and that
 // stays in force although the restored log has another one with its version.
 func TestRestoredLogDecidesBetweenConfigsOfOneVersion(t *testing.T) {
--- a/policy/fleet/documents.go
+++ b/policy/fleet/documents.go
@@ -36,8 +36,8 @@
 	confirmedAt time.Time // when the log last answered to this node or a peer
 	// deleted holds the positions at which keys were deleted. Peers may have older
 	// documents, also after a restore.
-	deleted map[string]model.LogPosition
-	outdated    []keyed.Record  // records that were not taken because of their version
+	deleted  map[string]model.LogPosition
+	outdated []keyed.Record // records that were not taken because of their version
 }
 
 type document struct {
