mesh: release the memory of a failed answer before the caller gets the result

Cause: performCall delivered the result first and released the memory of the answer when it returned. A caller that sent its next call at once found the budget in use by an answer that was given up, and got 502.

Change: the memory of an answer without a body is released before it is delivered. TestMemoryOfFailedAnswerIsReleasedFirst fails before in each run (32,852 bytes held while the entry duty's ring is full) and shows the cause that was known by reading.

--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -274,6 +274,11 @@
 	reservation := h.node.answerBytes.NewReservation()
 	defer reservation.Release()
 	answer, outcome := h.client.Do(budget.NewContext(ctx, reservation), d.Run, d.Target)
+	if len(answer.Body) == 0 {
+		// What was read of a failed answer is gone. The caller may send its next call
+		// before this function returns.
+		reservation.Release()
+	}
 	answer.Load = h.node.targetLoad()
 	h.node.deliver(callerLink, answer)
 	_ = h.node.entry.Ring().Put(context.Background(), parentEnded{call: d.Run})
