gate: a target that restarts in an availability zone out of service stays out

Cause: the state leaving ignored that the zone went out of service, and its next incarnation went straight to serving.

Change: the gate remembers whether the zone is out; the chart sends the new incarnation to the state out. TestTargetThatRestartsInZoneOutStaysOut failed before ("serving" in place of "out").

--- a/policy/gate/core_test.go
+++ b/policy/gate/core_test.go
@@ -264,6 +264,21 @@
 	assert.Assert(t, c.target.cold(start))
 }
 
+// Guards against a target that leaves, and whose next incarnation serves although the
+// availability zone went out of service meanwhile.
+func TestTargetThatRestartsInZoneOutStaysOut(t *testing.T) {
+	c := newCore(t)
+	assert.Assert(t, c.OnDeregistered(start, "t1", 100))
+	c.SetZoneOut(start, true)
+	next := announcement(1)
+	next.StartedAtMs = 200
+	assert.Assert(t, c.OnAnnouncement(start, next))
+	assert.Equal(t, c.State(), "out")
+	c.SetZoneOut(start, false)
+	c.OnProbeResult(start, model.Health{OK: true, Target: "t1"})
+	assert.Equal(t, c.State(), "serving")
+}
+
 // Guards against treating a target as lost after one broken connection, and against
 // treating it as serving when it refuses connections.
 func TestBrokenAndRefusedConnections(t *testing.T) {
--- a/policy/gate/target.go
+++ b/policy/gate/target.go
@@ -77,6 +77,7 @@
 	state             chart.StateID
 	now               time.Time // time of the current step
 	mustRefuseWaiting bool      // set by an action: refuse the waiting calls after the step
+	zoneOut           bool      // the availability zone is out of service
 
 	id          model.Instance
 	startedAtMs int64
@@ -101,7 +102,7 @@
 		States: []string{"unknown", "serving", "leaving", "lost", "out", "stopping"},
 		Events: []string{"announced", "announced_leaving", "new_incarnation", "deregistered", "probe_passed", "probe_failed",
 			"target_unreachable", "zone_out", "zone_restored", "stop"},
-		Guards: map[string]func(*target) bool{},
+		Guards: map[string]func(*target) bool{"zone_out": func(t *target) bool { return t.zoneOut }},
 		Actions: map[string]func(*target){
 			"refuse_waiting": func(t *target) { t.mustRefuseWaiting = true },
 			"probe_now":      func(t *target) { t.probes.Set(probe{}, t.now) },
@@ -250,6 +251,7 @@
 
 // SetZoneOut sets whether the target's availability zone is out of service.
 func (c *Core) SetZoneOut(now time.Time, out bool) {
+	c.target.zoneOut = out
 	switch {
 	case out:
 		c.target.step(now, eventZoneOut)
