gate: accept announcements without a start after a probe has shown another target

Ruled out: accepting all of them, since a late announcement that the previous target leaves would take the new one out.

Change: without a start, only announcements with the previous target's id are rejected. TestAnnouncementsWithoutStartAfterProbe failed before at the first.

--- a/policy/gate/core_test.go
+++ b/policy/gate/core_test.go
@@ -279,6 +279,27 @@
 	assert.Equal(t, c.State(), "serving")
 }
 
+// Guards against a target whose announcements give no start and are all rejected after a
+// probe has shown it, and against a late one of the target before it.
+func TestAnnouncementsWithoutStartAfterProbe(t *testing.T) {
+	c := New(service, "north")
+	old := announcement(1)
+	old.StartedAtMs = 0
+	assert.Assert(t, c.OnAnnouncement(start, old))
+	c.OnProbeResult(start, model.Health{OK: true, Target: "t2"})
+	next := old
+	next.ID = "t2"
+	for sequence := range uint64(3) {
+		next.Sequence = sequence + 1
+		assert.Assert(t, c.OnAnnouncement(start, next), "announcement %d", sequence+1)
+	}
+	old.Sequence, old.Leaving = 9, true
+	assert.Assert(t, !c.OnAnnouncement(start, old))
+	assert.Equal(t, c.State(), "serving")
+	next.ID, next.Sequence = "t3", 1
+	assert.Assert(t, c.OnAnnouncement(start, next))
+}
+
 // Guards against treating a target as lost after one broken connection, and against
 // treating it as serving when it refuses connections.
 func TestBrokenAndRefusedConnections(t *testing.T) {
--- a/policy/gate/target.go
+++ b/policy/gate/target.go
@@ -80,7 +80,8 @@
 	zoneOut           bool      // the availability zone is out of service
 
 	id          model.Instance
-	startedAtMs int64
+	replacedID  model.Instance // id before the one that a probe has shown; "" if none
+	startedAtMs int64          // 0 if announcements give no start
 	sequence    uint64
 	slots       int
 
@@ -171,6 +172,9 @@
 	if a.StartedAtMs < t.startedAtMs || a.StartedAtMs > maxStartedAtMs {
 		return false
 	}
+	if a.StartedAtMs == 0 && a.ID == t.replacedID {
+		return false // without a start, only the id tells that the announcement is late
+	}
 	newIncarnation := t.id != "" && (a.StartedAtMs > t.startedAtMs && t.startedAtMs != 0 || a.ID != t.id)
 	if !newIncarnation && a.ID == t.id && a.StartedAtMs == t.startedAtMs && t.overtaken(a.Sequence) {
 		return true
@@ -226,10 +230,9 @@
 	}
 	t.lastHeardAt = now
 	if r.Target != "" && r.Target != t.id {
-		if t.id != "" {
-			// Rejects late announcements of the previous incarnation. Announcements
-			// without a start time are then also rejected from the new incarnation.
-			t.startedAtMs++
+		t.replacedID = t.id
+		if t.startedAtMs > 0 {
+			t.startedAtMs++ // rejects late announcements of the previous incarnation
 		}
 		t.id, t.sequence = r.Target, 0
 	}
