quota: raise shares and release borrowed requests only when all nodes have the report

Cause: a node computed its share with its newest own demand and the peers' demand as last received. While a customer's demand rises at all nodes at once, each node sees only its own rise, so the shares add up to several times the rate until the reports have arrived, and each node's bucket grows alike. What it had borrowed it forgot when it reported, not when the peers had the report; with 90 nodes the least borrow limit of 4 then added up. A refund gave a token for a request that had only been borrowed.

Ruled out: a late lease of the store (no QUOTA without a rise of demand in virtual time); the refund alone (no effect in the simulation).

Change: the own demand counts for the share 250 ms after its report, borrowed requests stay counted as long, a refund reverses what was granted. The least borrow limit is 1 where the bucket has tokens; where few nodes have requests of the customer each may borrow more. 0.95 of a rate is divided. The peers duty sends usage at once instead of up to 250 ms after the entry duty has counted it.

TestSurgeDuringReportsStaysWithinRate and TestRefundOfBorrowedRequestAddsNoToken are new. All tests that customers within their rate are served pass with their bounds.

--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -208,6 +208,9 @@
 		h.onOwnReport(m.report)
 	case ownUsage:
 		h.onOwnUsage(m.usage)
+		if len(m.usage) > 0 {
+			h.nextReportAt = now // no other wait for the entry duty's report
+		}
 	case otherZoneUsage:
 		h.forwardInZone(m.usage)
 	case closeAllLinks:
--- a/policy/dispatch/request.go
+++ b/policy/dispatch/request.go
@@ -7,6 +7,7 @@
 	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
+	"github.com/oleanderworks/oleanderworks/policy/quota"
 )
 
 // Events of the state chart dispatch, in the chart's order.
@@ -52,10 +53,10 @@
 	next       *target // chosen for the next attempt
 	tried      []*target
 	moves      int
-	reached    int  // attempts that may have reached a target, bounded by the route's MaxAttempts
-	mayHaveRun bool // a target may have run the request
-	cutAnswers int  // attempts that failed with ReasonAnswerCut, usually because the connection to the target broke
-	charged    bool // the request was charged to its customer's rate
+	reached    int         // attempts that may have reached a target, bounded by the route's MaxAttempts
+	mayHaveRun bool        // a target may have run the request
+	cutAnswers int         // attempts that failed with ReasonAnswerCut, usually because the connection to the target broke
+	grant      quota.Grant // how the customer's rate admitted the request; Refused if it was not charged
 
 	answer *model.Answer
 }
@@ -93,13 +94,14 @@
 		return model.NewRefusal(r.id, model.ReasonNoTarget, "no target of the service is in service")
 	}
 	if customer != nil {
-		if ok, after := c.rates.Take(r.now, customer.Name); !ok {
+		grant, after := c.rates.Take(r.now, customer.Name)
+		if grant == quota.Refused {
 			a := model.NewRefusal(r.id, model.ReasonRateLimited,
 				"the rate of "+string(customer.Name)+" is used up: "+c.rates.Describe(customer.Name))
 			a.RetryAfter = after
 			return a
 		}
-		r.charged = true
+		r.grant = grant
 	}
 	return nil
 }
@@ -263,7 +265,7 @@
 // rate.
 func (r *request) chargeRetry() {
 	r.core.budgetFor(r.call.Service).spend()
-	if r.charged {
+	if r.grant != quota.Refused {
 		r.core.rates.Charge(r.now, r.call.Customer)
 	}
 }
@@ -303,8 +305,8 @@
 
 // refundRate refunds the customer for a request that has not run.
 func (r *request) refundRate() {
-	if r.charged {
-		r.core.rates.Refund(r.now, r.call.Customer)
+	if r.grant != quota.Refused {
+		r.core.rates.Refund(r.now, r.call.Customer, r.grant)
 	}
 }
 
--- a/policy/quota/limiter.go
+++ b/policy/quota/limiter.go
@@ -10,7 +10,8 @@
 // Each node also estimates the level of the fleet's bucket, a virtual bucket with the
 // whole rate and burst from which the requests of all nodes are taken. While that level
 // is high, a node may borrow, that is, admit a few requests beyond its share. Borrowed
-// requests are not paid back.
+// requests are not paid back. What a node raises by its own figures, its share and what it
+// borrows, waits until all nodes have the report of these figures.
 //
 // The package is used by the nodes of package agent/mesh. In the nodes of package agent,
 // package tokenlease enforces the customers' rates through one grantor per customer.
@@ -35,7 +36,7 @@
 	// rest is a margin, because the shares may add up to more than one while demand
 	// moves between nodes: one test run admitted 2306 requests of a customer with high
 	// demand in 5 s, where the operators' limit is 2297.
-	distributedFraction = 0.96
+	distributedFraction = 0.95
 	// demandDecayTime is the time constant of the measured demand. It is long compared
 	// to the time between two usage reports and short compared to lasting changes of a
 	// customer's demand.
@@ -45,7 +46,7 @@
 	initialFill = 0.1
 	// minBorrowLevel is the lowest level of the fleet's bucket, as a fraction of the
 	// burst, at which a node may borrow.
-	minBorrowLevel = 0.3
+	minBorrowLevel = 0.33
 	// excessWindow, excessFraction and excessRequests define how many requests the
 	// fleet may admit beyond the limit in a window: excessFraction x (rate x
 	// excessWindow + burst) + excessRequests. The operators' requirement allows 10% and
@@ -54,9 +55,18 @@
 	excessFraction = 0.05
 	excessRequests = 10 // requests
 	// minBorrowLimit is the number of requests that a node may always borrow while the
-	// fleet's bucket is above minBorrowLevel, so that a customer with a low rate can
-	// send several requests to one node at the same time.
-	minBorrowLimit = 4 // requests between two reports
+	// fleet's bucket is above minBorrowLevel, and minBorrowLimitNoTokens the same for a
+	// customer whose bucket at the node holds less than smallBucket requests, so that a
+	// customer with a low rate can send several requests to one node at the same time.
+	minBorrowLimit         = 1 // requests
+	minBorrowLimitNoTokens = 4 // requests
+	smallBucket            = 2 // requests
+	// maxBorrowLimitFewNodes limits what a node may borrow because few others have
+	// requests of the customer.
+	maxBorrowLimitFewNodes = 10 // requests
+	// activeDemand is the reported demand from which on a node counts as one that has
+	// requests of the customer.
+	activeDemand = 0.1 // requests per second
 	// A customer's usage is reported if requests were admitted since the last report
 	// and either the fleet's bucket is below reportLevel of the burst or
 	// maxUnreportedTime has passed. Unless the customer's bucket at the node is too
@@ -77,6 +87,11 @@
 	// times recentTime, which is the usual time between two usage reports.
 	recentRequests = 2 // requests
 	recentTime     = maxUnreportedTime
+	// reportTravelTime is the time from a report until all nodes have it: it is sent with
+	// the next report of the node, up to 250 ms later, and crosses two links. A node
+	// raises its share only after it. If it did so at once, the shares would add up to
+	// several times the rate while demand rises at all nodes at the same time.
+	reportTravelTime = 250 * time.Millisecond
 	// minNodes is the minimum number of nodes among which a rate is divided, since a
 	// node that has just started may not know the others yet.
 	minNodes = 3
@@ -95,21 +110,40 @@
 	demand      float64
 }
 
+// ownReport is a report of this node that may not have reached all peers.
+type ownReport struct {
+	demand   float64
+	borrowed float64   // requests borrowed since the report before
+	knownAt  time.Time // when all peers have the report
+}
+
+// active returns 1 if the peer has requests of the customer, and 0 otherwise.
+func (p *peerUsage) active() int {
+	if p.demand > activeDemand {
+		return 1
+	}
+	return 0
+}
+
 // account holds the buckets and the measured demand of one customer at this node.
 type account struct {
 	name             model.Customer
 	rate, burst      float64 // requests per second and requests; rate 0 means no limit
 	refilledAt       time.Time
-	tokens           float64 // in this node's bucket
-	fleetTokens      float64 // estimated tokens in the fleet's bucket
-	borrowed         float64 // requests borrowed since the last report
-	admitted         uint64  // requests admitted since the start, less those refunded
-	reportedAdmitted uint64  // admitted as last reported to the peers
-	demand           float64 // requests per second
-	reportedDemand   float64 // demand as last reported to the peers
+	tokens           float64     // in this node's bucket
+	fleetTokens      float64     // estimated tokens in the fleet's bucket
+	borrowed         float64     // requests borrowed that some peers may not know of
+	unreported       float64     // those of them that were borrowed since the last report
+	admitted         uint64      // requests admitted since the start, less those refunded
+	reportedAdmitted uint64      // admitted as last reported to the peers
+	demand           float64     // requests per second
+	reportedDemand   float64     // demand as last reported to the peers
+	knownDemand      float64     // reported demand that all peers have
+	pendingReports   []ownReport // reports that may not have reached all peers, oldest first
 	reportedAt       time.Time
 	peers            map[model.Instance]*peerUsage
 	peerDemand       float64 // sum of the peers' demand
+	activePeers      int     // peers that have requests of the customer
 }
 
 // New returns a limiter without customers.
@@ -161,20 +195,32 @@
 }
 
 func (a *account) sumPeerDemand() {
-	a.peerDemand = 0
+	a.peerDemand, a.activePeers = 0, 0
 	for _, p := range a.peers {
 		a.peerDemand += p.demand
+		a.activePeers += p.active()
 	}
 }
 
 // share returns this node's share of the rate as a fraction.
 func (l *Limiter) share(a *account) float64 {
 	nodes := float64(max(len(l.peers)+1, minNodes))
-	total := a.reportedDemand + a.peerDemand
+	own := a.knownDemand
+	total := own + a.peerDemand
 	if total <= 0 {
 		return 1 / nodes
 	}
-	return equalFraction/nodes + (1-equalFraction)*a.reportedDemand/total
+	return equalFraction/nodes + (1-equalFraction)*own/total
+}
+
+// applyKnownReports applies the reports that all peers have by now.
+func (a *account) applyKnownReports(now time.Time) {
+	for len(a.pendingReports) > 0 && !now.Before(a.pendingReports[0].knownAt) {
+		r := a.pendingReports[0]
+		a.pendingReports = a.pendingReports[1:]
+		a.knownDemand = r.demand
+		a.borrowed -= min(r.borrowed, a.borrowed)
+	}
 }
 
 // bucketSize returns the size of the customer's bucket at this node: the node's share of
@@ -199,31 +245,46 @@
 		return
 	}
 	a.refilledAt = now
+	a.applyKnownReports(now)
 	a.tokens = min(a.tokens+elapsed*distributedFraction*a.rate*l.share(a), l.bucketSize(a))
-	a.fleetTokens = min(a.fleetTokens+elapsed*a.rate, a.burst)
+	a.fleetTokens = min(a.fleetTokens+elapsed*distributedFraction*a.rate, a.burst)
 	a.demand *= math.Exp(-elapsed / demandDecayTime.Seconds())
 }
 
+// Grant states how Take admitted a request, for Refund.
+type Grant uint8
+
+// Results of Take.
+const (
+	Refused   Grant = iota // the rate is exhausted
+	Unlimited              // the customer has no limit
+	FromShare              // a token of this node's bucket
+	Borrowed               // beyond this node's bucket, while the fleet's bucket allows it
+)
+
 // Take charges one request to a customer's rate. If the rate is exhausted, it returns
-// false and the time after which the next request may be admitted.
-func (l *Limiter) Take(now time.Time, name model.Customer) (bool, time.Duration) {
+// Refused and the time after which the next request may be admitted.
+func (l *Limiter) Take(now time.Time, name model.Customer) (Grant, time.Duration) {
 	a := l.accounts[name]
 	if a == nil || a.rate <= 0 {
-		return true, 0
+		return Unlimited, 0
 	}
 	l.refill(now, a)
 	a.demand += 1 / demandDecayTime.Seconds()
+	grant := FromShare
 	switch {
 	case a.tokens >= 1:
 		a.tokens--
 	case l.mayBorrow(a):
+		grant = Borrowed
 		a.borrowed++
+		a.unreported++
 	default:
-		return false, l.retryAfter(a)
+		return Refused, l.retryAfter(a)
 	}
 	a.fleetTokens--
 	a.admitted++
-	return true, 0
+	return grant, 0
 }
 
 // Describe returns the state of a customer's buckets at this node as text.
@@ -249,33 +310,46 @@
 	a.admitted++
 }
 
-// Refund reverses the charge for a request that was admitted but has not run.
-func (l *Limiter) Refund(now time.Time, name model.Customer) {
+// Refund reverses the charge for a request that Take admitted but that has not run.
+func (l *Limiter) Refund(now time.Time, name model.Customer, grant Grant) {
 	a := l.accounts[name]
 	if a == nil || a.rate <= 0 {
 		return
 	}
 	l.refill(now, a)
-	a.tokens = min(a.tokens+1, l.bucketSize(a))
+	switch grant {
+	case FromShare:
+		a.tokens = min(a.tokens+1, l.bucketSize(a))
+	case Borrowed:
+		a.borrowed = max(a.borrowed-1, 0)
+		a.unreported = max(a.unreported-1, 0)
+	default:
+		return // nothing was charged
+	}
 	a.fleetTokens = min(a.fleetTokens+1, a.burst)
 	if a.admitted > 0 {
 		a.admitted--
 	}
 }
 
-// mayBorrow reports whether the node may borrow another request. While the fleet's bucket
-// is full, all nodes together may borrow twice the excess between two usage reports, that
-// is, as much as the operators' requirement allows beyond the limit in 5 s. At a lower
-// level they may borrow less, in proportion to the level. In a large fleet the
-// minBorrowLimit of the nodes may add up to more.
+// mayBorrow reports whether the node may borrow another request. It limits the borrowed
+// requests that some peers may not know of. While the fleet's bucket is full, all nodes
+// together may borrow twice the excess, that is, as much as the operators' requirement
+// allows beyond the limit in 5 s; at a lower level less, in proportion to the level. If few
+// nodes have requests of the customer, each may borrow twice its part of that. In a large
+// fleet the minBorrowLimit of the nodes may add up to more.
 func (l *Limiter) mayBorrow(a *account) bool {
 	if a.fleetTokens < minBorrowLevel*a.burst || a.burst <= 0 {
 		return false
 	}
 	nodes := float64(max(len(l.peers)+1, minNodes))
 	excess := excessFraction*(excessWindow*a.rate+a.burst) + excessRequests
-	fill := a.fleetTokens / a.burst
-	return a.borrowed+1 <= max(2*fill*excess/nodes, minBorrowLimit)
+	allowed := 2 * excess * a.fleetTokens / a.burst
+	limit := max(allowed/nodes, minBorrowLimit, min(2*allowed/float64(a.activePeers+1), maxBorrowLimitFewNodes))
+	if l.bucketSize(a) < smallBucket {
+		limit = max(limit, minBorrowLimitNoTokens)
+	}
+	return a.borrowed+1 <= limit
 }
 
 // retryAfter returns the time until the node's bucket has a token.
@@ -288,7 +362,7 @@
 }
 
 // UsageToReport returns the usage to report to the peers now and records it as reported.
-// The node's shares are computed from the reported demand.
+// The node's shares are computed from the reported demand, once all peers have it.
 func (l *Limiter) UsageToReport(now time.Time) []model.CustomerUsage {
 	var usage []model.CustomerUsage
 	for name, a := range l.accounts {
@@ -296,8 +370,9 @@
 		if !l.reportDue(now, a) {
 			continue
 		}
-		a.borrowed = 0
 		a.reportedDemand, a.reportedAt, a.reportedAdmitted = a.demand, now, a.admitted
+		a.pendingReports = append(a.pendingReports, ownReport{a.demand, a.unreported, now.Add(reportTravelTime)})
+		a.unreported = 0
 		usage = append(usage, model.CustomerUsage{Customer: name, Admitted: a.admitted, Demand: a.demand})
 	}
 	slices.SortFunc(usage, func(a, b model.CustomerUsage) int { return cmp.Compare(a.Customer, b.Customer) })
@@ -315,7 +390,7 @@
 	}
 	equalRate := a.rate / float64(max(len(l.peers)+1, minNodes))
 	minChange := max(demandChange*max(a.reportedDemand, equalRate), minDemandChange)
-	return a.borrowed > 0 || math.Abs(a.demand-a.reportedDemand) > minChange || a.demand < demandDropRatio*a.reportedDemand
+	return a.unreported > 0 || math.Abs(a.demand-a.reportedDemand) > minChange || a.demand < demandDropRatio*a.reportedDemand
 }
 
 // OnUsage handles a peer's usage report. Of the requests that an incarnation of the peer
@@ -340,6 +415,8 @@
 		a.fleetTokens = min(a.fleetTokens-float64(int64(u.Admitted-previous.admitted)), a.burst)
 		previous.admitted = u.Admitted
 		a.peerDemand += u.Demand - previous.demand
+		a.activePeers -= previous.active()
 		previous.demand = u.Demand
+		a.activePeers += previous.active()
 	}
 }
--- a/policy/quota/limiter_test.go
+++ b/policy/quota/limiter_test.go
@@ -32,6 +32,15 @@
 	requests     int
 	busyNode     int // index of a node that gets half of the requests; 0 means that there is no such node
 	entryNodes   int // number of nodes at which requests arrive; 0 for all
+
+	reportDelay     time.Duration // from the count of a node's usage to its arrival at the others
+	reportsOnTheWay []sentReport
+}
+
+type sentReport struct {
+	arrival time.Time
+	node    int
+	usage   []model.CustomerUsage
 }
 
 func newFleet(seed uint64, nodes int, rate, burst float64) *fleet {
@@ -63,6 +72,7 @@
 	end := f.now.Add(duration)
 	for f.now.Before(end) {
 		f.now = f.now.Add(step)
+		f.deliverReports()
 		for range poisson(f.rng, perSecond*step.Seconds()) {
 			f.requests++
 			node := f.rng.IntN(f.nodes)
@@ -72,7 +82,8 @@
 			if f.busyNode > 0 && f.rng.IntN(2) == 0 {
 				node = f.busyNode
 			}
-			if ok, _ := f.limiters[node].Take(f.now, customer); ok {
+			grant, _ := f.limiters[node].Take(f.now, customer)
+			if grant != Refused {
 				f.admittedAt = append(f.admittedAt, f.now)
 			}
 		}
@@ -88,9 +99,20 @@
 func (f *fleet) report(i int, l *Limiter) {
 	usage := l.UsageToReport(f.now)
 	f.usageEntries += len(usage)
-	for p, other := range f.limiters {
-		if p != i {
-			other.OnUsage(f.now, model.NodeID{Instance: instance(i), Incarnation: 1}, usage)
+	f.reportsOnTheWay = append(f.reportsOnTheWay, sentReport{f.now.Add(f.reportDelay), i, usage})
+	if f.reportDelay == 0 {
+		f.deliverReports()
+	}
+}
+
+func (f *fleet) deliverReports() {
+	for len(f.reportsOnTheWay) > 0 && !f.reportsOnTheWay[0].arrival.After(f.now) {
+		r := f.reportsOnTheWay[0]
+		f.reportsOnTheWay = f.reportsOnTheWay[1:]
+		for p, other := range f.limiters {
+			if p != r.node {
+				other.OnUsage(f.now, model.NodeID{Instance: instance(r.node), Incarnation: 1}, r.usage)
+			}
 		}
 	}
 }
@@ -247,3 +269,38 @@
 	l.OnUsage(now, peer, []model.CustomerUsage{{Customer: customer, Admitted: 5100, Demand: 20}})
 	assert.Assert(t, l.accounts[customer].fleetTokens < burst/2, l.Describe(customer))
 }
+
+// Guards against exceeding the operators' limit while reports of usage are on their way: a
+// node counts its usage every reportInterval, and sends it up to that much later. Shares
+// and borrowed requests then follow from figures that the other nodes do not have.
+func TestSurgeDuringReportsStaysWithinRate(t *testing.T) {
+	for _, nodes := range []int{smallFleet, largeFleet, 195} {
+		for _, customerRate := range []float64{350, 133, 35} {
+			for seed := range uint64(3) {
+				f := newFleet(seed, nodes, customerRate, customerRate)
+				f.reportDelay = reportInterval
+				f.run(2*time.Second, customerRate/1.6)
+				f.run(6*time.Second, customerRate/1.6*8)
+				limit := (customerRate*5+customerRate)*1.1 + 20
+				assert.Check(t, float64(f.maxAdmittedIn5s()) <= limit, "%d nodes, rate %.0f, seed %d: %d requests in 5 s, limit %.0f",
+					nodes, customerRate, seed, f.maxAdmittedIn5s(), limit)
+			}
+		}
+	}
+}
+
+// Guards against a token for a request that took none: one that was borrowed and that its
+// target refused.
+func TestRefundOfBorrowedRequestAddsNoToken(t *testing.T) {
+	l := newFleet(1, largeFleet, 12, 12).limiters[0]
+	now := time.Unix(1010, 0)
+	before := 0.0
+	for range 3 {
+		grant, _ := l.Take(now, customer)
+		assert.Equal(t, grant, Borrowed, l.Describe(customer))
+		before = l.accounts[customer].tokens
+		l.Refund(now, customer, grant)
+		assert.Equal(t, l.accounts[customer].tokens, before)
+	}
+	assert.Equal(t, l.accounts[customer].borrowed, 0.0)
+}
