mesh: a node that stops sends only requests that can end before it does

Cause: from 2.3 s of the grace period on a node refuses its callers, but it took the calls of its own target until the end, without regard to the time left, and even after it had given up the requests in progress.

Ruled out: refusing all calls of the target earlier, since running requests wait for them.

Change: the entry duty learns at the signal when requests will be given up. It sends or repeats a request only if three times its expected time is left, by the run time that the target's node reports and its load; others are refused as not run.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -59,6 +59,8 @@
 	// peersChanged carries the other nodes that share the customers' rates with
 	// this one.
 	peersChanged struct{ peers []model.Instance }
+	// nodeStopping reports that the shutdown has begun; failRequests follows at endsAt.
+	nodeStopping struct{ endsAt time.Time }
 	// failRequests ends the requests that are still in progress with a failure.
 	failRequests struct{}
 	// entryConfigChanged carries the configuration and the availability zones
@@ -81,6 +83,7 @@
 func (peersChanged) entryMessage()       {}
 func (entryConfigChanged) entryMessage() {}
 func (failRequests) entryMessage()       {}
+func (nodeStopping) entryMessage()       {}
 
 // entryHandler handles the messages of the entry duty, which runs the dispatch
 // policy.
@@ -157,6 +160,8 @@
 			delete(h.links, m.peer)
 		}
 		h.core.OnLinkLost(now, m.peer)
+	case nodeStopping:
+		h.core.OnStopping(m.endsAt)
 	case failRequests:
 		h.core.FailAll(now)
 	case peersChanged:
--- a/agent/mesh/shutdown.go
+++ b/agent/mesh/shutdown.go
@@ -24,7 +24,8 @@
 )
 
 // Stop shuts the node down gracefully. The node first reports that it is not ready
-// and waits notReadyPeriod for callers to switch to other nodes. It then refuses new
+// and waits notReadyPeriod for callers to switch to other nodes. From the start it sends a
+// request only if that can be expected to end before the grace period does. It then refuses new
 // calls to its target and new requests of callers, except nested ones, and stops when
 // all requests and calls have ended or the grace period is almost over. Requests that
 // are still in progress then are answered with a failure.
@@ -32,10 +33,12 @@
 	began := time.Now()
 	n.leaving.Store(true)
 	n.log.Emit(event.MeshStopping, "requests", n.serving.Load())
+	endsAt := began.Add(n.settings.GracePeriod - answerMargin)
+	_ = n.entry.Ring().Put(context.Background(), nodeStopping{endsAt: endsAt})
 	time.Sleep(notReadyPeriod)
 	n.closing.Store(true)
 	_ = n.gate.Ring().Put(context.Background(), refuseCalls{})
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.GracePeriod-answerMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
 	n.waitIdle(ctx)
 	_ = n.entry.Ring().Put(context.Background(), failRequests{})
--- a/policy/dispatch/core.go
+++ b/policy/dispatch/core.go
@@ -21,6 +21,10 @@
 // route or a key does not exist. A change has to be in force within it.
 const maxConfigAge = 2 * time.Second
 
+// runTimeReserve is the multiple of a request's expected time that must be left in a
+// shutdown for it to be sent. Few requests take longer.
+const runTimeReserve = 3
+
 // Decision tells the node what to do with a request. Exactly one of Call, Cancel and
 // Answer is set.
 type Decision struct {
@@ -57,6 +61,7 @@
 	suspicions *poison.Table
 	decisions  []Decision
 
+	endsAt      time.Time // when the node gives up the requests in progress, since it stops; zero unless it stops
 	confirmedAt time.Time // when the configuration was last known to be the newest; zero if that is not tracked
 }
 
@@ -219,6 +224,16 @@
 	}
 }
 
+// OnStopping handles the start of the node's shutdown. At endsAt, FailAll will be called.
+// From now on a request is only sent to a target that can be expected to end it before.
+func (c *Core) OnStopping(endsAt time.Time) { c.endsAt = endsAt }
+
+// mayEndInTime reports whether a request that is sent to a target now can be expected to
+// end before the node does.
+func (c *Core) mayEndInTime(now time.Time, t *target) bool {
+	return c.endsAt.IsZero() || now.Add(c.targets.expectedTime(t)*runTimeReserve).Before(c.endsAt)
+}
+
 // FailAll answers every request in progress when the node stops. The answers state
 // that the request may have run, with the same reason as for a request that has not
 // ended by its deadline.
--- a/policy/dispatch/core_test.go
+++ b/policy/dispatch/core_test.go
@@ -385,6 +385,23 @@
 	assert.Assert(t, priority("/tags/1", "key-h") < lookup)
 }
 
+// Guards against a request, or the retry of one, that is sent while the node stops and that
+// the node has to cut.
+func TestStoppingNodeSendsOnlyWhatCanEnd(t *testing.T) {
+	c := newCore(t) // its targets need 50 ms
+	c.OnStopping(start.Add(time.Second))
+	c.OnRequest(start.Add(500*time.Millisecond), newRequest("/tags/x"))
+	d := onlyDecision(t, c)
+	assert.Assert(t, d.Call != nil)
+	late := start.Add(900 * time.Millisecond)
+	c.OnAnswer(late, d.Peer, model.NewFailure(d.ID, model.ReasonAnswerCut, ""))
+	assert.Equal(t, onlyDecision(t, c).Answer.Reason, model.ReasonAnswerCut)
+	c.OnRequest(late, newRequest("/marks/x"))
+	refused := onlyDecision(t, c).Answer
+	assert.Equal(t, refused.Reason, model.ReasonNodeBusy)
+	assert.Equal(t, refused.Run, model.NotRun)
+}
+
 // Guards against closing the connections of callers without an answer when their node
 // stops.
 func TestFailAll(t *testing.T) {
--- a/policy/dispatch/request.go
+++ b/policy/dispatch/request.go
@@ -93,6 +93,9 @@
 	if r.target = c.targets.choose(r.now, r.call, nil, c.zonesOut); r.target == nil {
 		return model.NewRefusal(r.id, model.ReasonNoTarget, "no target of the service is in service")
 	}
+	if !c.mayEndInTime(r.now, r.target) {
+		return model.NewRefusal(r.id, model.ReasonNodeBusy, "the node of the caller stops before the request can be expected to end")
+	}
 	if customer != nil {
 		grant, after := c.rates.Take(r.now, customer.Name)
 		if grant == quota.Refused {
@@ -249,7 +252,7 @@
 		return false
 	}
 	r.next = r.core.targets.choose(r.now, r.call, r.tried, r.core.zonesOut)
-	return r.next != nil
+	return r.next != nil && r.core.mayEndInTime(r.now, r.next)
 }
 
 // countMove counts a move. If the target itself refused the request, the move is charged
--- a/policy/dispatch/target.go
+++ b/policy/dispatch/target.go
@@ -152,6 +152,13 @@
 	return best
 }
 
+// expectedTime returns the expected time until a call ends at a target, without regard to
+// penalties.
+func (s *targetSet) expectedTime(t *target) time.Duration {
+	assumedRunTime, _ := serviceBaseline(s.byService[t.service])
+	return time.Duration(s.runCost(t, assumedRunTime) * float64(time.Second))
+}
+
 // serviceBaseline returns the shortest run time of a service's targets, or
 // defaultRunTime if none has reported one, and the lower median of the failure rates of
 // the serving targets. The run time is assumed for targets that have not run calls
@@ -180,6 +187,18 @@
 // until a call ends there, plus zonePenalty if it is in another availability zone, plus
 // staleReportPenalty if its report is stale.
 func (s *targetSet) cost(now time.Time, t *target, assumedRunTime time.Duration, zonePenalty float64) float64 {
+	cost := s.runCost(t, assumedRunTime)
+	if t.zone != s.zone {
+		cost += zonePenalty
+	}
+	if t.peer != s.self && now.Sub(t.reportedAt) > staleReportAge {
+		cost += staleReportPenalty.Seconds()
+	}
+	return cost
+}
+
+// runCost returns the expected time in seconds until a call ends at a target.
+func (s *targetSet) runCost(t *target, assumedRunTime time.Duration) float64 {
 	runTime := t.runTime
 	if runTime <= 0 {
 		runTime = assumedRunTime
@@ -194,11 +213,5 @@
 	if t.cold && t.coldRate > 0 {
 		cost += float64(t.otherNodesLoad+t.outstanding+1) / t.coldRate
 	}
-	if t.zone != s.zone {
-		cost += zonePenalty
-	}
-	if t.peer != s.self && now.Sub(t.reportedAt) > staleReportAge {
-		cost += staleReportPenalty.Seconds()
-	}
 	return cost
 }
