mesh: the close of an older link fails no calls on the newer one

Cause: the entry duty failed all calls at a peer when any link to it had closed, also after it had a newer one.

Change: a link that replaces another ends the calls sent on that one; its close, which comes later, changes nothing. TestCloseOfOlderLinkFailsNoCalls failed before.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -154,12 +154,15 @@
 	case usageReceived:
 		h.core.OnUsage(now, m.node, m.usage)
 	case linkOpened:
+		if h.links[m.peer] != nil {
+			h.core.OnLinkLost(now, m.peer) // the close of the link before comes later
+		}
 		h.links[m.peer] = m.link
 	case linkClosed:
-		if h.links[m.peer] == m.link {
+		if open := h.links[m.peer]; open == nil || open == m.link {
 			delete(h.links, m.peer)
+			h.core.OnLinkLost(now, m.peer)
 		}
-		h.core.OnLinkLost(now, m.peer)
 	case nodeStopping:
 		h.core.OnStopping(m.endsAt)
 	case failRequests:
