mesh: crashes reach the entry and peers duties also after their rings were full

Cause: a report that a full ring did not take was dropped with the crashes in it, which are reported once. Each lost crash is one more target that the request crashes.

Change: the gate duty keeps the crashes for each duty until its ring takes them. TestBusyDutiesGetCrashesLater failed before (0 of 1 crash).

--- a/agent/mesh/delivery_test.go
+++ b/agent/mesh/delivery_test.go
@@ -14,6 +14,7 @@
 	"github.com/oleanderworks/oleanderworks/model/graph"
 	"github.com/oleanderworks/oleanderworks/policy/fleet"
 	"github.com/oleanderworks/oleanderworks/policy/freshness"
+	"github.com/oleanderworks/oleanderworks/policy/gate"
 )
 
 // versionDecoder decodes a configuration of one byte, its version.
@@ -83,3 +84,27 @@
 	}
 	assert.Equal(t, version, uint64(7))
 }
+
+// Guards against a crash that the duties are never told of because their rings were full.
+func TestBusyDutiesGetCrashesLater(t *testing.T) {
+	n, _ := newIdleNode()
+	core := gate.New("s", "z")
+	h := &gateHandler{node: n, core: core, callerLinks: make(map[model.CallID]*link), cancels: make(map[model.CallID]context.CancelFunc)}
+	now := time.Now()
+	assert.Assert(t, core.OnAnnouncement(now, gate.Announcement{ID: "t", Service: "s", StartedAtMs: 1, Sequence: 1, Slots: 9}))
+	core.OnCall(now, &model.Call{ID: 1, AttemptID: "a", Path: "/x", Deadline: now.Add(time.Minute), SLODeadline: now.Add(time.Minute)})
+	core.Decisions()
+	core.OnFinished(now, 1, model.OutcomeConnectionBroken, 0)
+	for n.entry.Ring().Offer(failRequests{}) {
+	}
+	for n.peers.Ring().Offer(closeAllLinks{}) {
+	}
+	core.OnProbeResult(now, model.Health{}) // the target is lost
+	h.report(now)
+	drain(t, n.entry.Ring())
+	drain(t, n.peers.Ring())
+	h.report(now.Add(time.Second))
+	entry, peers := drain(t, n.entry.Ring()), drain(t, n.peers.Ring())
+	assert.Equal(t, len(entry[0].(reportReceived).report.Crashes), 1)
+	assert.Equal(t, len(peers[0].(ownReport).report.Crashes), 1)
+}
--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -97,6 +97,9 @@
 	probingStarted bool
 	nextReportAt   time.Time
 	loggedState    string
+
+	// Crashes that the duties have not been told of yet.
+	crashesForEntry, crashesForPeers []model.CrashReport
 }
 
 func newGateDuty(n *Node, client *exchange.Client) *duty.Duty[gateMessage] {
@@ -316,8 +319,17 @@
 		h.node.log.Emit(event.MeshCrashed, "fingerprint", c.Fingerprint, "crashes", c.Count)
 	}
 	h.node.idle.Store(h.core.Idle())
-	h.node.entry.Ring().Offer(reportReceived{report: r})
-	h.node.peers.Ring().Offer(ownReport{report: r})
+	// A report whose ring is full is lost, but each crash is reported only once.
+	forEntry, forPeers := *r, *r
+	h.crashesForEntry = append(h.crashesForEntry, r.Crashes...)
+	h.crashesForPeers = append(h.crashesForPeers, r.Crashes...)
+	forEntry.Crashes, forPeers.Crashes = h.crashesForEntry, h.crashesForPeers
+	if h.node.entry.Ring().Offer(reportReceived{report: &forEntry}) {
+		h.crashesForEntry = nil
+	}
+	if h.node.peers.Ring().Offer(ownReport{report: &forPeers}) {
+		h.crashesForPeers = nil
+	}
 }
 
 // targetLoad returns the load of the target. Answers carry it, since the answers of
