command: add the subcommand version

It prints build, commit, frame version and toolchain; before, "version" printed the usage text with exit code 2. A build with -buildvcs=false has the commit unknown.

--- a/command/root.go
+++ b/command/root.go
@@ -20,6 +20,7 @@
 	"github.com/oleanderworks/oleanderworks/command/node"
 	"github.com/oleanderworks/oleanderworks/command/status"
 	"github.com/oleanderworks/oleanderworks/command/target"
+	"github.com/oleanderworks/oleanderworks/command/version"
 	"github.com/oleanderworks/oleanderworks/command/zone"
 )
 
@@ -47,6 +48,7 @@
 			status.New(stdout),
 			charts.New(stdout),
 			events.New(stdout),
+			version.New(stdout),
 		},
 	}
 }
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -21,6 +21,10 @@
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
+// Version is the version of the frames. It grows with each change that nodes of the
+// version before cannot ignore. Frames do not carry it.
+const Version = 1
+
 // Kind is the type of the message in a frame.
 type Kind uint8
 
