dispatch: repeat a failure only at the level above it

From the logs of 12 s to 22 s: 215 repeats of basket-status, 77 of its tariff-lookup, and 113 of route-lookup, so that the service reitit gets 113 repeats of its own and 292 calls of repeated runs: 404 of 1751 requests, 398 allowed (BUDGET). The calls of repeated runs cannot be prevented; they take the budget of the node that makes them below zero, while other nodes still repeat.

Change: the target's node tells with its answer if a call that the target made for the request has failed; such a 500 is not repeated. Failures to reach the service do not count, since another node may reach it.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -34,7 +34,7 @@
 	}
 	// parentStarted reports that a call is about to run at the node's own
 	// target, which may send nested calls.
-	parentStarted struct{ call *model.Call }
+	parentStarted struct{ parent *dispatch.Parent }
 	// parentEnded reports that the call has ended at the target.
 	parentEnded struct{ call *model.Call }
 	// reportReceived is a node's report about its target.
@@ -146,7 +146,7 @@
 	case answerReceived:
 		h.core.OnAnswer(now, m.peer, m.answer)
 	case parentStarted:
-		h.core.OnParentStarted(m.call)
+		h.core.OnParentStarted(m.parent)
 	case parentEnded:
 		h.core.OnParentEnded(m.call)
 	case reportReceived:
--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -11,6 +11,7 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
+	"github.com/oleanderworks/oleanderworks/policy/dispatch"
 	"github.com/oleanderworks/oleanderworks/policy/gate"
 	"github.com/oleanderworks/oleanderworks/transport/exchange"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
@@ -268,11 +269,12 @@
 	// While the target serves the call, it may send nested calls through the
 	// entry duty, which must know their parent first. If the ring is full, the
 	// nested calls only lose the parent's priority, customer and retry mark.
-	h.node.entry.Ring().Offer(parentStarted{call: d.Run})
-	go h.performCall(ctx, cancel, d, callerLink)
+	parent := &dispatch.Parent{Call: d.Run}
+	h.node.entry.Ring().Offer(parentStarted{parent: parent})
+	go h.performCall(ctx, cancel, d, parent, callerLink)
 }
 
-func (h *gateHandler) performCall(ctx context.Context, cancel context.CancelFunc, d gate.Decision, callerLink *link) {
+func (h *gateHandler) performCall(ctx context.Context, cancel context.CancelFunc, d gate.Decision, parent *dispatch.Parent, callerLink *link) {
 	defer cancel()
 	reservation := h.node.answerBytes.NewReservation()
 	defer reservation.Release()
@@ -282,7 +284,7 @@
 		// before this function returns.
 		reservation.Release()
 	}
-	answer.Load = h.node.targetLoad()
+	answer.Load, answer.NestedFailed = h.node.targetLoad(), parent.NestedFailed.Load()
 	h.node.deliver(callerLink, answer)
 	_ = h.node.entry.Ring().Put(context.Background(), parentEnded{call: d.Run})
 	if answer.FromNode() {
--- a/model/call.go
+++ b/model/call.go
@@ -104,6 +104,9 @@
 	Replayed    bool
 	TargetLost  bool // a target was lost while it ran the request: in this call or, for a refusal by the quarantine, in an earlier one
 	Load        Load
+	// NestedFailed is set if a call that the target made for the request ended with a
+	// failure of the service behind it.
+	NestedFailed bool
 }
 
 // FromNode reports whether the answer is a refusal or failure from a node and
--- a/policy/dispatch/core.go
+++ b/policy/dispatch/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/charts"
@@ -40,6 +41,14 @@
 	ReportAge     time.Duration // age of the target's latest report
 }
 
+// Parent is a call that runs at the node's own target and may make nested calls.
+type Parent struct {
+	Call *model.Call
+	// NestedFailed is set when a nested call has failed. The thread that waits for the
+	// target's answer reads it.
+	NestedFailed atomic.Bool
+}
+
 // Core holds the requests in progress from one node's callers and the known state of
 // the targets. It is not safe for concurrent use: the duty that owns it calls all
 // methods from its thread.
@@ -57,7 +66,7 @@
 	rates      *quota.Limiter
 	budgets    map[model.Service]*retryBudget
 	splitters  map[string]*splitter
-	parents    map[string]*model.Call // calls that run at the node's own target, by AttemptID; nested requests name it in Parent
+	parents    map[string]*Parent // calls that run at the node's own target, by AttemptID; nested requests name it in Parent
 	suspicions *poison.Table
 	decisions  []Decision
 
@@ -81,7 +90,7 @@
 		rates:      quota.New(),
 		budgets:    make(map[model.Service]*retryBudget),
 		splitters:  make(map[string]*splitter),
-		parents:    make(map[string]*model.Call),
+		parents:    make(map[string]*Parent),
 		suspicions: poison.NewTable(),
 	}
 }
@@ -208,11 +217,11 @@
 // nested in it get its priority and are queued on behalf of its customer, since refusing
 // them would waste the work already done for it. They are charged like other requests, to
 // the customer that holds their key, if the route needs a key.
-func (c *Core) OnParentStarted(call *model.Call) { c.parents[call.AttemptID] = call }
+func (c *Core) OnParentStarted(p *Parent) { c.parents[p.Call.AttemptID] = p }
 
 // OnParentEnded removes a call that has ended at the node's own target.
 func (c *Core) OnParentEnded(call *model.Call) {
-	if c.parents[call.AttemptID] == call {
+	if p := c.parents[call.AttemptID]; p != nil && p.Call == call {
 		delete(c.parents, call.AttemptID)
 	}
 }
--- a/policy/dispatch/request.go
+++ b/policy/dispatch/request.go
@@ -49,6 +49,7 @@
 
 	route      *graph.Route
 	call       *model.Call
+	parent     *Parent // call for which the node's own target sent the request, if known
 	target     *target // target of the current attempt, or the one chosen for the first
 	next       *target // chosen for the next attempt
 	tried      []*target
@@ -166,9 +167,10 @@
 		}
 	}
 	if parent := r.core.parents[req.Parent]; parent != nil && req.Parent != "" {
+		r.parent = parent
 		call.Nested = true
-		call.Priority, call.OnBehalfOf = parent.Priority, parent.OnBehalfOf
-		call.IsRetry = parent.IsRetry
+		call.Priority, call.OnBehalfOf = parent.Call.Priority, parent.Call.OnBehalfOf
+		call.IsRetry = parent.Call.IsRetry
 	}
 	return call
 }
@@ -301,11 +303,23 @@
 		a.RetryAfter = r.retryAfter(a.RetryAfter)
 		r.refundRate()
 	}
+	if r.parent != nil && serviceFailed(a) {
+		r.parent.NestedFailed.Store(true)
+	}
 	d := r.newDecision()
 	d.Answer = a
 	r.core.decisions = append(r.core.decisions, d)
 }
 
+// serviceFailed reports whether an answer shows that the service that was called could not
+// serve the request, and not only that this node could not reach it.
+func serviceFailed(a *model.Answer) bool {
+	if a.FromNode() {
+		return a.Reason != model.ReasonPeerUnreachable && a.Reason != model.ReasonNoContact
+	}
+	return a.Status >= http.StatusInternalServerError
+}
+
 // refundRate refunds the customer for a request that has not run.
 func (r *request) refundRate() {
 	if r.grant != quota.Refused {
@@ -320,8 +334,11 @@
 }
 
 // mayRetryServerError reports whether a request may be retried because the target
-// answered with an internal server error. The guard may_retry then chooses the target.
+// answered with an internal server error. The guard may_retry then chooses the target. If
+// a nested call has failed, only the node that sent that one repeats it: if each level of a
+// chain repeated what a level below cannot serve, the last service would get the repeats of
+// all.
 func (r *request) mayRetryServerError(a *model.Answer) bool {
-	return a.Status == http.StatusInternalServerError && r.call.Idempotent &&
+	return a.Status == http.StatusInternalServerError && !a.NestedFailed && r.call.Idempotent &&
 		r.mayRetry()
 }
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -143,7 +143,8 @@
 	b = appendUint(b, 7, uint64(a.Load.InFlight))
 	b = appendUint(b, 8, uint64(a.Load.Queued))
 	b = appendHeader(b, 9, 10, a.Header)
-	return appendBytes(b, 11, a.Body)
+	b = appendBytes(b, 11, a.Body)
+	return appendBool(b, 12, a.NestedFailed)
 }
 
 func decodeAnswer(b []byte) (Message, error) {
@@ -176,6 +177,8 @@
 			a.Header[name] = append(a.Header[name], f.asString())
 		case 11:
 			a.Body = f.bytes
+		case 12:
+			a.NestedFailed = f.value != 0
 		}
 		return nil
 	})
