--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -180,6 +180,7 @@
 		h.core.OnParentEnded(m.call)
 	case reportReceived:
 		h.core.OnReport(now, m.report)
+		h.node.metrics.crashReports.Add(int64(len(m.report.Crashes)))
 	case usageReceived:
 		h.core.OnUsage(now, m.node, m.usage)
 	case linkOpened:
--- a/agent/mesh/metrics.go
+++ b/agent/mesh/metrics.go
@@ -25,6 +25,7 @@
 	served          expvar.Int // requests that a target answered, with any status
 	gateRefused     expvar.Int
 	probes          expvar.Int
+	crashReports    expvar.Int // reports that a target crashed while it ran a request, also those of peers
 	logChecks       expvar.Int // checks whether the log has newer documents
 	// Bytes sent on links within the availability zone and to other zones.
 	sentInZone, sentToOtherZones *expvar.Map
@@ -47,6 +48,7 @@
 	m.vars.Set("refused_by_reason", m.refusedByReason)
 	m.vars.Set("gate_refused", &m.gateRefused)
 	m.vars.Set("probes", &m.probes)
+	m.vars.Set("crash_reports", &m.crashReports)
 	m.vars.Set("log_checks", &m.logChecks)
 	m.vars.Set("sent_bytes_in_zone", m.sentInZone)
 	m.vars.Set("sent_bytes_to_other_zones", m.sentToOtherZones)
