--- a/transport/caller/status.go
+++ b/transport/caller/status.go
@@ -27,6 +27,7 @@
 	model.ReasonCanceled:         statusClientClosedRequest,
 	model.ReasonTargetFailed:     http.StatusBadGateway,
 	model.ReasonAnswerCut:        http.StatusBadGateway,
+	model.ReasonInternal:         http.StatusBadGateway,
 	model.ReasonDeadline:         http.StatusGatewayTimeout,
 	model.ReasonNoContact:        http.StatusServiceUnavailable,
 	model.ReasonNodeBusy:         http.StatusServiceUnavailable,
