mesh: catch unexpected errors of the duties in one place, and keep the zone's state once

Change: Node.guard serves all duties; the log line of a panic in the timers names timersDue as its message. SetZoneOut ignores what it knows, so that the handler keeps no copy. Behaviour stays as it is; the tests of agent/mesh and policy/gate pass.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -1,12 +1,10 @@
 package mesh
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
-	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
@@ -18,10 +16,6 @@
 // is refused as not run if the ring is full.
 const entryRingCapacity = 8192
 
-// retryTickDelay is the time until a duty runs its timers again after an unexpected error
-// in them.
-const retryTickDelay = 100 * time.Millisecond
-
 // entryMessage is a message to the entry duty.
 type entryMessage interface{ entryMessage() }
 
@@ -121,15 +115,12 @@
 // Handle implements duty.Handler.
 func (h *entryHandler) Handle(now time.Time, batch []entryMessage) {
 	for _, m := range batch {
-		err := fault.Catch(func() {
+		ok := h.node.guard("entry", m, func() {
 			h.handle(now, m)
 			h.applyDecisions(now)
 		})
-		if err != nil {
-			h.node.log.Emit(event.MeshPanicked, "duty", "entry", "message", fmt.Sprintf("%T", m), "error", err)
-			if m, ok := m.(*requestReceived); ok {
-				h.abort(m.request.ID)
-			}
+		if m, isRequest := m.(*requestReceived); isRequest && !ok {
+			h.abort(m.request.ID)
 		}
 	}
 }
@@ -146,13 +137,10 @@
 // Tick implements duty.Handler.
 func (h *entryHandler) Tick(now time.Time) time.Time {
 	next := now.Add(retryTickDelay) // if the timers panic
-	err := fault.Catch(func() {
+	h.node.guard("entry", timersDue{}, func() {
 		next = h.core.Tick(now)
 		h.applyDecisions(now)
 	})
-	if err != nil {
-		h.node.log.Emit(event.MeshPanicked, "duty", "entry", "error", err)
-	}
 	if !now.Before(h.nextUsageAt) {
 		h.nextUsageAt = now.Add(reportInterval)
 		h.node.peers.Ring().Offer(ownUsage{usage: h.core.UsageToReport(now)})
--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"time"
 
@@ -96,7 +95,6 @@
 	callerLinks    map[model.CallID]*link              // links to the callers' nodes
 	cancels        map[model.CallID]context.CancelFunc // of calls at the target
 	healthPath     string
-	zoneOut        bool
 	probingStarted bool
 	nextReportAt   time.Time
 	loggedState    string
@@ -119,15 +117,12 @@
 // Handle implements duty.Handler.
 func (h *gateHandler) Handle(now time.Time, batch []gateMessage) {
 	for _, m := range batch {
-		err := fault.Catch(func() {
+		ok := h.node.guard("gate", m, func() {
 			h.handle(now, m)
 			h.applyDecisions(now)
 		})
-		if err != nil {
-			h.node.log.Emit(event.MeshPanicked, "duty", "gate", "message", fmt.Sprintf("%T", m), "error", err)
-			if m, ok := m.(callArrived); ok {
-				h.node.deliver(m.callerLink, model.NewFailure(m.call.ID, model.ReasonInternal, "unexpected error in the target's node"))
-			}
+		if m, isCall := m.(callArrived); isCall && !ok {
+			h.node.deliver(m.callerLink, model.NewFailure(m.call.ID, model.ReasonInternal, "unexpected error in the target's node"))
 		}
 	}
 	h.report(now)
@@ -140,13 +135,10 @@
 		h.core.StartProbing(now)
 	}
 	next := now.Add(retryTickDelay) // if the timers panic
-	err := fault.Catch(func() {
+	h.node.guard("gate", timersDue{}, func() {
 		next = h.core.Tick(now)
 		h.applyDecisions(now)
 	})
-	if err != nil {
-		h.node.log.Emit(event.MeshPanicked, "duty", "gate", "error", err)
-	}
 	h.report(now)
 	if next.IsZero() || h.nextReportAt.Before(next) {
 		return h.nextReportAt
@@ -216,10 +208,7 @@
 			}
 		}
 	}
-	if zoneOut := slices.Contains(m.zonesOut, h.node.settings.Zone); zoneOut != h.zoneOut {
-		h.zoneOut = zoneOut
-		h.core.SetZoneOut(now, zoneOut)
-	}
+	h.core.SetZoneOut(now, slices.Contains(m.zonesOut, h.node.settings.Zone))
 }
 
 // cancelCallsFrom cancels the calls that arrived on a link that has closed, since
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -1,13 +1,11 @@
 package mesh
 
 import (
-	"fmt"
 	"net"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
-	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
@@ -159,9 +157,7 @@
 // Handle implements duty.Handler.
 func (h *peersHandler) Handle(now time.Time, batch []peersMessage) {
 	for _, m := range batch {
-		if err := fault.Catch(func() { h.handle(now, m) }); err != nil {
-			h.node.log.Emit(event.MeshPanicked, "duty", "peers", "message", fmt.Sprintf("%T", m), "error", err)
-		}
+		h.node.guard("peers", m, func() { h.handle(now, m) })
 	}
 	h.performActions(now)
 }
--- a/policy/gate/target.go
+++ b/policy/gate/target.go
@@ -254,11 +254,13 @@
 
 // SetZoneOut sets whether the target's availability zone is out of service.
 func (c *Core) SetZoneOut(now time.Time, out bool) {
+	if out == c.target.zoneOut {
+		return
+	}
 	c.target.zoneOut = out
-	switch {
-	case out:
+	if out {
 		c.target.step(now, eventZoneOut)
-	default:
+	} else {
 		c.target.step(now, eventZoneRestored)
 	}
 }
