--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -71,10 +71,10 @@
 		"A link to another node was closed.", "If it repeats, check the network between the two nodes.")
 	MeshDialFailed = define(1042, "mesh_dial_failed", hclog.Info,
 		"A connection to or from a peer could not be established; the node retries its own connection attempts.", "None if the peer is down.")
-	MeshPanicked = define(1044, "mesh_panicked", hclog.Error,
-		"An unexpected error inside the program ended the handling of one message. A request that the message carried has failed; other requests go on.",
-		"Report a bug and attach the line, which has the stack trace.")
 	MeshConfigWarning = define(1043, "mesh_config_warning", hclog.Warn,
 		"A version of the configuration has a part that this build does not know; the node handles it as the field detail says.",
 		"Update the nodes.")
+	MeshPanicked = define(1044, "mesh_panicked", hclog.Error,
+		"An unexpected error inside the program ended the handling of one message. A request that the message carried has failed; other requests go on.",
+		"Report a bug and attach the line, which has the stack trace.")
 )
--- a/policy/quota/limiter.go
+++ b/policy/quota/limiter.go
@@ -91,8 +91,8 @@
 	recentRequests = 2 // requests
 	recentTime     = maxUnreportedTime
 	startTime      = 2 * time.Second
-	// reportTravelTime is the time from a report until all nodes have it: it is sent with
-	// the next report of the node, up to 250 ms later, and crosses two links. A node
+	// reportTravelTime is the time within which all nodes have a report. It is sent at
+	// once and crosses two links, but may wait for busy nodes. A node
 	// raises its share only after it. If it did so at once, the shares would add up to
 	// several times the rate while demand rises at all nodes at the same time.
 	reportTravelTime = 250 * time.Millisecond
@@ -210,12 +210,11 @@
 // share returns this node's share of the rate as a fraction.
 func (l *Limiter) share(a *account) float64 {
 	nodes := float64(max(len(l.peers)+1, minNodes))
-	own := a.knownDemand
-	total := own + a.peerDemand
+	total := a.knownDemand + a.peerDemand
 	if total <= 0 {
 		return 1 / nodes
 	}
-	return equalFraction/nodes + (1-equalFraction)*own/total
+	return equalFraction/nodes + (1-equalFraction)*a.knownDemand/total
 }
 
 // applyKnownReports applies the reports that all peers have by now.
--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -196,8 +196,7 @@
 		}
 		cn.reusableUntil = cn.reuseLimit(time.Now(), resp)
 		trimHeader(resp.Header, body)
-		answer, outcome := newAnswer(call, kind, resp, body)
-		return answer, outcome
+		return newAnswer(call, kind, resp, body)
 	}
 	return c.exchangeFailure(ctx, call, "read answer", errOtherAnswers), model.OutcomeFailed
 }
