review: the slow readers take a larger answer

Tried: the case review/2 with answers of 15 MiB at 3 MiB/s, so that it does not depend on the size of the loopback interface's buffers.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -21,8 +21,8 @@
 func playSlowReader(f *fleet, trouble bool) (bool, error) {
 	const (
 		clients       = 4
-		answerBytes   = 12 << 20
-		readPerSecond = 2400 << 10
+		answerBytes   = 15 << 20
+		readPerSecond = 3 << 20
 		receiveBuffer = 64 << 10
 		work          = 90 * time.Millisecond
 		termAfter     = 200 * time.Millisecond
