--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -270,7 +271,7 @@
 // requests that crash upstreams.
 func playCrashingRequest(f *fleet, trouble bool) (bool, error) {
 	const (
-		work      = 90 * time.Millisecond
+		work      = 400 * time.Millisecond
 		contact   = 3 * time.Second
 		slack     = 500 * time.Millisecond
 		resends   = 4 // at each node
@@ -291,7 +292,9 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, m := range f.machines {
-		wg.Go(func() { f.sendCalmly(m, end, stop) })
+		for range 4 {
+			wg.Go(func() { f.sendCalmly(m, end, stop) })
+		}
 	}
 	defer wg.Wait()
 	defer close(stop)
@@ -317,7 +320,14 @@
 		}
 	}
 	retries := f.crashingRuns() - before
+	lost := 0
+	for _, u := range f.incarnations() {
+		if u.crashes() > 0 {
+			lost += u.unfinished()
+		}
+	}
 	f.rec.add("retries that reached an upstream later than contact after the third crash: %d, allowed %d", retries, allowed)
+	f.rec.add("other requests that were at work at an upstream when it crashed: %d", lost)
 	return retries > allowed, nil
 }
 
@@ -348,11 +358,12 @@
 	return n
 }
 
-// sendCalmly sends a few small requests a second until end or until stop is closed.
+// sendCalmly sends small requests that must not be repeated, a few in a second, until end
+// or until stop is closed.
 func (f *fleet) sendCalmly(m *machine, end time.Time, stop <-chan struct{}) {
 	for time.Now().Before(end) {
 		if c, err := dialClient(m, 0); err == nil {
-			c.do(request{method: http.MethodGet, path: prefixOf(serviceStock) + "idempotent/2f", timeout: routeTimeout})
+			c.do(request{method: http.MethodPost, path: prefixOf(serviceStock) + "non_idempotent/2f", body: []byte("lot 8"), timeout: routeTimeout})
 			c.close()
 		}
 		select {
@@ -362,3 +373,52 @@
 		}
 	}
 }
+
+// playForgottenLeave lets an upstream leave and restarts the node beside it. The upstream
+// serves on for some seconds, and its health check passes although it leaves. The rule is
+// DRAIN.
+func playForgottenLeave(f *fleet, trouble bool) (bool, error) {
+	const (
+		work         = 400 * time.Millisecond
+		drainTimeout = 2 * time.Second
+		contact      = 3 * time.Second
+		serveTime    = 14 * time.Second // after the deregistration
+	)
+	f.publishConfig(7, serviceStock, serviceClass)
+	for _, service := range []string{serviceStock, serviceStock, serviceStock, serviceClass} {
+		if _, _, err := f.addMachine(service, work, 1500); err != nil {
+			return false, err
+		}
+	}
+	if err := f.waitReady(); err != nil {
+		return false, err
+	}
+	end := time.Now().Add(20 * time.Second)
+	var wg sync.WaitGroup
+	never := make(chan struct{})
+	for _, m := range f.machines[1:] { // the last one is in the zone of the first
+		for range 8 {
+			wg.Go(func() { f.sendCalmly(m, end, never) })
+		}
+	}
+	time.Sleep(2 * time.Second)
+	m, u := f.machines[0], f.incarnations()[0]
+	u.falseHealth.Store(trouble)
+	if !u.deregister() {
+		return false, errors.New("the deregistration was not acknowledged")
+	}
+	counted := time.Now().Add(drainTimeout)
+	if trouble {
+		if err := m.restart(); err != nil {
+			return false, err
+		}
+		counted = time.Now().Add(contact) // later than drain_timeout, and the node is in touch again
+	}
+	time.Sleep(serveTime)
+	u.close()
+	f.rec.add("upstream %s ends, with %d requests at work", u.id, u.unfinished())
+	wg.Wait()
+	n := u.runsAfter(counted)
+	f.rec.add("requests that reached %s after drain_timeout, with all machines in touch: %d", u.id, n)
+	return n > 0, nil
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	"slow-reader":      playSlowReader,
 	"large-bodies":     playLargeBodies,
 	"reused-address":   playReusedAddress,
+	"forgotten-leave":  playForgottenLeave,
 	"crashing-request": playCrashingRequest,
 }
 
--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,6 +43,8 @@
 	server      *http.Server
 	rec         *record
 	stop        context.CancelFunc
+	leaving     atomic.Bool // it has deregistered itself
+	falseHealth atomic.Bool // its health check passes although it leaves
 
 	mu        sync.Mutex
 	sequence  int
@@ -79,7 +82,7 @@
 // beat sends heartbeats to the node beside the upstream.
 func (u *upstream) beat(ctx context.Context) {
 	client := &http.Client{Timeout: time.Second}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !u.leaving.Load() {
 		u.sendBeat(ctx, client)
 		select {
 		case <-time.After(beatInterval):
@@ -110,10 +113,41 @@
 	u.rec.add("heartbeat %d of %s, service %s: answered %d", sequence, u.id, u.service, resp.StatusCode)
 }
 
+// deregister tells the node that the upstream leaves, and reports whether the node has
+// acknowledged it.
+func (u *upstream) deregister() bool {
+	u.leaving.Store(true)
+	url := "http://" + u.machine.address(controlPort) + "/v1/Instances.Deregister/" + u.id
+	body := fmt.Sprintf(`{"born":%d}`, u.born.UnixMilli())
+	resp, err := (&http.Client{Timeout: time.Second}).Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	u.rec.add("deregistration of %s: answered %d", u.id, resp.StatusCode)
+	return resp.StatusCode == http.StatusOK
+}
+
+// runsAfter returns how many runs began after a time.
+func (u *upstream) runsAfter(t time.Time) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for _, began := range u.runs {
+		if began.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	attempt := r.Header.Get(headerAttempt)
 	w.Header().Set(headerID, u.id)
 	if r.URL.Path == healthPath {
+		if u.leaving.Load() && !u.falseHealth.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	if expected := r.Header.Get(headerExpect); expected != "" && expected != u.id {
@@ -142,6 +176,10 @@
 	w.Header().Set("Keep-Alive", "timeout=10")
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(u.work + unreadTimeout))
+	if err := r.Context().Err(); err != nil {
+		u.rec.add("upstream %s cannot answer %s: %v", u.id, attempt, err)
+		return
+	}
 	_, err = w.Write(answer)
 	u.mu.Lock()
 	u.ended[attempt] = time.Now()
@@ -186,6 +224,14 @@
 	return u.crashing
 }
 
+// unfinished returns how many runs, other than of requests that crash upstreams, have not
+// been answered.
+func (u *upstream) unfinished() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.runs) - len(u.ended) - u.crashing
+}
+
 // foreignRuns returns the attempts that ran here and were sent to another service's route.
 func (u *upstream) foreignRuns() []string {
 	u.mu.Lock()
