--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -97,6 +97,7 @@
 	case <-time.After(maxPlayTime):
 	}
 	f.close()
+	os.RemoveAll(f.dir)
 	fmt.Fprintln(os.Stderr, "the case was ended early")
 	os.Exit(2)
 }
