poison: crashes older than the lifetime of a suspicion do not count

Callers could see a request refused as quarantined after its first crash: a suspicion expired only when a request was looked up at the same node. A node that had not served the request meanwhile added the new crash to the expired ones.

Ruled out: that the caller's node expires it first; the report of a crash goes to all nodes.

Change: find drops an expired suspicion for reports as for look-ups. Result: TestExpiredCrashesDoNotCount failed before (3 crashes, want 1), passes now.

--- a/policy/poison/table.go
+++ b/policy/poison/table.go
@@ -95,10 +95,20 @@
 	}
 }
 
+// find returns the suspicion of a request, or nil if there is none or it has expired.
+func (t *Table) find(now time.Time, fingerprint uint64) *suspicion {
+	s := t.suspicions[fingerprint]
+	if s != nil && now.Sub(s.lastCrashAt) >= suspicionLifetime {
+		t.step(fingerprint, s, eventExpired)
+		return nil
+	}
+	return s
+}
+
 // OnCrashReport handles a report that a target has crashed while a request ran, or,
 // with a count of 0, that a suspected request has completed.
 func (t *Table) OnCrashReport(now time.Time, report model.CrashReport) {
-	s := t.suspicions[report.Fingerprint]
+	s := t.find(now, report.Fingerprint)
 	if report.Count == 0 {
 		if s != nil {
 			t.step(report.Fingerprint, s, eventCompleted)
@@ -115,21 +125,15 @@
 }
 
 // Crashes returns the number of known consecutive crashes of targets that ran a call's
-// request. It removes the suspicion if it has expired.
+// request.
 func (t *Table) Crashes(now time.Time, call *model.Call) int {
 	if len(t.suspicions) == 0 {
 		return 0
 	}
-	fingerprint := Fingerprint(call)
-	s := t.suspicions[fingerprint]
-	if s == nil {
-		return 0
-	}
-	if now.Sub(s.lastCrashAt) >= suspicionLifetime {
-		t.step(fingerprint, s, eventExpired)
-		return 0
+	if s := t.find(now, Fingerprint(call)); s != nil {
+		return s.crashes
 	}
-	return s.crashes
+	return 0
 }
 
 // Quarantined reports whether a call's request must be refused.
--- a/policy/poison/table_test.go
+++ b/policy/poison/table_test.go
@@ -97,3 +97,13 @@
 	r.OnCompleted(call("/cut", 1))
 	assert.Equal(t, len(r.TakeReports()), 0)
 }
+
+// Guards against counting new crashes on top of those that have expired.
+func TestExpiredCrashesDoNotCount(t *testing.T) {
+	table := NewTable()
+	apply(table, start, crash(start, call("/bad", maxCrashes-1)))
+	later := start.Add(suspicionLifetime)
+	apply(table, later, crash(later, call("/bad", 0)))
+	assert.Equal(t, table.Crashes(later, call("/bad", 0)), 1)
+	assert.Assert(t, !table.Quarantined(later, call("/bad", 0)))
+}
