mesh: a peer gets the known crashes when its link opens

Each crash also cut requests of other callers.

Cause: a node knows crashes only from reports, and a report is sent once, on the links that are open then. A node that starts later, or was cut off, begins at 0. Its calls carry that 0, and the targets' nodes report it plus one, so that what all others know does not count either.

Change: when a link opens, the entry duty sends the peer its table of suspicions with the age of each crash or completion (frame kind crashes; older nodes skip it). A completion is kept as long as a suspicion and the later of the two holds, so that a node that missed a completion cannot make the others refuse the request again. The age keeps a suspicion that nodes pass to each other from living for ever. Event 1027 and the metric suspected_requests show what was learned.

Result: platform.TestRestartedNodesRefuseCrashingRequest, in which each node restarts in turn, failed before (502 from the first node, the fourth target crashed) and passes.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -39,6 +39,14 @@
 	parentEnded struct{ call *model.Call }
 	// reportReceived is a node's report about its target.
 	reportReceived struct{ report *model.NodeReport }
+	// crashesReceived is what a peer knows of requests that crash targets.
+	crashesReceived struct {
+		peer    model.Instance
+		reports []model.CrashReport
+	}
+	// peerConnected reports that a peer has opened a link. The peer may lack crashes
+	// that were reported before.
+	peerConnected struct{ link *link }
 	// usageReceived is the usage of the customers' rates by the callers of
 	// another node.
 	usageReceived struct {
@@ -77,6 +85,8 @@
 func (parentStarted) entryMessage()      {}
 func (parentEnded) entryMessage()        {}
 func (reportReceived) entryMessage()     {}
+func (crashesReceived) entryMessage()    {}
+func (peerConnected) entryMessage()      {}
 func (usageReceived) entryMessage()      {}
 func (linkOpened) entryMessage()         {}
 func (linkClosed) entryMessage()         {}
@@ -169,6 +179,11 @@
 	case reportReceived:
 		h.core.OnReport(now, m.report)
 		h.node.metrics.crashReports.Add(int64(len(m.report.Crashes)))
+		h.node.metrics.suspectedRequests.Set(int64(h.core.SuspectedRequests()))
+	case crashesReceived:
+		h.onCrashesReceived(now, m)
+	case peerConnected:
+		h.sendCrashes(now, m.link)
 	case usageReceived:
 		h.core.OnUsage(now, m.node, m.usage)
 	case linkOpened:
@@ -193,6 +208,25 @@
 	}
 }
 
+func (h *entryHandler) onCrashesReceived(now time.Time, m crashesReceived) {
+	before := h.core.SuspectedRequests()
+	h.core.OnCrashReports(now, m.reports)
+	suspected := h.core.SuspectedRequests()
+	h.node.metrics.suspectedRequests.Set(int64(suspected))
+	if suspected != before {
+		h.node.log.Emit(event.MeshCrashesLearned, "peer", m.peer, "reports", len(m.reports), "suspected_before", before, "suspected", suspected)
+	}
+}
+
+// sendCrashes sends a peer what this node knows of requests that crash targets. If that
+// fails, the link is closed, so that the peer opens another one and gets it there.
+func (h *entryHandler) sendCrashes(now time.Time, l *link) {
+	reports := h.core.CrashReports(now)
+	if len(reports) > 0 && !l.send(frame.Crashes{Reports: reports}) {
+		l.close(errLinkBusy)
+	}
+}
+
 // applyDecisions applies the core's decisions. A call that cannot be queued counts
 // as refused, which may lead to further decisions.
 func (h *entryHandler) applyDecisions(now time.Time) {
--- a/agent/mesh/entry_test.go
+++ b/agent/mesh/entry_test.go
@@ -99,3 +99,22 @@
 	assert.NilError(t, err)
 	assert.ErrorIs(t, <-closed, fault.ErrPanic)
 }
+
+// Guards against a peer that never hears of crashes which were reported before its link
+// opened.
+func TestNewLinkGetsKnownCrashes(t *testing.T) {
+	now := time.Now()
+	knowing, _ := newEntryHandler(t, now)
+	crashes := []model.CrashReport{{Fingerprint: 7, Count: 3}}
+	knowing.Handle(now, []entryMessage{reportReceived{report: &model.NodeReport{Crashes: crashes}}})
+	l := newQueueLink()
+	later := now.Add(time.Second)
+	knowing.Handle(later, []entryMessage{peerConnected{link: l}})
+	sent := drain(t, l.queue)
+	assert.DeepEqual(t, sent, []frame.Message{frame.Crashes{Reports: []model.CrashReport{{Fingerprint: 7, Count: 3, Age: time.Second}}}})
+
+	started, _ := newEntryHandler(t, now)
+	started.node.onOutgoingFrame(l, sent[0])
+	started.Handle(later, drain(t, started.node.entry.Ring()))
+	assert.Equal(t, started.core.SuspectedRequests(), 1)
+}
--- a/agent/mesh/metrics.go
+++ b/agent/mesh/metrics.go
@@ -26,7 +26,10 @@
 	gateRefused     expvar.Int
 	probes          expvar.Int
 	crashReports    expvar.Int // reports that a target crashed while it ran a request, also those of peers
-	logChecks       expvar.Int // checks whether the log has newer documents
+	// suspectedRequests is the number of requests that are suspected of crashing targets,
+	// including the refused ones.
+	suspectedRequests expvar.Int
+	logChecks         expvar.Int // checks whether the log has newer documents
 	// Bytes sent on links within the availability zone and to other zones.
 	sentInZone, sentToOtherZones *expvar.Map
 
@@ -49,6 +52,7 @@
 	m.vars.Set("gate_refused", &m.gateRefused)
 	m.vars.Set("probes", &m.probes)
 	m.vars.Set("crash_reports", &m.crashReports)
+	m.vars.Set("suspected_requests", &m.suspectedRequests)
 	m.vars.Set("log_checks", &m.logChecks)
 	m.vars.Set("sent_bytes_in_zone", m.sentInZone)
 	m.vars.Set("sent_bytes_to_other_zones", m.sentToOtherZones)
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -50,6 +50,7 @@
 	errPeerLeft  = errors.New("the peer has left the fleet")
 	errStopped   = errors.New("the node has stopped")
 	errEntryBusy = errors.New("the entry duty's ring is full")
+	errLinkBusy  = errors.New("the link's ring is full")
 )
 
 // Node is the sidecar process of one target.
@@ -326,6 +327,7 @@
 	}
 	l.start()
 	_ = n.peers.Ring().Put(context.Background(), incomingOpened{link: l})
+	_ = n.entry.Ring().Put(context.Background(), peerConnected{link: l})
 }
 
 func (n *Node) dial(peer model.Instance) {
@@ -367,6 +369,8 @@
 		if m.Node == l.peer.Node && l.peer.Zone != n.settings.Zone {
 			n.peers.Ring().Offer(otherZoneUsage{usage: m})
 		}
+	case frame.Crashes:
+		_ = n.entry.Ring().Put(context.Background(), crashesReceived{peer: l.peer.Node.Instance, reports: m.Reports})
 	case frame.Documents:
 		_ = n.peers.Ring().Put(context.Background(), peerDocuments{documents: m})
 	}
--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -41,6 +41,9 @@
 	MeshCrashed = defineWithHigherRateLimit(1026, "mesh_crashed", hclog.Warn,
 		"The target crashed while it ran a request, or a request suspected of causing crashes completed (crashes is 0).",
 		"Check the target's own log; a request that is sent again after three crashes is refused.")
+	MeshCrashesLearned = define(1027, "mesh_crashes_learned", hclog.Info,
+		"A peer told the node of requests that crash targets, or that such a request completed, when the link between them opened. The fields suspected_before and suspected count the requests that the node suspects.",
+		"None. Event 1026 in the logs of the other nodes names the requests by their fingerprints.")
 
 	MeshConfigured = define(1030, "mesh_configured", hclog.Info,
 		"A version of the configuration has taken effect on the node.", "None.")
--- a/model/report.go
+++ b/model/report.go
@@ -53,7 +53,8 @@
 // host, method, path and body and differs from Call.Fingerprint.
 type CrashReport struct {
 	Fingerprint uint64
-	Count       int // consecutive crashes: Call.CrashCount and this one; 0 when the request has completed
+	Count       int           // consecutive crashes: Call.CrashCount and this one; 0 when the request has completed
+	Age         time.Duration // time since the latest crash or the completion; 0 in the reports of the target's node
 }
 
 // NodeReport is a node's status, sent to its peers.
--- a/policy/dispatch/core.go
+++ b/policy/dispatch/core.go
@@ -155,12 +155,26 @@
 // OnReport handles a node's report on itself and its target.
 func (c *Core) OnReport(now time.Time, r *model.NodeReport) {
 	c.targets.onReport(now, r)
-	for _, crash := range r.Crashes {
-		c.suspicions.OnCrashReport(now, crash)
-	}
+	c.OnCrashReports(now, r.Crashes)
 	c.OnUsage(now, r.Node, r.Usage)
 }
 
+// OnCrashReports handles reports of crashes, from a target's node or from a peer that
+// passes on what it knows.
+func (c *Core) OnCrashReports(now time.Time, reports []model.CrashReport) {
+	for _, report := range reports {
+		c.suspicions.OnCrashReport(now, report)
+	}
+}
+
+// CrashReports returns what the node knows of requests that crash targets, for a peer
+// that may lack it.
+func (c *Core) CrashReports(now time.Time) []model.CrashReport { return c.suspicions.Reports(now) }
+
+// SuspectedRequests returns the number of requests that are suspected of crashing
+// targets, including the refused ones.
+func (c *Core) SuspectedRequests() int { return c.suspicions.Len() }
+
 // OnUsage handles another node's usage of the customers' rates.
 func (c *Core) OnUsage(now time.Time, node model.NodeID, usage []model.CustomerUsage) {
 	if node.Instance != c.self {
--- a/policy/poison/table.go
+++ b/policy/poison/table.go
@@ -26,10 +26,10 @@
 	// The operators' requirement allows three crashes, and three more by attempts that
 	// were already sent.
 	maxCrashes = 3
-	// suspicionLifetime is the time after the latest crash at which a suspicion
-	// expires, the same as for the crash marks of package quarantine.
+	// suspicionLifetime is the time after the latest crash or completion at which a
+	// record expires, the same as for the crash marks of package quarantine.
 	suspicionLifetime = 10 * time.Minute
-	// maxSuspicions bounds the table; when it is full, the oldest suspicion is evicted.
+	// maxSuspicions bounds the table; when it is full, the oldest record is evicted.
 	// A crash adds a suspicion for each request that the target ran, one or two hundred.
 	maxSuspicions = 4096
 )
@@ -41,8 +41,14 @@
 	eventExpired
 )
 
-// stateQuarantined is the index of the state quarantined in the chart's order.
-const stateQuarantined chart.StateID = 2
+// States of the state chart poison, in the chart's order.
+const (
+	stateUnsuspected chart.StateID = iota
+	stateSuspected
+	stateQuarantined
+	stateCleared
+	stateForgotten
+)
 
 // Fingerprint returns a hash of a request's host, method, path and body. It identifies
 // the request also when it is sent again with another id. It differs from the field
@@ -57,19 +63,22 @@
 	return h.Sum64()
 }
 
-// Table holds the suspected and quarantined requests at one node by fingerprint. It is
-// not safe for concurrent use.
+// Table holds the suspected, quarantined and cleared requests at one node by fingerprint.
+// Nodes whose link has just opened exchange their tables, so that what one of them knows
+// outlives its restart and reaches those that were cut off. It is not safe for concurrent
+// use.
 type Table struct {
 	machine    *chart.Machine[*suspicion]
 	suspicions map[uint64]*suspicion
+	suspected  int // suspicions in the states suspected and quarantined
 }
 
 // suspicion is the state of one request that ran when a target crashed.
 type suspicion struct {
 	state           chart.StateID
-	crashes         int // known consecutive crashes
-	reportedCrashes int // crashes according to the report that is being handled
-	lastCrashAt     time.Time
+	crashes         int       // known consecutive crashes
+	reportedCrashes int       // crashes according to the report that is being handled
+	changedAt       time.Time // time of the latest crash, or of the completion
 }
 
 // NewTable returns an empty table.
@@ -77,10 +86,13 @@
 	return &Table{
 		suspicions: make(map[uint64]*suspicion),
 		machine: chart.MustCompile(charts.MustRead("poison"), chart.Binding[*suspicion]{
-			States:  []string{"unsuspected", "suspected", "quarantined", "cleared"},
-			Events:  []string{"crashed", "completed", "expired"},
-			Guards:  map[string]func(*suspicion) bool{"crash_limit_reached": (*suspicion).crashLimitReached},
-			Actions: map[string]func(*suspicion){"record_crashes": (*suspicion).recordCrashes},
+			States: []string{"unsuspected", "suspected", "quarantined", "cleared", "forgotten"},
+			Events: []string{"crashed", "completed", "expired"},
+			Guards: map[string]func(*suspicion) bool{"crash_limit_reached": (*suspicion).crashLimitReached},
+			Actions: map[string]func(*suspicion){
+				"record_crashes": (*suspicion).recordCrashes,
+				"forget_crashes": func(s *suspicion) { s.crashes = 0 },
+			},
 		}),
 	}
 }
@@ -89,16 +101,27 @@
 func (s *suspicion) recordCrashes()          { s.crashes = max(s.crashes, s.reportedCrashes) }
 
 func (t *Table) step(fingerprint uint64, s *suspicion, e chart.EventID) {
+	before := s.suspected()
 	s.state = t.machine.Step(s, s.state, e)
 	if t.machine.Final(s.state) {
 		delete(t.suspicions, fingerprint)
 	}
+	switch after := s.suspected(); {
+	case after && !before:
+		t.suspected++
+	case before && !after:
+		t.suspected--
+	}
 }
 
-// find returns the suspicion of a request, or nil if there is none or it has expired.
+func (s *suspicion) suspected() bool {
+	return s.state == stateSuspected || s.state == stateQuarantined
+}
+
+// find returns the record of a request, or nil if there is none or it has expired.
 func (t *Table) find(now time.Time, fingerprint uint64) *suspicion {
 	s := t.suspicions[fingerprint]
-	if s != nil && now.Sub(s.lastCrashAt) >= suspicionLifetime {
+	if s != nil && now.Sub(s.changedAt) >= suspicionLifetime {
 		t.step(fingerprint, s, eventExpired)
 		return nil
 	}
@@ -106,28 +129,50 @@
 }
 
 // OnCrashReport handles a report that a target has crashed while a request ran, or,
-// with a count of 0, that a suspected request has completed.
+// with a count of 0, that a suspected request has completed. A report of a peer may be
+// older than what the table has; a crash from before a completion does not count, nor
+// does a completion from before a crash.
 func (t *Table) OnCrashReport(now time.Time, report model.CrashReport) {
-	s := t.find(now, report.Fingerprint)
-	if report.Count == 0 {
-		if s != nil {
-			t.step(report.Fingerprint, s, eventCompleted)
-		}
+	if report.Age >= suspicionLifetime {
 		return
 	}
+	at := now.Add(-report.Age)
+	s := t.find(now, report.Fingerprint)
 	if s == nil {
 		t.evictOldest()
-		s = &suspicion{state: t.machine.Initial()}
+		s = &suspicion{state: t.machine.Initial(), changedAt: at}
 		t.suspicions[report.Fingerprint] = s
 	}
-	s.reportedCrashes, s.lastCrashAt = report.Count, now
-	t.step(report.Fingerprint, s, eventCrashed)
+	completed := report.Count == 0
+	if at.Before(s.changedAt) {
+		if completed || s.state == stateCleared {
+			return
+		}
+		at = s.changedAt
+	}
+	s.reportedCrashes, s.changedAt = report.Count, at
+	if completed {
+		t.step(report.Fingerprint, s, eventCompleted)
+	} else {
+		t.step(report.Fingerprint, s, eventCrashed)
+	}
+}
+
+// Reports returns what the table holds, for a peer that may lack it.
+func (t *Table) Reports(now time.Time) []model.CrashReport {
+	reports := make([]model.CrashReport, 0, len(t.suspicions))
+	for fingerprint := range t.suspicions {
+		if s := t.find(now, fingerprint); s != nil {
+			reports = append(reports, model.CrashReport{Fingerprint: fingerprint, Count: s.crashes, Age: now.Sub(s.changedAt)})
+		}
+	}
+	return reports
 }
 
 // Crashes returns the number of known consecutive crashes of targets that ran a call's
 // request.
 func (t *Table) Crashes(now time.Time, call *model.Call) int {
-	if len(t.suspicions) == 0 {
+	if t.suspected == 0 {
 		return 0
 	}
 	if s := t.find(now, Fingerprint(call)); s != nil {
@@ -144,17 +189,17 @@
 	return t.suspicions[Fingerprint(call)].state == stateQuarantined
 }
 
-// Len returns the number of suspicions.
-func (t *Table) Len() int { return len(t.suspicions) }
+// Len returns the number of suspected and quarantined requests.
+func (t *Table) Len() int { return t.suspected }
 
-// evictOldest removes the suspicion with the oldest crash if the table is full.
+// evictOldest removes the record with the oldest crash or completion if the table is full.
 func (t *Table) evictOldest() {
 	if len(t.suspicions) < maxSuspicions {
 		return
 	}
 	var oldest uint64
 	for f, s := range t.suspicions {
-		if o := t.suspicions[oldest]; o == nil || s.lastCrashAt.Before(o.lastCrashAt) {
+		if o := t.suspicions[oldest]; o == nil || s.changedAt.Before(o.changedAt) {
 			oldest = f
 		}
 	}
--- a/policy/poison/table_test.go
+++ b/policy/poison/table_test.go
@@ -98,6 +98,66 @@
 	assert.Equal(t, len(r.TakeReports()), 0)
 }
 
+// exchange passes on what one node's table holds to another.
+func exchange(from, to *Table, now time.Time) { apply(to, now, from.Reports(now)) }
+
+// Guards against a restarted node that knows none of the crashes before its start.
+func TestPeersPassOnCrashes(t *testing.T) {
+	known, restarted := NewTable(), NewTable()
+	for range maxCrashes {
+		apply(known, start, crash(start, call("/bad", known.Crashes(start, call("/bad", 0)))))
+	}
+	apply(known, start, crash(start, call("/once", 0)))
+	later := start.Add(time.Minute)
+	exchange(known, restarted, later)
+	assert.Assert(t, restarted.Quarantined(later, call("/bad", 0)))
+	assert.Equal(t, restarted.Crashes(later, call("/once", 0)), 1)
+}
+
+// Guards against a suspicion that never expires because nodes pass it on to each other.
+func TestPassedOnSuspicionExpires(t *testing.T) {
+	tables := []*Table{NewTable(), NewTable()}
+	apply(tables[0], start, crash(start, call("/bad", maxCrashes-1)))
+	step := suspicionLifetime / 4
+	for i := range 4 {
+		now := start.Add(time.Duration(i) * step)
+		exchange(tables[i%2], tables[1-i%2], now)
+		assert.Assert(t, tables[1-i%2].Quarantined(now, call("/bad", 0)))
+	}
+	end := start.Add(suspicionLifetime)
+	exchange(tables[0], tables[1], end)
+	for _, table := range tables {
+		assert.Assert(t, !table.Quarantined(end, call("/bad", 0)))
+	}
+}
+
+// Guards against a node that was cut off when a request completed, and then makes the others
+// refuse it.
+func TestCompletionOutlivesOlderSuspicionOfPeer(t *testing.T) {
+	cutOff, other := NewTable(), NewTable()
+	crashes := crash(start, call("/fine", maxCrashes-1))
+	apply(cutOff, start, crashes)
+	apply(other, start, crashes)
+	apply(other, start.Add(time.Second), []model.CrashReport{{Fingerprint: Fingerprint(call("/fine", 0))}})
+	healed := start.Add(2 * time.Second)
+	exchange(cutOff, other, healed)
+	assert.Assert(t, !other.Quarantined(healed, call("/fine", 0)))
+	exchange(other, cutOff, healed)
+	assert.Assert(t, !cutOff.Quarantined(healed, call("/fine", 0)))
+}
+
+// Guards against a completion that clears a crash which came after it.
+func TestCrashOutlivesOlderCompletionOfPeer(t *testing.T) {
+	completed, crashed := NewTable(), NewTable()
+	apply(completed, start, []model.CrashReport{{Fingerprint: Fingerprint(call("/bad", 0))}})
+	later := start.Add(time.Second)
+	apply(crashed, later, crash(later, call("/bad", maxCrashes-1)))
+	exchange(completed, crashed, later)
+	assert.Assert(t, crashed.Quarantined(later, call("/bad", 0)))
+	exchange(crashed, completed, later)
+	assert.Assert(t, completed.Quarantined(later, call("/bad", 0)))
+}
+
 // Guards against counting new crashes on top of those that have expired.
 func TestExpiredCrashesDoNotCount(t *testing.T) {
 	table := NewTable()
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -39,6 +39,7 @@
 	KindDocuments                        // the operator's documents
 	KindPing                             // shows that the sender is alive if it has nothing else to send
 	KindUsage                            // how much of the customers' rates a node's callers use
+	KindCrashes                          // the requests that the sender knows to have crashed targets
 )
 
 const (
@@ -56,6 +57,7 @@
 var kindNames = map[Kind]string{
 	KindHello: "hello", KindCall: "call", KindCancel: "cancel", KindAnswer: "answer", KindReport: "report",
 	KindDocumentsRequest: "want", KindDocuments: "documents", KindPing: "ping", KindUsage: "usage",
+	KindCrashes: "crashes",
 }
 
 // String returns the name used in metrics.
@@ -65,7 +67,7 @@
 func KindOf(m Message) Kind { return m.kind() }
 
 // Message is the content of a frame: Hello, Call, Cancel, Answer, Report,
-// DocumentsRequest, Documents, Ping or Usage.
+// DocumentsRequest, Documents, Ping, Usage or Crashes.
 type Message interface {
 	kind() Kind
 	append(b []byte) []byte
@@ -122,6 +124,10 @@
 	Customers []model.CustomerUsage
 }
 
+// Crashes holds all that the sender knows of requests that crash targets. It is sent when
+// a link opens; later crashes and completions are in the reports of the targets' nodes.
+type Crashes struct{ Reports []model.CrashReport }
+
 func (Hello) kind() Kind            { return KindHello }
 func (Call) kind() Kind             { return KindCall }
 func (Cancel) kind() Kind           { return KindCancel }
@@ -131,6 +137,7 @@
 func (Documents) kind() Kind        { return KindDocuments }
 func (Ping) kind() Kind             { return KindPing }
 func (Usage) kind() Kind            { return KindUsage }
+func (Crashes) kind() Kind          { return KindCrashes }
 
 // Append appends the frame of m to b.
 func Append(b []byte, m Message) []byte {
@@ -195,6 +202,8 @@
 		return decodeDocuments(b)
 	case KindUsage:
 		return decodeUsage(b)
+	case KindCrashes:
+		return decodeCrashes(b)
 	default:
 		return Ping{}, nil
 	}
--- a/transport/frame/frame_test.go
+++ b/transport/frame/frame_test.go
@@ -51,6 +51,7 @@
 			Node:      model.NodeID{Instance: "10.0.0.1:7000", Incarnation: 5},
 			Customers: []model.CustomerUsage{{Customer: "herders", Admitted: 7, Demand: 1.25}},
 		},
+		Crashes{Reports: []model.CrashReport{{Fingerprint: 1 << 60, Count: 3, Age: 1500 * time.Millisecond}, {Fingerprint: 5}}},
 	}
 }
 
@@ -100,3 +101,12 @@
 		}
 	})
 }
+
+// Guards against an age that overflows, so that the record of a crash never expires.
+func TestCrashReportAgeIsBounded(t *testing.T) {
+	report := appendUint(nil, 3, 1<<63)
+	m, err := decodeCrashes(appendBytes(nil, 1, report))
+	assert.NilError(t, err)
+	age := m.(Crashes).Reports[0].Age
+	assert.Assert(t, age > 24*time.Hour, "the age is %v", age)
+}
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -206,18 +206,15 @@
 	}
 	b = appendUint(b, 11, r.Documents.End.Era)
 	b = appendUint(b, 12, r.Documents.Version)
-	for _, c := range r.Crashes {
-		b = appendNested(b, 8, func(b []byte) []byte {
-			b = appendFixed64(b, 1, c.Fingerprint)
-			return appendUint(b, 2, uint64(c.Count))
-		})
-	}
-	return b
+	return appendCrashReports(b, 8, r.Crashes)
 }
 
 // failureRateScale is the number of encoded units in a failure rate of 1.
 const failureRateScale = 100
 
+// maxMilliseconds is the longest time in milliseconds that a time.Duration can hold.
+const maxMilliseconds = uint64(math.MaxInt64 / time.Millisecond)
+
 // demandScale is the number of encoded units in a demand of one request a
 // second.
 const demandScale = 100
@@ -233,6 +230,17 @@
 	return b
 }
 
+func appendCrashReports(b []byte, number protowire.Number, list []model.CrashReport) []byte {
+	for _, c := range list {
+		b = appendNested(b, number, func(b []byte) []byte {
+			b = appendFixed64(b, 1, c.Fingerprint)
+			b = appendUint(b, 2, uint64(c.Count))
+			return appendUint(b, 3, uint64(c.Age.Milliseconds()))
+		})
+	}
+	return b
+}
+
 func appendNodeInfo(b []byte, info *model.NodeInfo) []byte {
 	b = appendString(b, 1, string(info.Node.Instance))
 	b = appendFixed64(b, 2, uint64(info.Node.Incarnation))
@@ -267,7 +275,9 @@
 			r.Usage = append(r.Usage, u)
 			return err
 		case 8:
-			return decodeCrashReport(r, f.bytes)
+			c, err := decodeCrashReport(f.bytes)
+			r.Crashes = append(r.Crashes, c)
+			return err
 		case 9:
 			r.FailureRate = float64(f.value) / failureRateScale
 		case 10:
@@ -322,7 +332,7 @@
 	return u, err
 }
 
-func decodeCrashReport(r *model.NodeReport, b []byte) error {
+func decodeCrashReport(b []byte) (model.CrashReport, error) {
 	var c model.CrashReport
 	err := forEachField(b, func(f field) error {
 		switch f.number {
@@ -330,11 +340,27 @@
 			c.Fingerprint = f.value
 		case 2:
 			c.Count = int(f.value)
+		case 3:
+			c.Age = time.Duration(min(f.value, maxMilliseconds)) * time.Millisecond
 		}
 		return nil
 	})
-	r.Crashes = append(r.Crashes, c)
-	return err
+	return c, err
+}
+
+func (m Crashes) append(b []byte) []byte { return appendCrashReports(b, 1, m.Reports) }
+
+func decodeCrashes(b []byte) (Message, error) {
+	var m Crashes
+	err := forEachField(b, func(f field) error {
+		if f.number != 1 {
+			return nil
+		}
+		c, err := decodeCrashReport(f.bytes)
+		m.Reports = append(m.Reports, c)
+		return err
+	})
+	return m, err
 }
 
 func (m DocumentsRequest) append(b []byte) []byte {
