gate: count a crash that another call has shown first

A request that crashes its target can go uncounted, so that it reaches one target more before it is refused.

Cause: a crash closes the listener and the connections of the target. If a new call is refused before the end of the crashing call is handled, the target counts as lost with no broken call, and the call that breaks afterwards finds the state lost, in which nothing reports it.

Evidence: TestCrashIsReportedAfterRefusedConnection failed before (no report).

Ruled out: attributing any call that breaks in the lost state; a call that was sent after the loss did not cause it (TestCallAfterLossIsNotACrash).

Change: the recorder keeps when the target was lost and counts a call that started before and breaks within the window of a probe. Such a report is due at once.

--- a/policy/gate/core.go
+++ b/policy/gate/core.go
@@ -173,7 +173,9 @@
 	case model.OutcomeAnswered:
 		c.crashes.OnCompleted(tc.call)
 	case model.OutcomeConnectionBroken:
-		c.crashes.OnConnectionBroken(now, tc.call)
+		if c.crashes.OnConnectionBroken(now, tc.started, tc.call) {
+			c.reportDue = true
+		}
 	}
 	c.target.onRunEnded(now, outcome)
 	c.admitWaiting(now)
--- a/policy/gate/core_test.go
+++ b/policy/gate/core_test.go
@@ -473,3 +473,20 @@
 	c.FillReport(start.Add(time.Second), &r)
 	assert.DeepEqual(t, r.Crashes, []model.CrashReport{{Fingerprint: poison.Fingerprint(broken), Count: 2}})
 }
+
+// Guards against a crash that is not reported because the target refused another call's
+// connection before the broken one was noticed.
+func TestCrashIsReportedAfterRefusedConnection(t *testing.T) {
+	c := newCore(t)
+	broken, refused := newCall(start), newCall(start)
+	for _, call := range []*model.Call{broken, refused} {
+		c.OnCall(start, call)
+	}
+	c.OnFinished(start, refused.ID, model.OutcomeConnectionRefused, 0)
+	assert.Equal(t, c.State(), "lost")
+	c.OnFinished(start, broken.ID, model.OutcomeConnectionBroken, 0)
+	var r model.NodeReport
+	c.FillReport(start, &r)
+	assert.DeepEqual(t, r.Crashes, []model.CrashReport{{Fingerprint: poison.Fingerprint(broken), Count: 1}})
+	assert.Assert(t, c.TakeReportDue(), "the crash is reported late")
+}
--- a/policy/poison/table.go
+++ b/policy/poison/table.go
@@ -210,6 +210,7 @@
 // not safe for concurrent use.
 type Recorder struct {
 	broken  []brokenCall
+	lostAt  time.Time // when the target was last found to be lost; zero if it never was
 	reports []model.CrashReport
 }
 
@@ -223,11 +224,17 @@
 // probe that detects the crash may start a second after it and take another second.
 const crashAttributionWindow = 3 * time.Second
 
-// OnConnectionBroken handles a call whose connection to the target broke or could not be
-// opened. A connection that the target refused does not count.
-func (r *Recorder) OnConnectionBroken(now time.Time, call *model.Call) {
+// OnConnectionBroken handles a call, started at startedAt, whose connection to the target
+// broke or could not be opened, and reports whether that is known to be due to a crash
+// already. A connection that the target refused does not count.
+func (r *Recorder) OnConnectionBroken(now, startedAt time.Time, call *model.Call) bool {
+	if !startedAt.After(r.lostAt) && now.Sub(r.lostAt) <= crashAttributionWindow {
+		r.reportCrash(call) // the end of another call has shown the loss before
+		return true
+	}
 	r.broken = slices.DeleteFunc(r.broken, func(b brokenCall) bool { return now.Sub(b.brokenAt) > crashAttributionWindow })
 	r.broken = append(r.broken, brokenCall{call: call, brokenAt: now})
+	return false
 }
 
 // OnCompleted handles a call that the target has answered. The completion is reported
@@ -242,14 +249,19 @@
 
 // OnTargetLost handles the detection that the target has crashed or restarted.
 func (r *Recorder) OnTargetLost(now time.Time) {
+	r.lostAt = now
 	for _, b := range r.broken {
 		if now.Sub(b.brokenAt) <= crashAttributionWindow {
-			r.reports = append(r.reports, model.CrashReport{Fingerprint: Fingerprint(b.call), Count: b.call.CrashCount + 1})
+			r.reportCrash(b.call)
 		}
 	}
 	r.broken = r.broken[:0]
 }
 
+func (r *Recorder) reportCrash(call *model.Call) {
+	r.reports = append(r.reports, model.CrashReport{Fingerprint: Fingerprint(call), Count: call.CrashCount + 1})
+}
+
 // TakeReports returns and clears the reports for the callers' nodes.
 func (r *Recorder) TakeReports() []model.CrashReport {
 	reports := r.reports
--- a/policy/poison/table_test.go
+++ b/policy/poison/table_test.go
@@ -21,7 +21,7 @@
 func crash(now time.Time, calls ...*model.Call) []model.CrashReport {
 	var r Recorder
 	for _, c := range calls {
-		r.OnConnectionBroken(now, c)
+		r.OnConnectionBroken(now, now, c)
 	}
 	r.OnTargetLost(now)
 	return r.TakeReports()
@@ -76,11 +76,19 @@
 // target was lost.
 func TestEarlierBrokenConnectionIsNotACrash(t *testing.T) {
 	var r Recorder
-	r.OnConnectionBroken(start, call("/cut", 2))
+	r.OnConnectionBroken(start, start, call("/cut", 2))
 	r.OnTargetLost(start.Add(crashAttributionWindow + time.Second))
 	assert.Equal(t, len(r.TakeReports()), 0)
 }
 
+// Guards against attributing a crash to a call that was sent after it.
+func TestCallAfterLossIsNotACrash(t *testing.T) {
+	var r Recorder
+	r.OnTargetLost(start)
+	r.OnConnectionBroken(start.Add(time.Second), start.Add(time.Millisecond), call("/next", 0))
+	assert.Equal(t, len(r.TakeReports()), 0)
+}
+
 // Guards against unbounded growth of the table.
 func TestTableIsBounded(t *testing.T) {
 	table := NewTable()
