mesh: a link that is full gets a report of a crash later

A peer that did not read its link for a moment could miss a crash for good, and send on a request that the other nodes refuse.

Cause: the report of a crash went to the rings of all links and was then forgotten, also where a ring had no room. Ruled out: closing such a link, so that the peer gets the table on the next one; the calls on it would fail.

--- a/agent/mesh/delivery_test.go
+++ b/agent/mesh/delivery_test.go
@@ -15,6 +15,7 @@
 	"github.com/oleanderworks/oleanderworks/policy/fleet"
 	"github.com/oleanderworks/oleanderworks/policy/freshness"
 	"github.com/oleanderworks/oleanderworks/policy/gate"
+	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
 
 // versionDecoder decodes a configuration of one byte, its version.
@@ -85,21 +86,27 @@
 	assert.Equal(t, version, uint64(7))
 }
 
-// Guards against a crash that the duties are never told of because their rings were full.
-func TestBusyDutiesGetCrashesLater(t *testing.T) {
-	n, _ := newIdleNode()
+// newCrashedGate returns the handler of a node's gate duty, which has a crash to report.
+func newCrashedGate(t *testing.T, n *Node, now time.Time) *gateHandler {
+	t.Helper()
 	core := gate.New("s", "z")
-	h := &gateHandler{node: n, core: core, callerLinks: make(map[model.CallID]*link), cancels: make(map[model.CallID]context.CancelFunc)}
-	now := time.Now()
 	assert.Assert(t, core.OnAnnouncement(now, gate.Announcement{ID: "t", Service: "s", StartedAtMs: 1, Sequence: 1, Slots: 9}))
 	core.OnCall(now, &model.Call{ID: 1, AttemptID: "a", Path: "/x", Deadline: now.Add(time.Minute), SLODeadline: now.Add(time.Minute)})
 	core.Decisions()
 	core.OnFinished(now, 1, model.OutcomeConnectionBroken, 0)
+	core.OnProbeResult(now, model.Health{}) // the target is lost
+	return &gateHandler{node: n, core: core, callerLinks: make(map[model.CallID]*link), cancels: make(map[model.CallID]context.CancelFunc)}
+}
+
+// Guards against a crash that the duties are never told of because their rings were full.
+func TestBusyDutiesGetCrashesLater(t *testing.T) {
+	n, _ := newIdleNode()
+	now := time.Now()
+	h := newCrashedGate(t, n, now)
 	for n.entry.Ring().Offer(failRequests{}) {
 	}
 	for n.peers.Ring().Offer(closeAllLinks{}) {
 	}
-	core.OnProbeResult(now, model.Health{}) // the target is lost
 	h.report(now)
 	drain(t, n.entry.Ring())
 	drain(t, n.peers.Ring())
@@ -108,3 +115,19 @@
 	assert.Equal(t, len(entry[0].(reportReceived).report.Crashes), 1)
 	assert.Equal(t, len(peers[0].(ownReport).report.Crashes), 1)
 }
+
+// Guards against a crash that a peer is never told of because the ring of its link was full.
+func TestBusyLinkGetsCrashesLater(t *testing.T) {
+	_, h := newIdleNode()
+	l := newQueueLink()
+	h.incoming[l] = new(sentReport)
+	for l.send(frame.Ping{}) {
+	}
+	now := time.Now()
+	h.Handle(now, []peersMessage{ownReport{report: &model.NodeReport{Crashes: []model.CrashReport{{Fingerprint: 7, Count: 1}}}}})
+	drain(t, l.queue)
+	h.Tick(now.Add(time.Second))
+	sent := drain(t, l.queue)
+	assert.Equal(t, len(sent), 1)
+	assert.Equal(t, len(sent[0].(frame.Report).Report.Crashes), 1)
+}
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -123,13 +123,12 @@
 	loader      configLoader
 	unsentPeers []model.Instance // for the entry duty; nil if it has them
 
-	report        model.NodeReport // usage and crashes are set when it is sent
-	usage         map[model.Customer]model.CustomerUsage
-	unsentUsage   map[model.Customer]bool // customers whose usage has changed since the last report
-	unsentCrashes []model.CrashReport     // not reported to peers yet
-	reportDue     bool                    // reports are due before nextReportAt
-	nextReportAt  time.Time
-	lastPingAt    time.Time
+	report       model.NodeReport // usage and crashes are set when it is sent
+	usage        map[model.Customer]model.CustomerUsage
+	unsentUsage  map[model.Customer]bool // customers whose usage has changed since the last report
+	reportDue    bool                    // reports are due before nextReportAt
+	nextReportAt time.Time
+	lastPingAt   time.Time
 }
 
 // sentReport is what was last reported on a link. It determines when the next report
@@ -138,6 +137,9 @@
 	sentAt time.Time
 	info   model.NodeInfo // as last sent
 	load   int            // running and queued calls, as last sent
+	// unsentCrashes holds the crashes that the link's ring has not accepted yet. The peer
+	// hears of each crash only once.
+	unsentCrashes []model.CrashReport
 }
 
 func newPeersDuty(n *Node) *duty.Duty[peersMessage] {
@@ -245,7 +247,7 @@
 	h.incoming[l] = new(sentReport)
 	h.node.log.Emit(event.MeshLinkOpened, "peer", peer, "by", "peer")
 	h.reportDocuments(now)
-	h.sendTo(l, h.allUsage(), nil)
+	h.sendTo(l, h.allUsage())
 }
 
 func (h *peersHandler) closeLinks() {
@@ -263,7 +265,9 @@
 	}
 	if len(r.Crashes) > 0 {
 		h.reportDue = true
-		h.unsentCrashes = append(h.unsentCrashes, r.Crashes...)
+		for _, sent := range h.incoming {
+			sent.unsentCrashes = append(sent.unsentCrashes, r.Crashes...)
+		}
 	}
 	h.report = *r
 }
@@ -361,15 +365,13 @@
 		changed = append(changed, h.usage[name])
 	}
 	clear(h.unsentUsage)
-	crashes := h.unsentCrashes
-	h.unsentCrashes = nil
 	for l, sent := range h.incoming {
 		var usage []model.CustomerUsage
 		if h.inOwnZone(l) {
 			usage = changed
 		}
-		if h.reportDue || len(usage) > 0 || h.loadChanged(l, sent) || now.Sub(sent.sentAt) >= keepAliveInterval {
-			h.sendTo(l, usage, crashes)
+		if h.reportDue || len(usage) > 0 || len(sent.unsentCrashes) > 0 || h.loadChanged(l, sent) || now.Sub(sent.sentAt) >= keepAliveInterval {
+			h.sendTo(l, usage)
 			sent.sentAt = now
 		}
 	}
@@ -393,11 +395,11 @@
 	return max(change, -change) > max(int(otherZoneLoadChange*float64(h.report.Limit)), 1)
 }
 
-func (h *peersHandler) sendTo(l *link, usage []model.CustomerUsage, crashes []model.CrashReport) {
+func (h *peersHandler) sendTo(l *link, usage []model.CustomerUsage) {
 	sent := h.incoming[l]
 	r := h.report
-	r.Usage, r.Crashes = usage, crashes
+	r.Usage, r.Crashes = usage, sent.unsentCrashes
 	if l.send(frame.Report{Report: &r, OmitsNodeInfo: sent.info == r.NodeInfo}) {
-		sent.info, sent.load = r.NodeInfo, r.Running+r.Queued
+		sent.info, sent.load, sent.unsentCrashes = r.NodeInfo, r.Running+r.Queued, nil
 	}
 }
