mesh: a busy entry duty gets a peer's report of a crash

A node under load could miss a crash for good, and send on a request that the other nodes refuse.

Cause: a peer's report was offered to the entry duty and dropped if its ring was full. Load and use of rates come again with the next report, a crash does not. Ruled out: waiting for room for each report; the reader of a link would then stand still for what the next report replaces.

Change: a report with crashes waits for room, as answers do.

--- a/agent/mesh/delivery_test.go
+++ b/agent/mesh/delivery_test.go
@@ -131,3 +131,28 @@
 	assert.Equal(t, len(sent), 1)
 	assert.Equal(t, len(sent[0].(frame.Report).Report.Crashes), 1)
 }
+
+// Guards against a peer's report of a crash that is dropped because the entry duty is busy.
+func TestBusyEntryGetsCrashesOfPeers(t *testing.T) {
+	n, _ := newIdleNode()
+	for n.entry.Ring().Offer(failRequests{}) {
+	}
+	delivered := make(chan struct{})
+	go func() {
+		defer close(delivered)
+		n.onOutgoingFrame(newQueueLink(), frame.Report{Report: &model.NodeReport{Crashes: []model.CrashReport{{Fingerprint: 7, Count: 1}}}})
+	}()
+	select {
+	case <-delivered:
+	case <-time.After(100 * time.Millisecond): // it waits for room
+	}
+	messages := drain(t, n.entry.Ring())
+	<-delivered
+	var crashes []model.CrashReport
+	for _, m := range append(messages, drain(t, n.entry.Ring())...) {
+		if m, ok := m.(reportReceived); ok {
+			crashes = append(crashes, m.report.Crashes...)
+		}
+	}
+	assert.Equal(t, len(crashes), 1)
+}
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -362,7 +362,7 @@
 			m.Report.NodeInfo = l.info
 		}
 		l.info = m.Report.NodeInfo
-		n.entry.Ring().Offer(reportReceived{report: m.Report})
+		n.onReport(m.Report)
 		n.onPeerDocuments(l.peer.Node.Instance, m.Report)
 	case frame.Usage:
 		n.entry.Ring().Offer(usageReceived{node: m.Node, usage: m.Customers})
@@ -376,6 +376,17 @@
 	}
 }
 
+// onReport passes a peer's report to the entry duty. If it has crashes, which are reported
+// only once, it waits for room in the ring.
+func (n *Node) onReport(r *model.NodeReport) {
+	m := reportReceived{report: r}
+	if len(r.Crashes) > 0 {
+		_ = n.entry.Ring().Put(context.Background(), m)
+		return
+	}
+	n.entry.Ring().Offer(m)
+}
+
 // onPeerDocuments compares a peer's documents with those of this node.
 func (n *Node) onPeerDocuments(peer model.Instance, r *model.NodeReport) {
 	switch known := n.knownDocuments(); {
