mesh: the own entry duty hears of a crash before the peers do

A peer whose link opened at the wrong moment could miss a crash for good.

Cause: the gate told the entry and the peers duty of a crash separately. With the ring of the entry duty full, the peers duty reported the crash to the open links; a link that opened then got neither this report nor, from the entry duty, the record of the crash. Ruled out: sending the table from the peers duty, which does not have it.

Change: the gate passes a crash to the peers duty after the entry duty's ring has taken it.

--- a/agent/mesh/delivery_test.go
+++ b/agent/mesh/delivery_test.go
@@ -116,6 +116,22 @@
 	assert.Equal(t, len(peers[0].(ownReport).report.Crashes), 1)
 }
 
+// Guards against a crash that peers hear of before this node does: a peer whose link opens
+// in between would get neither the report nor the record.
+func TestPeersHearOfCrashesAfterOwnEntry(t *testing.T) {
+	n, _ := newIdleNode()
+	now := time.Now()
+	h := newCrashedGate(t, n, now)
+	for n.entry.Ring().Offer(failRequests{}) {
+	}
+	h.report(now)
+	assert.Equal(t, len(drain(t, n.peers.Ring())[0].(ownReport).report.Crashes), 0)
+	drain(t, n.entry.Ring())
+	h.report(now.Add(time.Second))
+	assert.Equal(t, len(drain(t, n.entry.Ring())[0].(reportReceived).report.Crashes), 1)
+	assert.Equal(t, len(drain(t, n.peers.Ring())[0].(ownReport).report.Crashes), 1)
+}
+
 // Guards against a crash that a peer is never told of because the ring of its link was full.
 func TestBusyLinkGetsCrashesLater(t *testing.T) {
 	_, h := newIdleNode()
--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -334,14 +334,17 @@
 		h.node.log.Emit(event.MeshCrashed, "fingerprint", c.Fingerprint, "crashes", c.Count)
 	}
 	h.node.idle.Store(h.core.Idle())
-	// A report whose ring is full is lost, but each crash is reported only once.
+	// A report whose ring is full is lost, but each crash is reported only once. The peers
+	// duty gets it after the entry duty has it, which tells the peers whose links open
+	// later.
 	forEntry, forPeers := *r, *r
 	h.crashesForEntry = append(h.crashesForEntry, r.Crashes...)
-	h.crashesForPeers = append(h.crashesForPeers, r.Crashes...)
-	forEntry.Crashes, forPeers.Crashes = h.crashesForEntry, h.crashesForPeers
+	forEntry.Crashes = h.crashesForEntry
 	if h.node.entry.Ring().Offer(reportReceived{report: &forEntry}) {
+		h.crashesForPeers = append(h.crashesForPeers, h.crashesForEntry...)
 		h.crashesForEntry = nil
 	}
+	forPeers.Crashes = h.crashesForPeers
 	if h.node.peers.Ring().Offer(ownReport{report: &forPeers}) {
 		h.crashesForPeers = nil
 	}
