poison: evict the refused requests last

A request that crashes targets was sent on again once the crashes of some dozen other targets had filled the table of suspicions.

Cause: the oldest record was evicted. Ruled out: a larger table; the number of harmless records has no bound.

Change: a cleared record goes first, then a suspected one, then a quarantined one, the oldest of its kind.

--- a/policy/poison/table.go
+++ b/policy/poison/table.go
@@ -29,7 +29,7 @@
 	// suspicionLifetime is the time after the latest crash or completion at which a
 	// record expires, the same as for the crash marks of package quarantine.
 	suspicionLifetime = 10 * time.Minute
-	// maxSuspicions bounds the table; when it is full, the oldest record is evicted.
+	// maxSuspicions bounds the table; when it is full, a record is evicted.
 	// A crash adds a suspicion for each request that the target ran, one or two hundred.
 	maxSuspicions = 4096
 )
@@ -139,7 +139,7 @@
 	at := now.Add(-report.Age)
 	s := t.find(now, report.Fingerprint)
 	if s == nil {
-		t.evictOldest()
+		t.evict()
 		s = &suspicion{state: t.machine.Initial(), changedAt: at}
 		t.suspicions[report.Fingerprint] = s
 	}
@@ -192,18 +192,39 @@
 // Len returns the number of suspected and quarantined requests.
 func (t *Table) Len() int { return t.suspected }
 
-// evictOldest removes the record with the oldest crash or completion if the table is full.
-func (t *Table) evictOldest() {
+// evict removes a record if the table is full: a cleared one if there is any, else a
+// suspected one, else a quarantined one, and the oldest of these.
+func (t *Table) evict() {
 	if len(t.suspicions) < maxSuspicions {
 		return
 	}
-	var oldest uint64
+	var victim uint64
 	for f, s := range t.suspicions {
-		if o := t.suspicions[oldest]; o == nil || s.changedAt.Before(o.changedAt) {
-			oldest = f
+		if v := t.suspicions[victim]; v == nil || s.evictedBefore(v) {
+			victim = f
 		}
 	}
-	t.step(oldest, t.suspicions[oldest], eventExpired)
+	t.step(victim, t.suspicions[victim], eventExpired)
+}
+
+// evictedBefore reports whether a record is less important than another. The crashes of a
+// few targets add a suspicion for each of their calls, most of which are harmless.
+func (s *suspicion) evictedBefore(other *suspicion) bool {
+	if s.evictionRank() != other.evictionRank() {
+		return s.evictionRank() < other.evictionRank()
+	}
+	return s.changedAt.Before(other.changedAt)
+}
+
+func (s *suspicion) evictionRank() int {
+	switch s.state {
+	case stateQuarantined:
+		return 2
+	case stateSuspected:
+		return 1
+	default:
+		return 0
+	}
 }
 
 // Recorder records, at a target's node, which calls ran when the target crashed. It is
--- a/policy/poison/table_test.go
+++ b/policy/poison/table_test.go
@@ -175,3 +175,28 @@
 	assert.Equal(t, table.Crashes(later, call("/bad", 0)), 1)
 	assert.Assert(t, !table.Quarantined(later, call("/bad", 0)))
 }
+
+// Guards against a refused request that is forgotten, and crashes targets again, because
+// the crashes of other requests fill the table.
+func TestQuarantinedRequestIsEvictedLast(t *testing.T) {
+	table := NewTable()
+	apply(table, start, crash(start, call("/bad", maxCrashes-1)))
+	for i := range 2 * maxSuspicions {
+		apply(table, start.Add(time.Duration(i+1)), crash(start, call(fmt.Sprint("/", i), 0)))
+	}
+	end := start.Add(2 * maxSuspicions)
+	assert.Assert(t, table.Quarantined(end, call("/bad", 0)))
+	assert.Equal(t, table.Crashes(end, call("/0", 0)), 0)
+	assert.Equal(t, table.Crashes(end, call(fmt.Sprint("/", 2*maxSuspicions-1), 0)), 1)
+}
+
+// Guards against unbounded growth of the table by requests that have completed.
+func TestClearedRequestsAreBounded(t *testing.T) {
+	table := NewTable()
+	apply(table, start, crash(start, call("/once", 0)))
+	for i := range maxSuspicions + 100 {
+		apply(table, start.Add(time.Duration(i)), []model.CrashReport{{Fingerprint: uint64(i + 1)}})
+	}
+	assert.Equal(t, len(table.suspicions), maxSuspicions)
+	assert.Equal(t, table.Crashes(start, call("/once", 0)), 1)
+}
