poison: bound what a peer is told when its link opens

A node that starts gets the records of each of its peers. With a full table of 4096 that is about 70 KB from each; 195 peers on a link of 120 Mbit/s would take a second.

Ruled out: one peer as the only source; it may have been cut off itself. Change: at most 512 records, the ones that would be evicted last.

--- a/policy/poison/table.go
+++ b/policy/poison/table.go
@@ -11,6 +11,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,6 +33,9 @@
 	// maxSuspicions bounds the table; when it is full, a record is evicted.
 	// A crash adds a suspicion for each request that the target ran, one or two hundred.
 	maxSuspicions = 4096
+	// maxReports bounds what a peer is told when a link opens, to about 9 KB. A node that
+	// starts gets it from each of its peers.
+	maxReports = 512
 )
 
 // Events of the state chart poison, in the chart's order.
@@ -158,14 +162,24 @@
 	}
 }
 
-// Reports returns what the table holds, for a peer that may lack it.
+// Reports returns what the table holds, for a peer that may lack it. If that is more than
+// maxReports, the records that would be evicted first are left out.
 func (t *Table) Reports(now time.Time) []model.CrashReport {
-	reports := make([]model.CrashReport, 0, len(t.suspicions))
-	for fingerprint := range t.suspicions {
-		if s := t.find(now, fingerprint); s != nil {
-			reports = append(reports, model.CrashReport{Fingerprint: fingerprint, Count: s.crashes, Age: now.Sub(s.changedAt)})
+	fingerprints := make([]uint64, 0, len(t.suspicions))
+	for f := range t.suspicions {
+		if t.find(now, f) != nil {
+			fingerprints = append(fingerprints, f)
 		}
 	}
+	if len(fingerprints) > maxReports {
+		slices.SortFunc(fingerprints, func(a, b uint64) int { return t.suspicions[b].compareEviction(t.suspicions[a]) })
+		fingerprints = fingerprints[:maxReports]
+	}
+	reports := make([]model.CrashReport, len(fingerprints))
+	for i, f := range fingerprints {
+		s := t.suspicions[f]
+		reports[i] = model.CrashReport{Fingerprint: f, Count: s.crashes, Age: now.Sub(s.changedAt)}
+	}
 	return reports
 }
 
@@ -200,20 +214,17 @@
 	}
 	var victim uint64
 	for f, s := range t.suspicions {
-		if v := t.suspicions[victim]; v == nil || s.evictedBefore(v) {
+		if v := t.suspicions[victim]; v == nil || s.compareEviction(v) < 0 {
 			victim = f
 		}
 	}
 	t.step(victim, t.suspicions[victim], eventExpired)
 }
 
-// evictedBefore reports whether a record is less important than another. The crashes of a
-// few targets add a suspicion for each of their calls, most of which are harmless.
-func (s *suspicion) evictedBefore(other *suspicion) bool {
-	if s.evictionRank() != other.evictionRank() {
-		return s.evictionRank() < other.evictionRank()
-	}
-	return s.changedAt.Before(other.changedAt)
+// compareEviction is negative if a record is evicted before another. The crashes of a few
+// targets add a suspicion for each of their calls, most of which are harmless.
+func (s *suspicion) compareEviction(other *suspicion) int {
+	return cmp.Or(cmp.Compare(s.evictionRank(), other.evictionRank()), s.changedAt.Compare(other.changedAt))
 }
 
 func (s *suspicion) evictionRank() int {
--- a/policy/poison/table_test.go
+++ b/policy/poison/table_test.go
@@ -200,3 +200,20 @@
 	assert.Equal(t, len(table.suspicions), maxSuspicions)
 	assert.Equal(t, table.Crashes(start, call("/once", 0)), 1)
 }
+
+// Guards against a node that starts beside many peers and gets megabytes of records that
+// hardly matter, and against leaving out those that do.
+func TestReportsAreBounded(t *testing.T) {
+	table := NewTable()
+	apply(table, start, crash(start, call("/bad", maxCrashes-1)))
+	for i := range maxSuspicions {
+		apply(table, start.Add(time.Duration(i+1)), crash(start, call(fmt.Sprint("/", i), 0)))
+	}
+	end := start.Add(maxSuspicions)
+	reports := table.Reports(end)
+	assert.Equal(t, len(reports), maxReports)
+	peer := NewTable()
+	apply(peer, end, reports)
+	assert.Assert(t, peer.Quarantined(end, call("/bad", 0)))
+	assert.Equal(t, peer.Crashes(end, call(fmt.Sprint("/", maxSuspicions-1), 0)), 1)
+}
