dispatch: the refusal of a crashing request names its fingerprint

From the line of a refused request (event 1014) there was no way to the crashes that are its reason (event 1026): the lines of crashes have a fingerprint, the refusal had none. The detail now has it, with the number of crashes and the age of the latest.

Result: policy/dispatch.TestQuarantinedRequestIsRefused also checks the fingerprint; it failed before.

--- a/policy/dispatch/core_test.go
+++ b/policy/dispatch/core_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -436,6 +437,7 @@
 	c.OnRequest(start, newRequest("/tags/bad"))
 	a := onlyDecision(t, c).Answer
 	assert.Equal(t, a.Reason, model.ReasonQuarantined)
+	assert.Assert(t, strings.Contains(a.Detail, fmt.Sprint(poison.Fingerprint(call))), a.Detail)
 	assert.Equal(t, a.Run, model.NotRun)
 	c.OnRequest(start, newRequest("/tags/good"))
 	assert.Assert(t, onlyDecision(t, c).Call != nil)
--- a/policy/dispatch/request.go
+++ b/policy/dispatch/request.go
@@ -89,7 +89,7 @@
 	}
 	r.call = r.newCall(req, customer)
 	if c.suspicions.Quarantined(r.now, r.call) {
-		return model.NewRefusal(r.id, model.ReasonQuarantined, "targets have crashed in a row while the request ran")
+		return model.NewRefusal(r.id, model.ReasonQuarantined, c.suspicions.Describe(r.now, r.call))
 	}
 	if r.target = c.targets.choose(r.now, r.call, nil, c.zonesOut); r.target == nil {
 		return model.NewRefusal(r.id, model.ReasonNoTarget, "no target of the service is in service")
--- a/policy/poison/table.go
+++ b/policy/poison/table.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -203,6 +204,17 @@
 	return t.suspicions[Fingerprint(call)].state == stateQuarantined
 }
 
+// Describe returns what is known of a call's request, for logs.
+func (t *Table) Describe(now time.Time, call *model.Call) string {
+	fingerprint := Fingerprint(call)
+	s := t.find(now, fingerprint)
+	if s == nil {
+		return fmt.Sprintf("no crash is known for the fingerprint %d", fingerprint)
+	}
+	return fmt.Sprintf("targets have crashed in a row while the request ran: %d, the latest %v ago, fingerprint %d",
+		s.crashes, now.Sub(s.changedAt).Round(time.Millisecond), fingerprint)
+}
+
 // Len returns the number of suspected and quarantined requests.
 func (t *Table) Len() int { return t.suspected }
 
