poison: the log has a record of each refused request

After all nodes had ended at once, as in a loss of power, a request that was refused before reached three more targets, and three more after each further time.

Ruled out: a stream of its own (one more waiting read for each node, which is charged); records of single crashes (a crash makes hundreds, most of them harmless); the time of day in the record (no decision reads it).

Change: the node of the target whose crash was the third writes a record into the stream of nodes, which all nodes read; others do it after a random time if it is missing. The record is deleted when the request has completed or its suspicion has expired. Result: platform.TestNodesRefuseCrashingRequestAfterRestartOfAll failed before (502, want 503), passes; so do the tests of the archive, of invalid records and of a restored log.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -9,6 +9,7 @@
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
 	"github.com/oleanderworks/oleanderworks/policy/dispatch"
+	"github.com/oleanderworks/oleanderworks/policy/poison"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
 
@@ -47,6 +48,14 @@
 	// peerConnected reports that a peer has opened a link. The peer may lack crashes
 	// that were reported before.
 	peerConnected struct{ link *link }
+	// poisonRecordsRead carries records of refused requests in the log: all of them if
+	// loaded, otherwise changes.
+	poisonRecordsRead struct {
+		records []poison.Record
+		loaded  bool
+	}
+	// poisonRecordWritten reports that the log has taken a record of a refused request.
+	poisonRecordWritten struct{ record poison.Record }
 	// usageReceived is the usage of the customers' rates by the callers of
 	// another node.
 	usageReceived struct {
@@ -79,21 +88,23 @@
 	}
 )
 
-func (*requestReceived) entryMessage()   {}
-func (requestCanceled) entryMessage()    {}
-func (answerReceived) entryMessage()     {}
-func (parentStarted) entryMessage()      {}
-func (parentEnded) entryMessage()        {}
-func (reportReceived) entryMessage()     {}
-func (crashesReceived) entryMessage()    {}
-func (peerConnected) entryMessage()      {}
-func (usageReceived) entryMessage()      {}
-func (linkOpened) entryMessage()         {}
-func (linkClosed) entryMessage()         {}
-func (peersChanged) entryMessage()       {}
-func (entryConfigChanged) entryMessage() {}
-func (failRequests) entryMessage()       {}
-func (nodeStopping) entryMessage()       {}
+func (*requestReceived) entryMessage()    {}
+func (requestCanceled) entryMessage()     {}
+func (answerReceived) entryMessage()      {}
+func (parentStarted) entryMessage()       {}
+func (parentEnded) entryMessage()         {}
+func (reportReceived) entryMessage()      {}
+func (crashesReceived) entryMessage()     {}
+func (peerConnected) entryMessage()       {}
+func (poisonRecordsRead) entryMessage()   {}
+func (poisonRecordWritten) entryMessage() {}
+func (usageReceived) entryMessage()       {}
+func (linkOpened) entryMessage()          {}
+func (linkClosed) entryMessage()          {}
+func (peersChanged) entryMessage()        {}
+func (entryConfigChanged) entryMessage()  {}
+func (failRequests) entryMessage()        {}
+func (nodeStopping) entryMessage()        {}
 
 // entryHandler handles the messages of the entry duty, which runs the dispatch
 // policy.
@@ -150,6 +161,10 @@
 	h.node.guard("entry", timersDue{}, func() {
 		next = h.core.Tick(now)
 		h.applyDecisions(now)
+		h.node.metrics.suspectedRequests.Set(int64(h.core.SuspectedRequests()))
+		for _, record := range h.core.TakePoisonWrites() {
+			h.node.poisonWriter.records.Offer(record) // the core requests it again
+		}
 	})
 	if !now.Before(h.nextUsageAt) {
 		h.nextUsageAt = now.Add(reportInterval)
@@ -179,11 +194,14 @@
 	case reportReceived:
 		h.core.OnReport(now, m.report)
 		h.node.metrics.crashReports.Add(int64(len(m.report.Crashes)))
-		h.node.metrics.suspectedRequests.Set(int64(h.core.SuspectedRequests()))
 	case crashesReceived:
 		h.onCrashesReceived(now, m)
 	case peerConnected:
 		h.sendCrashes(now, m.link)
+	case poisonRecordsRead:
+		h.core.OnPoisonRecords(now, m.records, m.loaded)
+	case poisonRecordWritten:
+		h.core.OnPoisonRecordWritten(now, m.record)
 	case usageReceived:
 		h.core.OnUsage(now, m.node, m.usage)
 	case linkOpened:
@@ -210,10 +228,8 @@
 
 func (h *entryHandler) onCrashesReceived(now time.Time, m crashesReceived) {
 	before := h.core.SuspectedRequests()
-	h.core.OnCrashReports(now, m.reports)
-	suspected := h.core.SuspectedRequests()
-	h.node.metrics.suspectedRequests.Set(int64(suspected))
-	if suspected != before {
+	h.core.OnPeerCrashes(now, m.reports)
+	if suspected := h.core.SuspectedRequests(); suspected != before {
 		h.node.log.Emit(event.MeshCrashesLearned, "peer", m.peer, "reports", len(m.reports), "suspected_before", before, "suspected", suspected)
 	}
 }
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -22,6 +22,7 @@
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/fleet"
 	"github.com/oleanderworks/oleanderworks/policy/gate"
+	"github.com/oleanderworks/oleanderworks/policy/poison"
 	"github.com/oleanderworks/oleanderworks/transport/exchange"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
@@ -74,6 +75,7 @@
 	nodesReader     *logReader
 	checker         *logChecker
 	publisher       *addressPublisher
+	poisonWriter    *poisonWriter
 
 	configured atomic.Bool  // a configuration is known
 	idle       atomic.Bool  // no call waits for the target or runs there
@@ -113,6 +115,7 @@
 	n.peers = newPeersDuty(n)
 	n.checker = newLogChecker(n)
 	n.publisher = newAddressPublisher(n)
+	n.poisonWriter = newPoisonWriter(n)
 	n.newLogReaders()
 	n.metrics.vars.Set("entry", n.entry.Vars())
 	n.metrics.vars.Set("gate", n.gate.Vars())
@@ -216,7 +219,16 @@
 	}
 	n.nodesReader = &logReader{
 		node: n, stream: keyed.StreamNodes, readPause: nodesReadPause, knownEnd: func() model.LogPosition { return model.LogPosition{} },
-		deliver: func(ctx context.Context, a logAnswer) { _ = n.peers.Ring().Put(ctx, nodesRead{answer: a}) },
+		deliver: n.deliverNodeRecords,
+	}
+}
+
+func (n *Node) deliverNodeRecords(ctx context.Context, a logAnswer) {
+	var refused []poison.Record
+	a.records, refused = n.splitNodeRecords(a.records)
+	_ = n.peers.Ring().Put(ctx, nodesRead{answer: a})
+	if len(refused) > 0 || a.complete {
+		_ = n.entry.Ring().Put(ctx, poisonRecordsRead{records: refused, loaded: a.complete})
 	}
 }
 
@@ -233,6 +245,7 @@
 	go n.checker.run(ctx)
 	n.publisher.request()
 	go n.publisher.run(ctx)
+	go n.poisonWriter.run(ctx)
 }
 
 // Serve answers a request. It returns nil if the caller disconnects first.
--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -44,6 +44,9 @@
 	MeshCrashesLearned = define(1027, "mesh_crashes_learned", hclog.Info,
 		"A peer told the node of requests that crash targets, or that such a request completed, when the link between them opened. The fields suspected_before and suspected count the requests that the node suspects.",
 		"None. Event 1026 in the logs of the other nodes names the requests by their fingerprints.")
+	MeshRefusedRecorded = define(1028, "mesh_refused_recorded", hclog.Info,
+		"The node wrote to the store's log that a request is refused because it crashes targets, or, if refused is false, that it no longer is. The field error is set if the log did not take it; the write is tried again.",
+		"If the field error is set, check the store.")
 
 	MeshConfigured = define(1030, "mesh_configured", hclog.Info,
 		"A version of the configuration has taken effect on the node.", "None.")
--- a/logservice/keyed/keyed.go
+++ b/logservice/keyed/keyed.go
@@ -17,7 +17,8 @@
 const (
 	// StreamOperator holds the operator's documents. Nodes only read it.
 	StreamOperator = "operator"
-	// StreamNodes holds the address of each node, appended by the node itself.
+	// StreamNodes holds the address of each node, appended by the node itself, and the
+	// requests that all nodes refuse because they crash targets.
 	StreamNodes = "nodes"
 )
 
--- a/policy/dispatch/core.go
+++ b/policy/dispatch/core.go
@@ -68,6 +68,7 @@
 	splitters  map[string]*splitter
 	parents    map[string]*Parent // calls that run at the node's own target, by AttemptID; nested requests name it in Parent
 	suspicions *poison.Table
+	archive    *poison.Archive
 	decisions  []Decision
 
 	endsAt      time.Time // when the node gives up the requests in progress, since it stops; zero unless it stops
@@ -92,6 +93,7 @@
 		splitters:  make(map[string]*splitter),
 		parents:    make(map[string]*Parent),
 		suspicions: poison.NewTable(),
+		archive:    poison.NewArchive(rng),
 	}
 }
 
@@ -155,18 +157,53 @@
 // OnReport handles a node's report on itself and its target.
 func (c *Core) OnReport(now time.Time, r *model.NodeReport) {
 	c.targets.onReport(now, r)
-	c.OnCrashReports(now, r.Crashes)
+	c.onCrashReports(now, r.Crashes, r.Node.Instance == c.self)
 	c.OnUsage(now, r.Node, r.Usage)
 }
 
-// OnCrashReports handles reports of crashes, from a target's node or from a peer that
-// passes on what it knows.
-func (c *Core) OnCrashReports(now time.Time, reports []model.CrashReport) {
+// OnPeerCrashes handles what a peer knows of requests that crash targets.
+func (c *Core) OnPeerCrashes(now time.Time, reports []model.CrashReport) {
+	c.onCrashReports(now, reports, false)
+}
+
+// onCrashReports handles reports of crashes. own tells that they come from the node's own
+// target.
+func (c *Core) onCrashReports(now time.Time, reports []model.CrashReport, own bool) {
 	for _, report := range reports {
 		c.suspicions.OnCrashReport(now, report)
 	}
+	c.archiveChanges(now, own)
+}
+
+func (c *Core) archiveChanges(now time.Time, own bool) {
+	for _, change := range c.suspicions.TakeChanges() {
+		c.archive.OnChange(now, change, own)
+	}
+}
+
+// OnPoisonRecords handles records of refused requests in the log: the complete list if
+// loaded, otherwise changes.
+func (c *Core) OnPoisonRecords(now time.Time, records []poison.Record, loaded bool) {
+	for _, record := range records {
+		c.suspicions.OnRecord(now, record, loaded)
+		c.archiveChanges(now, false)
+		c.archive.OnRecord(now, record)
+	}
+	if loaded {
+		c.archive.OnLoaded(now, records)
+	}
 }
 
+// OnPoisonRecordWritten handles the end of a write that TakePoisonWrites requested. The log
+// has the record if it was successful.
+func (c *Core) OnPoisonRecordWritten(now time.Time, record poison.Record) {
+	c.archive.OnRecord(now, record)
+}
+
+// TakePoisonWrites returns and clears the records of refused requests that the node must
+// write to the log.
+func (c *Core) TakePoisonWrites() []poison.Record { return c.archive.TakeWrites() }
+
 // CrashReports returns what the node knows of requests that crash targets, for a peer
 // that may lack it.
 func (c *Core) CrashReports(now time.Time) []model.CrashReport { return c.suspicions.Reports(now) }
@@ -283,7 +320,7 @@
 	for {
 		id, due := c.expiry.PopDue(now)
 		if !due {
-			return c.expiry.NextDue()
+			break
 		}
 		r := c.requests[id]
 		if r == nil {
@@ -292,6 +329,9 @@
 		r.answer = model.NewFailure(id, model.ReasonDeadline, "the time limit passed while a target's node had the request")
 		r.step(now, eventExpired)
 	}
+	next := timers.Earlier(c.expiry.NextDue(), c.suspicions.Tick(now))
+	c.archiveChanges(now, false)
+	return timers.Earlier(next, c.archive.Tick(now))
 }
 
 // Len returns the number of requests in progress.
--- a/policy/poison/table.go
+++ b/policy/poison/table.go
@@ -20,6 +20,7 @@
 
 	"github.com/oleanderworks/oleanderworks/charts"
 	"github.com/oleanderworks/oleanderworks/core/chart"
+	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
@@ -75,7 +76,16 @@
 type Table struct {
 	machine    *chart.Machine[*suspicion]
 	suspicions map[uint64]*suspicion
-	suspected  int // suspicions in the states suspected and quarantined
+	suspected  int                   // suspicions in the states suspected and quarantined
+	expiry     *timers.Queue[uint64] // of the quarantined requests; others expire when they are looked up
+	changes    []Change
+}
+
+// Change tells that a request is refused from now on, or no longer refused.
+type Change struct {
+	Fingerprint uint64
+	Refused     bool
+	At          time.Time // time of the latest crash, or of the completion
 }
 
 // suspicion is the state of one request that ran when a target crashed.
@@ -90,6 +100,7 @@
 func NewTable() *Table {
 	return &Table{
 		suspicions: make(map[uint64]*suspicion),
+		expiry:     timers.New[uint64](),
 		machine: chart.MustCompile(charts.MustRead("poison"), chart.Binding[*suspicion]{
 			States: []string{"unsuspected", "suspected", "quarantined", "cleared", "forgotten"},
 			Events: []string{"crashed", "completed", "expired"},
@@ -106,17 +117,58 @@
 func (s *suspicion) recordCrashes()          { s.crashes = max(s.crashes, s.reportedCrashes) }
 
 func (t *Table) step(fingerprint uint64, s *suspicion, e chart.EventID) {
-	before := s.suspected()
+	wasSuspected, wasRefused := s.suspected(), s.state == stateQuarantined
 	s.state = t.machine.Step(s, s.state, e)
 	if t.machine.Final(s.state) {
 		delete(t.suspicions, fingerprint)
 	}
-	switch after := s.suspected(); {
-	case after && !before:
+	switch suspected := s.suspected(); {
+	case suspected && !wasSuspected:
 		t.suspected++
-	case before && !after:
+	case wasSuspected && !suspected:
 		t.suspected--
 	}
+	refused := s.state == stateQuarantined
+	if refused {
+		t.expiry.Set(fingerprint, s.changedAt.Add(suspicionLifetime))
+	} else {
+		t.expiry.Remove(fingerprint)
+	}
+	if refused != wasRefused {
+		t.changes = append(t.changes, Change{Fingerprint: fingerprint, Refused: refused, At: s.changedAt})
+	}
+}
+
+// TakeChanges returns and clears the changes since the last call.
+func (t *Table) TakeChanges() []Change {
+	changes := t.changes
+	t.changes = nil
+	return changes
+}
+
+// OnRecord handles a record of the log. loaded tells that the node has loaded all records,
+// so that the time of this one is not known.
+func (t *Table) OnRecord(now time.Time, record Record, loaded bool) {
+	report := model.CrashReport{Fingerprint: record.Fingerprint, Age: max(record.Age, 0)}
+	if record.Refused {
+		report.Count = maxCrashes
+		if loaded {
+			report.Age = max(report.Age, loadedRecordAge)
+		}
+	}
+	t.OnCrashReport(now, report)
+}
+
+// Tick drops the quarantined requests that have expired, and returns the time at which the
+// next one does, or zero if there is none.
+func (t *Table) Tick(now time.Time) time.Time {
+	for {
+		fingerprint, due := t.expiry.PopDue(now)
+		if !due {
+			return t.expiry.NextDue()
+		}
+		t.find(now, fingerprint)
+	}
 }
 
 func (s *suspicion) suspected() bool {
@@ -211,8 +263,8 @@
 	if s == nil {
 		return fmt.Sprintf("no crash is known for the fingerprint %d", fingerprint)
 	}
-	return fmt.Sprintf("targets have crashed in a row while the request ran: %d, the latest %v ago, fingerprint %d",
-		s.crashes, now.Sub(s.changedAt).Round(time.Millisecond), fingerprint)
+	return fmt.Sprintf("targets have crashed in a row while the request ran: %d, the latest %d ms ago, fingerprint %d",
+		s.crashes, now.Sub(s.changedAt).Milliseconds(), fingerprint)
 }
 
 // Len returns the number of suspected and quarantined requests.
