exchange: read large bodies into buffers that are used again

A target that sends bodies without end took its node over the memory limit; the platform ends such a node, and all its requests with it.

Cause: the buffer of a body grew in steps of 1 MiB and was copied each time, so that 16 MiB took 153 MiB. The limits count the buffer in use; discarded ones came faster than the runtime collected them.

Change: beyond 64 KiB a body is read into pooled chunks of 256 KiB, counted as before. Result: TestEndlessBodyDiscardsNoMemory failed before (1224 MiB for eight bodies, 256 allowed), passes.

--- a/transport/exchange/body.go
+++ b/transport/exchange/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 
 	"github.com/oleanderworks/oleanderworks/core/budget"
 )
@@ -11,17 +12,26 @@
 const (
 	// maxAnswerBytes is the maximum size of an answer's body.
 	maxAnswerBytes = 16 << 20
-	// minBufferStep and maxBufferStep limit by how much the buffer for a body grows.
-	minBufferStep = 4 << 10
-	maxBufferStep = 1 << 20
+	// minBufferBytes and maxBufferBytes are the first and the largest size of the growing
+	// buffer in which a body begins.
+	minBufferBytes = 4 << 10
+	maxBufferBytes = 64 << 10
+	// chunkBytes is the size of the buffers for the rest of a body. They are used again,
+	// since a target that sends without end would fill the memory with discarded buffers
+	// faster than these are collected.
+	chunkBytes = 256 << 10
 	// fieldBytes is the memory that a header field takes besides its name and value.
 	fieldBytes = 64
 )
 
 var errBodyTooLarge = errors.New("the body of the answer is too large")
 
+// chunkPool holds buffers of chunkBytes that are not in use. They are counted in the
+// reservation of the call that uses them.
+var chunkPool = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
+
 // readBody reads a complete body and acquires the memory of head and body from the call's
-// reservation. The buffer grows with the bytes received, since a length in the head does
+// reservation. The memory grows with the bytes received, since a length in the head does
 // not show that as many bytes will come. The caller closes the connection after an error;
 // resp.Body.Close would read an endless body until the deadline.
 func readBody(resp *http.Response, reservation *budget.Reservation) ([]byte, error) {
@@ -34,38 +44,82 @@
 	if resp.ContentLength > maxAnswerBytes {
 		return nil, errBodyTooLarge
 	}
+	body, err := readIntoBuffer(resp.Body, resp.ContentLength, reservation)
+	if err == io.EOF {
+		return body, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return readIntoChunks(resp.Body, body, reservation)
+}
+
+// readIntoBuffer reads a body, whose length is negative if it is not known, into a buffer
+// that grows to maxBufferBytes or to the length. It returns io.EOF with a body that fits.
+func readIntoBuffer(r io.Reader, length int64, reservation *budget.Reservation) ([]byte, error) {
 	var body []byte
 	for {
-		if len(body) > maxAnswerBytes {
-			return nil, errBodyTooLarge
-		}
 		if len(body) == cap(body) {
-			size := nextBufferSize(cap(body), resp.ContentLength)
+			if cap(body) >= maxBufferBytes {
+				return body, nil
+			}
+			size := min(max(2*cap(body), minBufferBytes), maxBufferBytes)
+			if length >= 0 && int64(size) > length {
+				size = int(length)
+			}
+			if size == cap(body) { // all is read but for the end
+				return body, nil
+			}
 			if err := reservation.Acquire(size - cap(body)); err != nil {
 				return nil, err
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
-		n, err := resp.Body.Read(body[len(body):cap(body)])
+		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
+// readIntoChunks reads the rest of a body that begins with start, and returns the whole.
+func readIntoChunks(r io.Reader, start []byte, reservation *budget.Reservation) ([]byte, error) {
+	var used []*[chunkBytes]byte
+	defer func() {
+		for _, chunk := range used {
+			chunkPool.Put(chunk)
+		}
+	}()
+	size := len(start)
+	for free := 0; ; {
+		if size > maxAnswerBytes {
+			return nil, errBodyTooLarge
+		}
+		if free == 0 {
+			if err := reservation.Acquire(chunkBytes); err != nil {
+				return nil, err
+			}
+			used = append(used, chunkPool.Get().(*[chunkBytes]byte))
+			free = chunkBytes
+		}
+		n, err := r.Read(used[len(used)-1][chunkBytes-free:])
+		size, free = size+n, free-n
 		if err == io.EOF {
-			return body, nil
+			break
 		}
 		if err != nil {
 			return nil, err
 		}
 	}
-}
-
-// nextBufferSize returns the size of the buffer after the given one, for a body of length
-// bytes, or of unknown length if length is negative. The largest buffer has room for one
-// byte more than maxAnswerBytes, which shows that a body is too large.
-func nextBufferSize(size int, length int64) int {
-	size = min(size+min(max(size, minBufferStep), maxBufferStep), maxAnswerBytes+1)
-	if length >= 0 {
-		return min(size, int(length))
+	if size == len(start) {
+		return start, nil
 	}
-	return size
+	body := append(make([]byte, 0, size), start...)
+	for _, chunk := range used {
+		body = append(body, chunk[:min(chunkBytes, size-len(body))]...)
+	}
+	return body, nil
 }
 
 // skipBody reads a body without keeping it. The caller closes the connection after an error.
--- a/transport/exchange/endless_test.go
+++ b/transport/exchange/endless_test.go
@@ -220,6 +220,40 @@
 	assert.Assert(t, growth < 64<<20, "%d calls hold %d bytes", calls, growth)
 }
 
+// Guards against buffers that are discarded faster than the runtime collects them, so that
+// bodies without end fill the node's memory although each of them is limited.
+func TestEndlessBodyDiscardsNoMemory(t *testing.T) {
+	const calls = 8
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	part := make([]byte, 1<<20)
+	go func() {
+		for {
+			netConn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(netConn))
+			_, err = netConn.Write([]byte(okHead + "\r\n"))
+			for err == nil {
+				_, err = netConn.Write(part)
+			}
+			netConn.Close()
+		}
+	}()
+	c := New(l.Addr().String(), testCodec{})
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range calls {
+		a, _ := c.Do(context.Background(), newCall("a"), "t1")
+		assert.Equal(t, a.Reason, model.ReasonAnswerCut)
+	}
+	runtime.ReadMemStats(&after)
+	allocated := after.TotalAlloc - before.TotalAlloc
+	assert.Assert(t, allocated <= calls*2*maxAnswerBytes, "%d calls have allocated %d MiB", calls, allocated>>20)
+}
+
 // Guards against answers that are read at the same time and together fill the node's
 // memory.
 func TestAnswersReadTogetherStayWithinBudget(t *testing.T) {
