policy: two folders, one for each node

policy/ held the packages of "oleanderworks node" and "oleanderworks mesh" side by side, so that the path did not tell which node a decision serves. Those of the first are under policy/node now, those of the second under policy/mesh; no package is used by both.

Ruled out: splitting by the import graph alone, since policy/node/quorum and record serve transport/wire too, which only "oleanderworks node" uses.

--- a/agent/admission/duty.go
+++ b/agent/admission/duty.go
@@ -11,7 +11,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/admission"
+	"github.com/oleanderworks/oleanderworks/policy/node/admission"
 )
 
 // ringCapacity bounds the queued messages. A call is refused as not run if the ring
@@ -64,7 +64,7 @@
 type SnapshotChanged struct{ Snapshot *model.Snapshot }
 
 // ContactChanged gives the time until which the node counts as in contact with
-// nodes in a majority of the region's availability zones (policy/membership). The
+// nodes in a majority of the region's availability zones (policy/node/membership). The
 // zero time means that it has no contact. Without contact, requests with a key are
 // refused.
 type ContactChanged struct{ Until time.Time }
--- a/agent/admission/duty_test.go
+++ b/agent/admission/duty_test.go
@@ -15,7 +15,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/admission"
+	"github.com/oleanderworks/oleanderworks/policy/node/admission"
 )
 
 // fakeTarget answers probes with the results that a test supplies.
--- a/agent/admission/metrics.go
+++ b/agent/admission/metrics.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/admission"
+	"github.com/oleanderworks/oleanderworks/policy/node/admission"
 )
 
 // metrics holds the metrics of the admission duty. Only the duty's thread
--- a/agent/admission/quarantine.go
+++ b/agent/admission/quarantine.go
@@ -5,7 +5,7 @@
 
 	"github.com/oleanderworks/oleanderworks/agent/quarantine"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/admission"
+	"github.com/oleanderworks/oleanderworks/policy/node/admission"
 )
 
 // Quarantine refuses requests that may crash the target. Its methods are only called
--- a/agent/appender/duty.go
+++ b/agent/appender/duty.go
@@ -12,7 +12,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/logservice"
-	"github.com/oleanderworks/oleanderworks/policy/logappend"
+	"github.com/oleanderworks/oleanderworks/policy/node/logappend"
 )
 
 const (
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -15,8 +15,8 @@
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/logservice/memlog"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // BenchmarkAddedLatency measures the latency that two nodes add to a call: the
--- a/agent/entry/entry.go
+++ b/agent/entry/entry.go
@@ -10,7 +10,7 @@
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/routing"
+	"github.com/oleanderworks/oleanderworks/policy/node/routing"
 	"github.com/oleanderworks/oleanderworks/transport/peerlink"
 )
 
--- a/agent/follower/duty.go
+++ b/agent/follower/duty.go
@@ -19,7 +19,7 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/configlog"
+	"github.com/oleanderworks/oleanderworks/policy/node/configlog"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
--- a/agent/follower/duty_test.go
+++ b/agent/follower/duty_test.go
@@ -13,7 +13,7 @@
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/logservice/memlog"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/configlog"
+	"github.com/oleanderworks/oleanderworks/policy/node/configlog"
 )
 
 // Guards against a subscriber that keeps an old configuration because its ring was
--- a/agent/follower/messages.go
+++ b/agent/follower/messages.go
@@ -5,7 +5,7 @@
 
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/configlog"
+	"github.com/oleanderworks/oleanderworks/policy/node/configlog"
 )
 
 // Message is a message to the follower duty: *ReadDone, *PeerRequest,
--- a/agent/follower/records.go
+++ b/agent/follower/records.go
@@ -8,7 +8,7 @@
 
 	"github.com/oleanderworks/oleanderworks/agent/appender"
 	"github.com/oleanderworks/oleanderworks/core/event"
-	"github.com/oleanderworks/oleanderworks/policy/configlog"
+	"github.com/oleanderworks/oleanderworks/policy/node/configlog"
 )
 
 // append passes a record to the appender. If the appender's ring is full, the record
--- a/agent/links/duty.go
+++ b/agent/links/duty.go
@@ -15,7 +15,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/link"
+	"github.com/oleanderworks/oleanderworks/policy/node/link"
 	"github.com/oleanderworks/oleanderworks/transport/peerlink"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
--- a/agent/local/local.go
+++ b/agent/local/local.go
@@ -12,7 +12,7 @@
 	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/routing"
+	"github.com/oleanderworks/oleanderworks/policy/node/routing"
 	"github.com/oleanderworks/oleanderworks/transport/target"
 )
 
--- a/agent/membership.go
+++ b/agent/membership.go
@@ -19,8 +19,8 @@
 	routingduty "github.com/oleanderworks/oleanderworks/agent/routing"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/drain"
-	"github.com/oleanderworks/oleanderworks/policy/membership"
+	"github.com/oleanderworks/oleanderworks/policy/node/drain"
+	"github.com/oleanderworks/oleanderworks/policy/node/membership"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
--- a/agent/membership/duty.go
+++ b/agent/membership/duty.go
@@ -8,8 +8,8 @@
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/drain"
-	"github.com/oleanderworks/oleanderworks/policy/membership"
+	"github.com/oleanderworks/oleanderworks/policy/node/drain"
+	"github.com/oleanderworks/oleanderworks/policy/node/membership"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
--- a/agent/mesh/delivery_test.go
+++ b/agent/mesh/delivery_test.go
@@ -12,9 +12,9 @@
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
-	"github.com/oleanderworks/oleanderworks/policy/fleet"
-	"github.com/oleanderworks/oleanderworks/policy/freshness"
-	"github.com/oleanderworks/oleanderworks/policy/gate"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/fleet"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/freshness"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/gate"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
 
--- a/agent/mesh/entry_test.go
+++ b/agent/mesh/entry_test.go
@@ -13,7 +13,7 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
-	"github.com/oleanderworks/oleanderworks/policy/dispatch"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/dispatch"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
 
--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -12,8 +12,8 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
-	"github.com/oleanderworks/oleanderworks/policy/dispatch"
-	"github.com/oleanderworks/oleanderworks/policy/gate"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/dispatch"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/gate"
 	"github.com/oleanderworks/oleanderworks/transport/exchange"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
--- a/agent/mesh/gate_test.go
+++ b/agent/mesh/gate_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/dispatch"
-	"github.com/oleanderworks/oleanderworks/policy/gate"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/dispatch"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/gate"
 	"github.com/oleanderworks/oleanderworks/transport/exchange"
 )
 
--- a/agent/mesh/log_reader.go
+++ b/agent/mesh/log_reader.go
@@ -17,7 +17,7 @@
 const (
 	// readWait is how long a read of the log waits for records. It is long
 	// because the log service charges for each read. TCP keep-alives detect
-	// dead connections during the wait; policy/freshness bounds the time for which
+	// dead connections during the wait; policy/mesh/freshness bounds the time for which
 	// a lost read goes unnoticed.
 	readWait = 25 * time.Second
 	// operatorReadPause and nodesReadPause are the pauses after a read that
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -20,9 +20,9 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/fleet"
-	"github.com/oleanderworks/oleanderworks/policy/gate"
-	"github.com/oleanderworks/oleanderworks/policy/poison"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/fleet"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/gate"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
 	"github.com/oleanderworks/oleanderworks/transport/exchange"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -9,8 +9,8 @@
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/fleet"
-	"github.com/oleanderworks/oleanderworks/policy/freshness"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/fleet"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/freshness"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
 
--- a/agent/mesh/peers_test.go
+++ b/agent/mesh/peers_test.go
@@ -15,7 +15,7 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/fleet"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/fleet"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
 
--- a/agent/mesh/poison_records.go
+++ b/agent/mesh/poison_records.go
@@ -13,7 +13,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
-	"github.com/oleanderworks/oleanderworks/policy/poison"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
 )
 
 const (
--- a/agent/mesh/poison_records_test.go
+++ b/agent/mesh/poison_records_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/poison"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
 )
 
 // Guards against records of refused requests that other nodes read differently, or that are
--- a/agent/mesh/settings.go
+++ b/agent/mesh/settings.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/fleet"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/fleet"
 )
 
 const (
--- a/agent/ops_config.go
+++ b/agent/ops_config.go
@@ -12,14 +12,14 @@
 	"github.com/oleanderworks/oleanderworks/agent/follower"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/configlog"
+	"github.com/oleanderworks/oleanderworks/policy/node/configlog"
 )
 
 const (
 	// maxOpsBodyBytes bounds the body of an operator's request.
 	maxOpsBodyBytes = 64 << 10
 	// withdrawReplyTimeout must exceed the time for which the follower waits for the
-	// regions to confirm a withdrawal (withdrawTimeout of policy/configlog, 5 s from
+	// regions to confirm a withdrawal (withdrawTimeout of policy/node/configlog, 5 s from
 	// the last request to withdraw the key).
 	withdrawReplyTimeout = 8 * time.Second
 )
--- a/agent/quarantine/table.go
+++ b/agent/quarantine/table.go
@@ -12,7 +12,7 @@
 
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quarantine"
+	"github.com/oleanderworks/oleanderworks/policy/node/quarantine"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
--- a/agent/quorum/at_most_once_test.go
+++ b/agent/quorum/at_most_once_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
-	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
 )
 
 // claimWorkload simulates the callers, routing duties and targets of a cluster.
--- a/agent/quorum/cluster_test.go
+++ b/agent/quorum/cluster_test.go
@@ -15,7 +15,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
--- a/agent/quorum/compose_test.go
+++ b/agent/quorum/compose_test.go
@@ -8,9 +8,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 	"github.com/oleanderworks/oleanderworks/transport/wire"
 )
 
--- a/agent/quorum/duty.go
+++ b/agent/quorum/duty.go
@@ -9,9 +9,9 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 const (
--- a/agent/quorum/messages.go
+++ b/agent/quorum/messages.go
@@ -4,9 +4,9 @@
 
 import (
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // Message is a message to the quorum duty.
--- a/agent/quorum/rates_test.go
+++ b/agent/quorum/rates_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // tokenWorkload simulates callers and the routing duties of a cluster: each
--- a/agent/quorum_test.go
+++ b/agent/quorum_test.go
@@ -12,8 +12,8 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/logservice/memlog"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 const replyTimeout = 10 * time.Second
--- a/agent/routing/duty.go
+++ b/agent/routing/duty.go
@@ -11,7 +11,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/routing"
+	"github.com/oleanderworks/oleanderworks/policy/node/routing"
 )
 
 // ringCapacity bounds the queued messages. A call is refused as not run if the ring
--- a/agent/routing/messages.go
+++ b/agent/routing/messages.go
@@ -5,9 +5,9 @@
 
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/routing"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/routing"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // Message is a message to the routing duty: one of the types of this file.
@@ -76,7 +76,7 @@
 }
 
 // ContactChanged gives the time until which the node counts as in contact with
-// nodes in a majority of the region's availability zones (policy/membership). The
+// nodes in a majority of the region's availability zones (policy/node/membership). The
 // zero time means that it has no contact. Without contact, requests with a key are
 // refused. The duty assumes contact until the first ContactChanged.
 type ContactChanged struct{ Until time.Time }
--- a/agent/routing/metrics.go
+++ b/agent/routing/metrics.go
@@ -7,7 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/oleanderworks/oleanderworks/policy/routing"
+	"github.com/oleanderworks/oleanderworks/policy/node/routing"
 )
 
 const (
--- a/agent/routing/quorum.go
+++ b/agent/routing/quorum.go
@@ -5,9 +5,9 @@
 
 	"github.com/oleanderworks/oleanderworks/agent/quorum"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/routing"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/routing"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // quorumRetryDelay is the delay before tokens are requested again after the quorum
--- a/agent/shutdown.go
+++ b/agent/shutdown.go
@@ -15,7 +15,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/drain"
+	"github.com/oleanderworks/oleanderworks/policy/node/drain"
 )
 
 const (
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/admission"
-	"github.com/oleanderworks/oleanderworks/policy/routing"
+	"github.com/oleanderworks/oleanderworks/policy/node/admission"
+	"github.com/oleanderworks/oleanderworks/policy/node/routing"
 )
 
 // fleet simulates a deployment with its nodes, targets and callers.
--- a/bench/node.go
+++ b/bench/node.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/admission"
-	"github.com/oleanderworks/oleanderworks/policy/routing"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/admission"
+	"github.com/oleanderworks/oleanderworks/policy/node/routing"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // cancelDelay is how long a target takes to stop a canceled call.
--- a/bench/target.go
+++ b/bench/target.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"github.com/oleanderworks/oleanderworks/policy/admission"
+	"github.com/oleanderworks/oleanderworks/policy/node/admission"
 )
 
 const (
--- a/bench/variants.go
+++ b/bench/variants.go
@@ -7,7 +7,7 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/admission"
+	"github.com/oleanderworks/oleanderworks/policy/node/admission"
 )
 
 // admissionPolicy decides at a target's node which calls run and when. It has the
--- a/command/config/read.go
+++ b/command/config/read.go
@@ -14,7 +14,7 @@
 	"github.com/oleanderworks/oleanderworks/command/internal/operator"
 	"github.com/oleanderworks/oleanderworks/logservice/publish"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/configlog"
+	"github.com/oleanderworks/oleanderworks/policy/node/configlog"
 )
 
 const defaultHistoryLimit = 20
--- a/docs/names_test.go
+++ b/docs/names_test.go
@@ -17,7 +17,7 @@
 var (
 	// span matches a code span, without its backquotes.
 	span = regexp.MustCompile("`([^`\n]+)`")
-	// goName matches a Go name with its package, such as policy/gate.Core or
+	// goName matches a Go name with its package, such as policy/mesh/gate.Core or
 	// model.Call.Customer.
 	goName = regexp.MustCompile(`^([a-z][a-z/]*)\.([A-Z]\w*)(?:\.([A-Z]\w*))?$`)
 	// fileName matches the name of a source file, with or without its folder.
--- a/logservice/publish/publish.go
+++ b/logservice/publish/publish.go
@@ -14,8 +14,8 @@
 
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/configlog"
-	"github.com/oleanderworks/oleanderworks/policy/logappend"
+	"github.com/oleanderworks/oleanderworks/policy/node/configlog"
+	"github.com/oleanderworks/oleanderworks/policy/node/logappend"
 )
 
 const (
--- a/policy/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -14,8 +14,8 @@
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
-	"github.com/oleanderworks/oleanderworks/policy/poison"
-	"github.com/oleanderworks/oleanderworks/policy/quota"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/quota"
 )
 
 // maxConfigAge is the time since its confirmation for which a configuration proves that a
--- a/policy/dispatch/core_test.go
+++ b/policy/mesh/dispatch/core_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
-	"github.com/oleanderworks/oleanderworks/policy/poison"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
 )
 
 const (
--- a/policy/dispatch/request.go
+++ b/policy/mesh/dispatch/request.go
@@ -7,7 +7,7 @@
 	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
-	"github.com/oleanderworks/oleanderworks/policy/quota"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/quota"
 )
 
 // Events of the state chart dispatch, in the chart's order.
--- a/policy/gate/core.go
+++ b/policy/mesh/gate/core.go
@@ -17,7 +17,7 @@
 	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/poison"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
 )
 
 const (
--- a/policy/gate/core_test.go
+++ b/policy/mesh/gate/core_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/poison"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
 )
 
 const (
--- a/policy/admission/checks.go
+++ b/policy/node/admission/checks.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
 )
 
 // maxHandoffDelay bounds the time between the decision to run a call and its
--- a/policy/admission/contact.go
+++ b/policy/node/admission/contact.go
@@ -4,7 +4,7 @@
 
 // contact holds the time until which the node has contact, that is, recent
 // heartbeat round trips with nodes in a majority of its region's availability zones
-// (see policy/membership).
+// (see policy/node/membership).
 type contact struct {
 	known bool
 	until time.Time
--- a/policy/admission/core.go
+++ b/policy/node/admission/core.go
@@ -11,7 +11,7 @@
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
 )
 
 // queueScanInterval bounds how long a call stays queued after its deadline. A
--- a/policy/record/bench_test.go
+++ b/policy/node/record/bench_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
 )
 
 func idAt(t time.Time, n uint64) model.RequestID {
--- a/policy/record/claim.go
+++ b/policy/node/record/claim.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
 )
 
 // claim is the claim of one call, at the call's entry node. It requests the
--- a/policy/record/claimant.go
+++ b/policy/node/record/claimant.go
@@ -6,7 +6,7 @@
 
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
 )
 
 const (
--- a/policy/record/store_test.go
+++ b/policy/node/record/store_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
 )
 
 // testVoter is a store whose node is the only member of a group.
--- a/policy/routing/claim.go
+++ b/policy/node/routing/claim.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
 )
 
 // requestClaim requests the exclusive right to hand a non-idempotent request to
--- a/policy/routing/core.go
+++ b/policy/node/routing/core.go
@@ -11,8 +11,8 @@
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // DefaultTimeout is the time limit of calls whose route sets none.
@@ -158,7 +158,7 @@
 
 // OnContact sets whether the node has contact, that is, recent heartbeat round
 // trips with nodes in a majority of its region's availability zones (see
-// policy/membership). Without contact, requests that need a key are refused, since
+// policy/node/membership). Without contact, requests that need a key are refused, since
 // a key may have been withdrawn.
 func (c *Core) OnContact(inContact bool) { c.inContact = inContact }
 
--- a/policy/routing/harness_test.go
+++ b/policy/node/routing/harness_test.go
@@ -13,8 +13,8 @@
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 const testKey = "key-of-herders"
--- a/policy/routing/random_test.go
+++ b/policy/node/routing/random_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // callRecord tracks what has happened to one call.
--- a/policy/routing/resolve.go
+++ b/policy/node/routing/resolve.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // resolveRequest determines the route, the customer and the parent of a request.
--- a/policy/routing/retry_test.go
+++ b/policy/node/routing/retry_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
 )
 
 func (n *node) start(path string) Decision {
--- a/policy/routing/token.go
+++ b/policy/node/routing/token.go
@@ -5,7 +5,7 @@
 
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 const (
--- a/policy/routing/token_test.go
+++ b/policy/node/routing/token_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // Guards against requests that run without a token, and against an unfair order
--- a/policy/tokenlease/lease.go
+++ b/policy/node/tokenlease/lease.go
@@ -11,7 +11,7 @@
 	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/core/invariant"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
 )
 
 const (
--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -21,7 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/routing"
+	"github.com/oleanderworks/oleanderworks/policy/node/routing"
 )
 
 // reasonConstants returns the values of the constants in model/reason.go, without
--- a/transport/peerlink/clock.go
+++ b/transport/peerlink/clock.go
@@ -16,7 +16,7 @@
 
 // offset is the estimated difference between the peer's clock and this node's,
 // with an error of at most bound. It holds a link.ClockOffset of package
-// policy/link, and arrival computes the same times as link.ClockOffset.Transit.
+// policy/node/link, and arrival computes the same times as link.ClockOffset.Transit.
 type offset struct{ value, bound time.Duration }
 
 func (c *clock) setOffset(value, bound time.Duration) { c.offset.Store(&offset{value, bound}) }
--- a/transport/wire/config.go
+++ b/transport/wire/config.go
@@ -7,7 +7,7 @@
 
 	"github.com/oleanderworks/oleanderworks/logservice"
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/configlog"
+	"github.com/oleanderworks/oleanderworks/policy/node/configlog"
 )
 
 // FromRecordsRequest encodes a request for log records and documents.
--- a/transport/wire/quorum_decode.go
+++ b/transport/wire/quorum_decode.go
@@ -7,9 +7,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // DecodeQuorum decodes a payload of kind KindVote or KindTokens. It returns an
--- a/transport/wire/quorum_test.go
+++ b/transport/wire/quorum_test.go
@@ -9,9 +9,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/quorum"
-	"github.com/oleanderworks/oleanderworks/policy/record"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/quorum"
+	"github.com/oleanderworks/oleanderworks/policy/node/record"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // quorumSamples returns one message of each type with every field set.
--- a/transport/wire/size_bench_test.go
+++ b/transport/wire/size_bench_test.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/oleanderworks/oleanderworks/model"
-	"github.com/oleanderworks/oleanderworks/policy/tokenlease"
+	"github.com/oleanderworks/oleanderworks/policy/node/tokenlease"
 )
 
 // BenchmarkQuorumMessage reports the encoded size of each type of message
