mesh: nodes tell callers' nodes what a request used and how short of room a target is

Cause: the node of a request's caller knows the load of the first service only. A request whose calls fail three services further on is begun all the same, and its work is wasted.

Change: an answer carries the calls, the slot time and the refused attempts of the request at each service that it reached; a report carries the fraction of calls that were turned away, the wait for a slot and the version of the target's software. A change of that fraction by a tenth is reported to all peers at once. Nothing decides on these yet.

Ruled out: a message of its own for the work (the answer crosses the same links anyway, at about 14 bytes for each service) and the failure rate as the signal (it counts a target's own errors, which say nothing about room).

Nodes of earlier builds skip the new fields.

--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -285,6 +285,7 @@
 	defer reservation.Release()
 	var answer *model.Answer
 	outcome := model.OutcomeFailed
+	startedAt := time.Now()
 	err := fault.Catch(func() {
 		answer, outcome = h.client.Do(budget.NewContext(ctx, reservation), d.Run, d.Target)
 	})
@@ -298,6 +299,9 @@
 		reservation.Release()
 	}
 	answer.Load, answer.NestedFailed = h.node.targetLoad(), parent.NestedFailed.Load()
+	if answer.Run != model.NotRun {
+		answer.Work = parent.Work(model.ServiceWork{Service: d.Run.Service, Calls: 1, SlotTime: time.Since(startedAt)})
+	}
 	h.node.deliver(callerLink, answer)
 	_ = h.node.entry.Ring().Put(context.Background(), parentEnded{call: d.Run})
 	if answer.FromNode() {
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"net"
 	"time"
 
@@ -25,6 +26,9 @@
 	// otherZoneLoadChange is the fraction of the target's limit by which its load
 	// must change before it is reported to peers in other availability zones.
 	otherZoneLoadChange = 0.25
+	// shedChange is the change of the fraction of calls that are turned away from which on
+	// it is reported to all peers: callers' nodes must notice overload within half a second.
+	shedChange = 0.1
 	// keepAliveInterval is the time between reports without changes, and between
 	// pings.
 	keepAliveInterval = time.Second
@@ -137,6 +141,7 @@
 	sentAt time.Time
 	info   model.NodeInfo // as last sent
 	load   int            // running and queued calls, as last sent
+	shed   float64        // fraction of calls that were turned away, as last sent
 	// unsentCrashes holds the crashes that the link's ring has not accepted yet. The peer
 	// hears of each crash only once.
 	unsentCrashes []model.CrashReport
@@ -388,6 +393,9 @@
 // loadChanged reports whether the load has changed enough since the last report on a
 // link to be reported again.
 func (h *peersHandler) loadChanged(l *link, sent *sentReport) bool {
+	if math.Abs(h.report.ShedFraction-sent.shed) > shedChange {
+		return true
+	}
 	change := h.report.Running + h.report.Queued - sent.load
 	if h.inOwnZone(l) {
 		return change != 0
@@ -400,6 +408,6 @@
 	r := h.report
 	r.Usage, r.Crashes = usage, sent.unsentCrashes
 	if l.send(frame.Report{Report: &r, OmitsNodeInfo: sent.info == r.NodeInfo}) {
-		sent.info, sent.load, sent.unsentCrashes = r.NodeInfo, r.Running+r.Queued, nil
+		sent.info, sent.load, sent.shed, sent.unsentCrashes = r.NodeInfo, r.Running+r.Queued, r.ShedFraction, nil
 	}
 }
--- a/model/call.go
+++ b/model/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -87,6 +88,7 @@
 	IsRetry         bool      // an earlier attempt of the request, or of the one in which it is nested, may have run
 	CrashCount      int       // known consecutive target crashes while the request ran, plus its earlier attempts that ended with ReasonAnswerCut, when the call was sent
 	CrashesReported bool      // some of these crashes come from reports of peers, which are informed if the request completes
+	Progress        float64   // of a nested call: fraction of its parent's nested calls that had ended when it was sent, 0 to 1
 }
 
 // Answer is the result of a call. When Reason is empty, it holds the target's
@@ -107,6 +109,31 @@
 	// NestedFailed is set if a call that the target made for the request ended with a
 	// failure of the service behind it.
 	NestedFailed bool
+	// Work is what the request used at the target's service and at those behind it.
+	Work []ServiceWork
+}
+
+// ServiceWork is what a request, with the calls nested in it, used at one service.
+type ServiceWork struct {
+	Service    Service
+	Calls      int           // calls that targets of the service ran
+	TurnedAway int           // attempts that targets of the service, or their nodes, refused
+	SlotTime   time.Duration // time for which the calls occupied slots of targets
+}
+
+// AddWork adds the work of list to sum, by service, and returns the result.
+func AddWork(sum []ServiceWork, list ...ServiceWork) []ServiceWork {
+	for _, w := range list {
+		i := slices.IndexFunc(sum, func(s ServiceWork) bool { return s.Service == w.Service })
+		if i < 0 {
+			sum = append(sum, w)
+			continue
+		}
+		sum[i].Calls += w.Calls
+		sum[i].TurnedAway += w.TurnedAway
+		sum[i].SlotTime += w.SlotTime
+	}
+	return sum
 }
 
 // FromNode reports whether the answer is a refusal or failure from a node and
--- a/model/report.go
+++ b/model/report.go
@@ -46,6 +46,7 @@
 	State    TargetState
 	Limit    int     // concurrency limit
 	ColdRate float64 // requests per second that the target can serve while cold
+	Version  string  // of the target's software, as it announced; empty when unknown
 }
 
 // CrashReport says that a target crashed while it ran a request, or that a
@@ -64,6 +65,8 @@
 	Running      int
 	Queued       int
 	FailureRate  float64       // fraction of calls that fail at the target, 0 to 1
+	ShedFraction float64       // fraction of recent calls that the target or its node turned away for lack of room, 0 to 1
+	QueueDelay   time.Duration // mean time that recent calls waited for a slot
 	MeanRunTime  time.Duration // recent mean run time of a request; 0 if none ran recently
 	Documents    DocumentsState
 	DocumentsAge time.Duration   // time since the log confirmed to this node that there are no newer documents; negative if that is long ago
--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,23 @@
 	// NestedFailed is set when a nested call has failed. The thread that waits for the
 	// target's answer reads it.
 	NestedFailed atomic.Bool
+
+	mu   sync.Mutex
+	work []model.ServiceWork // of the nested calls that have ended
+}
+
+// AddWork adds the work of a nested call.
+func (p *Parent) AddWork(work []model.ServiceWork) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.work = model.AddWork(p.work, work...)
+}
+
+// Work returns the work of the nested calls together with own, that of the call itself.
+func (p *Parent) Work(own model.ServiceWork) []model.ServiceWork {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return model.AddWork([]model.ServiceWork{own}, p.work...)
 }
 
 // Core holds the requests in progress from one node's callers and the known state of
--- a/policy/mesh/dispatch/request.go
+++ b/policy/mesh/dispatch/request.go
@@ -54,10 +54,11 @@
 	next       *target // chosen for the next attempt
 	tried      []*target
 	moves      int
-	reached    int         // attempts that may have reached a target, bounded by the route's MaxAttempts
-	mayHaveRun bool        // a target may have run the request
-	cutAnswers int         // attempts that failed with ReasonAnswerCut, usually because the connection to the target broke
-	grant      quota.Grant // how the customer's rate admitted the request; Refused if it was not charged
+	reached    int                 // attempts that may have reached a target, bounded by the route's MaxAttempts
+	mayHaveRun bool                // a target may have run the request
+	work       []model.ServiceWork // of all attempts
+	cutAnswers int                 // attempts that failed with ReasonAnswerCut, usually because the connection to the target broke
+	grant      quota.Grant         // how the customer's rate admitted the request; Refused if it was not charged
 
 	answer *model.Answer
 }
@@ -204,6 +205,7 @@
 // the request may have run.
 func (r *request) endAttempt() {
 	r.target.outstanding--
+	r.recordWork()
 	if r.answer == nil || r.answer.Run == model.NotRun {
 		if r.answer != nil && !refusedByTarget(r.answer) {
 			r.reached--
@@ -216,6 +218,19 @@
 	}
 }
 
+// recordWork adds what the latest attempt used. A refusal counts as turned away if the
+// reason is a lack of room.
+func (r *request) recordWork() {
+	if r.answer == nil {
+		return
+	}
+	if r.answer.Run == model.NotRun && (r.answer.Reason == model.ReasonShed || r.answer.Reason == model.ReasonDeadline) {
+		r.work = model.AddWork(r.work, model.ServiceWork{Service: r.call.Service, TurnedAway: 1})
+		return
+	}
+	r.work = model.AddWork(r.work, r.answer.Work...)
+}
+
 // refusedByTarget reports whether a refusal came from the target itself and not from its
 // node. Such an attempt counts as one that reached a target.
 func refusedByTarget(a *model.Answer) bool { return a.Status != 0 }
@@ -303,8 +318,11 @@
 		a.RetryAfter = r.retryAfter(a.RetryAfter)
 		r.refundRate()
 	}
-	if r.parent != nil && serviceFailed(a) {
-		r.parent.NestedFailed.Store(true)
+	if r.parent != nil {
+		r.parent.AddWork(r.work)
+		if serviceFailed(a) {
+			r.parent.NestedFailed.Store(true)
+		}
 	}
 	d := r.newDecision()
 	d.Answer = a
--- a/policy/mesh/gate/call.go
+++ b/policy/mesh/gate/call.go
@@ -45,7 +45,7 @@
 			"dequeue":            func(tc *trackedCall) { tc.core.queue.remove(tc) },
 			"refuse_unavailable": (*trackedCall).refuseUnavailable,
 			"refuse_overload":    (*trackedCall).refuseOverload,
-			"refuse_deadline":    func(tc *trackedCall) { tc.refuse(model.ReasonDeadline, "no slot became free before the deadline", 0) },
+			"refuse_deadline":    (*trackedCall).refuseDeadline,
 			"cancel_run":         func(tc *trackedCall) { tc.emit(Decision{Cancel: true}) },
 			"release_slot":       func(tc *trackedCall) { tc.core.running-- },
 		},
@@ -86,6 +86,7 @@
 func (tc *trackedCall) run() {
 	c := tc.core
 	tc.started = tc.now
+	c.pressure.onStarted(tc.now, tc.now.Sub(tc.arrived))
 	c.running++
 	if !tc.call.Nested {
 		c.windowFor(tc.call.Priority).running++
@@ -99,8 +100,14 @@
 	tc.refuse(reason, detail, 0)
 }
 
+func (tc *trackedCall) refuseDeadline() {
+	tc.core.pressure.onTurnedAway(tc.now)
+	tc.refuse(model.ReasonDeadline, "no slot became free before the deadline", 0)
+}
+
 func (tc *trackedCall) refuseOverload() {
 	c := tc.core
+	c.pressure.onTurnedAway(tc.now)
 	tc.refuse(model.ReasonShed, "the queue for the target is too long", c.expectedWait(tc.now, tc))
 }
 
--- a/policy/mesh/gate/core.go
+++ b/policy/mesh/gate/core.go
@@ -91,6 +91,7 @@
 	target           target
 	crashes          poison.Recorder
 	failures         failureRate
+	pressure         pressure
 
 	decisions []Decision
 	reportDue bool
@@ -135,6 +136,7 @@
 	}
 	tc := &trackedCall{core: c, now: now, state: c.callMachine.Initial(), call: call, arrived: now}
 	c.byID[call.ID] = tc
+	c.pressure.onArrival(now)
 	tc.step(now, eventAdmissionRequested)
 	c.admitWaiting(now)
 }
@@ -169,6 +171,9 @@
 		c.meanRunTime += time.Duration(runTimeWeight * float64(sample-c.meanRunTime))
 	}
 	c.recordRunResult(now, tc, outcome, status)
+	if outcome == model.OutcomeTargetFull {
+		c.pressure.onTurnedAway(now)
+	}
 	switch outcome {
 	case model.OutcomeAnswered:
 		c.crashes.OnCompleted(tc.call)
@@ -265,7 +270,7 @@
 // FillReport sets the target's fields of the report to the peers. Crash reports are
 // moved into r and are not reported again.
 func (c *Core) FillReport(now time.Time, r *model.NodeReport) {
-	r.Target = c.target.id
+	r.Target, r.Version = c.target.id, c.target.version
 	r.Service = c.service
 	r.Zone = c.zone
 	r.State = c.target.reportedState()
@@ -276,6 +281,7 @@
 	r.Queued = c.queue.length
 	r.Crashes = c.crashes.TakeReports()
 	r.FailureRate = c.failures.fraction(now, c.countStuck(now))
+	r.ShedFraction, r.QueueDelay = c.pressure.shedFraction(now), c.pressure.queueDelay(now)
 	if now.Sub(c.runTimeSampledAt) < runTimeMaxAge {
 		r.MeanRunTime = c.meanRunTime
 	}
--- /dev/null
+++ b/policy/mesh/gate/pressure.go
@@ -0,0 +1,62 @@
+package gate
+
+import (
+	"math"
+	"time"
+)
+
+// pressureDecayTime is the time constant with which past calls lose their weight in the
+// measured pressure. Callers' nodes must notice overload, and its end, within half a second.
+const pressureDecayTime = 400 * time.Millisecond
+
+// pressure measures how short of room the target is: how many of the calls that arrive are
+// turned away, and how long the others wait for a slot. All counts decay exponentially.
+type pressure struct {
+	arrived    float64 // calls
+	turnedAway float64 // calls, by the target or its node
+	started    float64 // calls
+	waited     float64 // seconds, sum over the started calls
+	decayedAt  time.Time
+}
+
+func (p *pressure) decay(now time.Time) {
+	elapsed := now.Sub(p.decayedAt)
+	if elapsed <= 0 {
+		return
+	}
+	factor := math.Exp(-elapsed.Seconds() / pressureDecayTime.Seconds())
+	p.arrived *= factor
+	p.turnedAway *= factor
+	p.started *= factor
+	p.waited *= factor
+	p.decayedAt = now
+}
+
+func (p *pressure) onArrival(now time.Time) {
+	p.decay(now)
+	p.arrived++
+}
+
+func (p *pressure) onTurnedAway(now time.Time) {
+	p.decay(now)
+	p.turnedAway++
+}
+
+func (p *pressure) onStarted(now time.Time, waited time.Duration) {
+	p.decay(now)
+	p.started++
+	p.waited += waited.Seconds()
+}
+
+// shedFraction returns the fraction of recent calls that were turned away, or 0 if less than
+// one call has arrived recently.
+func (p *pressure) shedFraction(now time.Time) float64 {
+	p.decay(now)
+	return min(p.turnedAway/max(p.arrived, 1), 1)
+}
+
+// queueDelay returns the mean wait of the calls that started recently.
+func (p *pressure) queueDelay(now time.Time) time.Duration {
+	p.decay(now)
+	return time.Duration(p.waited / max(p.started, 1) * float64(time.Second))
+}
--- a/policy/mesh/gate/target.go
+++ b/policy/mesh/gate/target.go
@@ -59,6 +59,7 @@
 type Announcement struct {
 	ID          model.Instance
 	Service     model.Service
+	Version     string // of the target's software
 	Address     string
 	StartedAtMs int64 // start of the target, Unix time in ms; 0 if not given
 	Sequence    uint64
@@ -84,6 +85,7 @@
 	startedAtMs int64          // 0 if announcements give no start
 	sequence    uint64
 	slots       int
+	version     string
 
 	coldUntil      time.Time
 	coldRate       float64 // requests per second
@@ -182,6 +184,7 @@
 	t.lastHeardAt, t.announceInterval = now, a.Interval
 	oldLimit := c.limit()
 	t.id, t.startedAtMs, t.sequence, t.slots = a.ID, a.StartedAtMs, a.Sequence, a.Slots
+	t.version = a.Version
 	c.resizeWindows(oldLimit)
 	t.setCold(now, a.ColdLeft)
 	switch {
@@ -234,7 +237,7 @@
 		if t.startedAtMs > 0 {
 			t.startedAtMs++ // rejects late announcements of the previous incarnation
 		}
-		t.id, t.sequence = r.Target, 0
+		t.id, t.sequence, t.version = r.Target, 0, ""
 	}
 	t.setCold(now, r.ColdLeft)
 	t.step(now, eventProbePassed)
--- a/transport/frame/frame_test.go
+++ b/transport/frame/frame_test.go
@@ -20,7 +20,7 @@
 			Call: &model.Call{
 				ID: 7, Service: "registry", Method: "POST", Path: "/a?b=c", Host: "h.example", AttemptID: "a.b",
 				Customer: "herders", OnBehalfOf: "herders", CallerService: "tally", Priority: 18, Nested: true, Idempotent: true,
-				Attempt: 2, IsRetry: true, CrashCount: 1, CrashesReported: true, Body: []byte("body"),
+				Attempt: 2, IsRetry: true, CrashCount: 1, CrashesReported: true, Progress: 0.75, Body: []byte("body"),
 				Header: http.Header{"Accept": {"a", "b"}, "X": {""}},
 			},
 			Remaining: 1500 * time.Millisecond, SLORemaining: -time.Second,
@@ -29,13 +29,14 @@
 		Answer{Answer: &model.Answer{
 			ID: 7, Run: model.Completed, Reason: "shed", Detail: "d", Status: 503, RetryAfter: time.Second,
 			Load: model.Load{InFlight: 3, Queued: 4}, Header: http.Header{"A": {"b"}}, Body: []byte("answer"), NestedFailed: true,
+			Work: []model.ServiceWork{{Service: "registry", Calls: 1, SlotTime: 80 * time.Millisecond}, {Service: "tally", Calls: 3, TurnedAway: 2}},
 		}},
 		Report{Report: &model.NodeReport{
 			NodeInfo: model.NodeInfo{
 				Node: model.NodeID{Instance: "10.0.0.1:7000", Incarnation: 5}, Target: "t1", Service: "registry",
-				Zone: "north", State: model.TargetLeaving, Limit: 16, ColdRate: 25,
+				Zone: "north", State: model.TargetLeaving, Limit: 16, ColdRate: 25, Version: "v2",
 			},
-			Cold: true, Running: 3, Queued: 2, MeanRunTime: 20 * time.Millisecond, Documents: model.DocumentsState{End: model.LogPosition{Era: 2, Offset: 12}, Version: 9}, DocumentsAge: 30 * time.Millisecond, FailureRate: 0.25,
+			Cold: true, Running: 3, Queued: 2, MeanRunTime: 20 * time.Millisecond, Documents: model.DocumentsState{End: model.LogPosition{Era: 2, Offset: 12}, Version: 9}, DocumentsAge: 30 * time.Millisecond, FailureRate: 0.25, ShedFraction: 0.5, QueueDelay: 12 * time.Millisecond,
 			Usage:   []model.CustomerUsage{{Customer: "herders", Admitted: 7, Demand: 1.25}},
 			Crashes: []model.CrashReport{{Fingerprint: 1 << 60, Count: 2}, {Fingerprint: 5}},
 		}},
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -59,7 +59,8 @@
 	}
 	b = appendBool(b, 19, c.IsRetry)
 	b = appendUint(b, 20, uint64(c.CrashCount))
-	return appendBool(b, 21, c.CrashesReported)
+	b = appendBool(b, 21, c.CrashesReported)
+	return appendUint(b, 22, uint64(c.Progress*fractionScale))
 }
 
 func decodeCall(b []byte) (Message, error) {
@@ -110,6 +111,8 @@
 			c.CrashCount = int(f.value)
 		case 21:
 			c.CrashesReported = f.asBool()
+		case 22:
+			c.Progress = decodeFraction(f.value)
 		}
 		return nil
 	})
@@ -144,7 +147,43 @@
 	b = appendUint(b, 8, uint64(a.Load.Queued))
 	b = appendHeader(b, 9, 10, a.Header)
 	b = appendBytes(b, 11, a.Body)
-	return appendBool(b, 12, a.NestedFailed)
+	b = appendBool(b, 12, a.NestedFailed)
+	return appendWork(b, 13, a.Work)
+}
+
+// appendWork appends what a request used at each service, with slot times in whole
+// milliseconds.
+func appendWork(b []byte, number protowire.Number, list []model.ServiceWork) []byte {
+	for _, w := range list {
+		b = appendNested(b, number, func(b []byte) []byte {
+			b = appendString(b, 1, string(w.Service))
+			b = appendUint(b, 2, uint64(w.Calls))
+			b = appendUint(b, 3, uint64(w.TurnedAway))
+			return appendUint(b, 4, uint64(w.SlotTime.Milliseconds()))
+		})
+	}
+	return b
+}
+
+// maxWorkCount bounds the numbers of calls in a ServiceWork, which sums add up.
+const maxWorkCount = 1 << 20
+
+func decodeWork(b []byte) (model.ServiceWork, error) {
+	var w model.ServiceWork
+	err := forEachField(b, func(f field) error {
+		switch f.number {
+		case 1:
+			w.Service = model.Service(f.asString())
+		case 2:
+			w.Calls = int(min(f.value, maxWorkCount))
+		case 3:
+			w.TurnedAway = int(min(f.value, maxWorkCount))
+		case 4:
+			w.SlotTime = time.Duration(min(f.value, uint64(time.Hour.Milliseconds()))) * time.Millisecond
+		}
+		return nil
+	})
+	return w, err
 }
 
 func decodeAnswer(b []byte) (Message, error) {
@@ -179,6 +218,10 @@
 			a.Body = f.bytes
 		case 12:
 			a.NestedFailed = f.value != 0
+		case 13:
+			w, err := decodeWork(f.bytes)
+			a.Work = append(a.Work, w)
+			return err
 		}
 		return nil
 	})
@@ -200,17 +243,21 @@
 	b = appendUint(b, 5, uint64(r.MeanRunTime.Milliseconds()))
 	b = appendUint(b, 6, uint64(r.Documents.End.Offset))
 	b = appendUsage(b, 7, r.Usage)
-	b = appendUint(b, 9, uint64(r.FailureRate*failureRateScale))
+	b = appendUint(b, 9, uint64(r.FailureRate*fractionScale))
 	if r.DocumentsAge >= 0 {
 		b = appendUint(b, 10, uint64(r.DocumentsAge.Milliseconds())+1)
 	}
 	b = appendUint(b, 11, r.Documents.End.Era)
 	b = appendUint(b, 12, r.Documents.Version)
+	b = appendUint(b, 13, uint64(r.ShedFraction*fractionScale))
+	b = appendUint(b, 14, uint64(r.QueueDelay.Milliseconds()))
 	return appendCrashReports(b, 8, r.Crashes)
 }
 
-// failureRateScale is the number of encoded units in a failure rate of 1.
-const failureRateScale = 100
+// fractionScale is the number of encoded units in a fraction of 1.
+const fractionScale = 100
+
+func decodeFraction(value uint64) float64 { return float64(min(value, fractionScale)) / fractionScale }
 
 // maxMilliseconds is the longest time in milliseconds that a time.Duration can hold.
 const maxMilliseconds = uint64(math.MaxInt64 / time.Millisecond)
@@ -249,7 +296,8 @@
 	b = appendString(b, 5, string(info.Zone))
 	b = appendUint(b, 6, uint64(info.State))
 	b = appendUint(b, 7, uint64(info.Limit))
-	return appendFixed64(b, 8, math.Float64bits(info.ColdRate))
+	b = appendFixed64(b, 8, math.Float64bits(info.ColdRate))
+	return appendString(b, 9, info.Version)
 }
 
 func decodeReport(b []byte) (Message, error) {
@@ -279,13 +327,17 @@
 			r.Crashes = append(r.Crashes, c)
 			return err
 		case 9:
-			r.FailureRate = float64(f.value) / failureRateScale
+			r.FailureRate = decodeFraction(f.value)
 		case 10:
 			r.DocumentsAge = time.Duration(f.value)*time.Millisecond - time.Millisecond
 		case 11:
 			r.Documents.End.Era = f.value
 		case 12:
 			r.Documents.Version = f.value
+		case 13:
+			r.ShedFraction = decodeFraction(f.value)
+		case 14:
+			r.QueueDelay = time.Duration(min(f.value, maxMilliseconds)) * time.Millisecond
 		}
 		return nil
 	})
@@ -311,6 +363,8 @@
 			info.Limit = int(f.value)
 		case 8:
 			info.ColdRate = math.Float64frombits(f.value)
+		case 9:
+			info.Version = f.asString()
 		}
 		return nil
 	})
