gate: nested calls go first by urgency, long calls wait and leave slots free

Cause: nested and external calls of a priority took turns by customer, so that a call on which a nearly finished request waits stood behind new ones. One mean run time estimated all waits: with nested calls of 80 ms and long calls of 1.3 s at one target it refused long calls that could be answered in time, and estimated wrongly for nested ones.

Change: in a priority, nested calls go before external ones, and among them those due first. A call is due at its deadline, earlier by the fraction of its parent's calls that have ended; customers take turns within 100 ms of due time. Mean run times are kept for nested calls and for external calls of each priority. External calls are long if their mean is at least four times that of nested calls: they wait while they can still be answered within their objective, and start only while the slots of the decaying peak of running nested calls stay free. Two percent of the slots, at least one, stay open to external calls, and one that has waited for half of its objective then goes first, so that nested calls do not exclude a kind of call.

--- a/policy/mesh/gate/call.go
+++ b/policy/mesh/gate/call.go
@@ -28,7 +28,8 @@
 	arrived time.Time
 	started time.Time
 
-	endedAtStart int // external calls of the same priority that had ended when it started
+	urgency      int64 // order of the nested calls, see urgencyOf
+	endedAtStart int   // external calls of the same priority that had ended when it started
 }
 
 func newCallMachine() *chart.Machine[*trackedCall] {
@@ -63,25 +64,32 @@
 	}
 }
 
-// mayRunNow reports whether the call may run without waiting: the queue is empty, the
-// target has capacity and, for an external call, the window of its priority is not
-// full.
+// mayRunNow reports whether the call may run without waiting: the target has capacity, an
+// external call may run, and no waiting call may.
 func (tc *trackedCall) mayRunNow() bool {
 	c := tc.core
-	return c.queue.length == 0 && c.hasCapacity(tc.now) && (tc.call.Nested || c.mayRunExternal(tc.call.Priority))
+	return c.hasCapacity(tc.now) && (tc.call.Nested || c.mayRunExternal(tc.now, tc.call.Priority)) &&
+		c.nextWaiting(tc.now) == nil
 }
 
 // mayWait reports whether the call's expected wait is short enough to queue it. A
 // nested call, which a target makes for a call that it runs, may wait as long as its
-// deadline allows: refusing it would waste the work already done for its parent.
+// deadline allows: refusing it would waste the work already done for its parent. A long
+// call may wait as long as it can still be answered within its objective: while it waits it
+// takes no slot from the nested calls for which the target is short of room.
 func (tc *trackedCall) mayWait() bool {
 	c := tc.core
 	wait := c.expectedWait(tc.now, tc)
-	remaining := tc.call.Deadline.Sub(tc.now) - c.meanRunTime
+	runTime := c.runTimes.of(tc.call.Nested, tc.call.Priority)
+	remaining := tc.call.Deadline.Sub(tc.now) - runTime
 	if tc.call.Nested {
 		return wait < remaining
 	}
-	maxWait := time.Duration(maxWaitFraction * float64(tc.call.SLODeadline.Sub(tc.now)))
+	untilSLO := tc.call.SLODeadline.Sub(tc.now)
+	maxWait := time.Duration(maxWaitFraction * float64(untilSLO))
+	if c.runTimes.long(tc.now, tc.call.Priority) {
+		maxWait = untilSLO - runTime
+	}
 	return wait < min(remaining, max(maxWait, 0))
 }
 
@@ -90,7 +98,9 @@
 	tc.started = tc.now
 	c.pressure.onStarted(tc.now, tc.now.Sub(tc.arrived))
 	c.running++
-	if !tc.call.Nested {
+	if tc.call.Nested {
+		c.nested.onStarted(tc.now)
+	} else {
 		w := c.windowFor(tc.call.Priority)
 		w.running++
 		tc.endedAtStart = w.ended
--- a/policy/mesh/gate/core.go
+++ b/policy/mesh/gate/core.go
@@ -39,17 +39,8 @@
 	// maxWaitFraction limits the expected wait of an external call, that is, a call
 	// that was not made by a target, to this fraction of the time until its SLO
 	// deadline. After a longer wait it would probably be answered late, so it is refused
-	// immediately and its caller is asked to retry later.
+	// immediately and its caller is asked to retry later. Long calls wait longer.
 	maxWaitFraction = 0.5
-	// runTimeWeight is the weight of a new sample in the mean run time, which is an
-	// exponentially weighted moving average.
-	runTimeWeight = 0.05
-	// initialRunTime is the mean run time that is assumed until a call is answered.
-	initialRunTime = 50 * time.Millisecond
-	// runTimeMaxAge is the age of the latest sample from which the mean run time is no
-	// longer reported. A slow target gets no calls, and without new samples it would
-	// be considered slow forever.
-	runTimeMaxAge = 3 * time.Second
 	// coldBurstSeconds is the burst size of a cold target's token bucket, in seconds
 	// of its cold rate. The burst is at least one call.
 	coldBurstSeconds = 0.25
@@ -79,19 +70,20 @@
 	service model.Service
 	zone    model.Zone
 
-	callMachine      *chart.Machine[*trackedCall]
-	targetMachine    *chart.Machine[*target]
-	byID             map[model.CallID]*trackedCall
-	queue            queue
-	nextExpiryScan   time.Time
-	running          int
-	windows          map[int]*window // by priority
-	meanRunTime      time.Duration
-	runTimeSampledAt time.Time // time of the last sample of meanRunTime
-	target           target
-	crashes          poison.Recorder
-	failures         failureRate
-	pressure         pressure
+	callMachine    *chart.Machine[*trackedCall]
+	targetMachine  *chart.Machine[*target]
+	byID           map[model.CallID]*trackedCall
+	queue          queue
+	epoch          time.Time // arrival of the first call, from which urgency counts
+	nextExpiryScan time.Time
+	running        int
+	nested         nestedPeak
+	windows        map[int]*window // by priority
+	runTimes       runTimes
+	target         target
+	crashes        poison.Recorder
+	failures       failureRate
+	pressure       pressure
 
 	decisions []Decision
 	reportDue bool
@@ -104,7 +96,7 @@
 		zone:          zone,
 		byID:          make(map[model.CallID]*trackedCall),
 		windows:       make(map[int]*window),
-		meanRunTime:   initialRunTime,
+		runTimes:      newRunTimes(),
 		callMachine:   newCallMachine(),
 		targetMachine: newTargetMachine(),
 	}
@@ -136,6 +128,7 @@
 	}
 	tc := &trackedCall{core: c, now: now, state: c.callMachine.Initial(), call: call, arrived: now}
 	c.byID[call.ID] = tc
+	tc.urgency = c.urgencyOf(tc)
 	c.pressure.onArrival(now)
 	tc.step(now, eventAdmissionRequested)
 	c.admitWaiting(now)
@@ -161,14 +154,11 @@
 	tc.step(now, eventFinished)
 	if !tc.call.Nested {
 		c.adjustWindows(now, tc, classifyRun(now, tc, outcome, status))
+	} else {
+		c.nested.onEnded(now)
 	}
 	if outcome == model.OutcomeAnswered {
-		sample := now.Sub(tc.started)
-		if c.runTimeSampledAt.IsZero() {
-			c.meanRunTime = sample
-		}
-		c.runTimeSampledAt = now
-		c.meanRunTime += time.Duration(runTimeWeight * float64(sample-c.meanRunTime))
+		c.runTimes.add(now, tc, now.Sub(tc.started))
 	}
 	c.recordRunResult(now, tc, outcome, status)
 	if outcome == model.OutcomeTargetFull {
@@ -214,7 +204,7 @@
 // admitWaiting runs waiting calls while the target has capacity.
 func (c *Core) admitWaiting(now time.Time) {
 	for c.queue.length > 0 && c.hasCapacity(now) {
-		tc := c.queue.next(c.mayRunExternal)
+		tc := c.nextWaiting(now)
 		if tc == nil {
 			return
 		}
@@ -226,6 +216,22 @@
 	}
 }
 
+// nextWaiting returns the waiting call to run next, or nil if none may run. An external call
+// that has waited for a large part of its time goes first if hardly any external calls run,
+// so that nested calls do not exclude them.
+func (c *Core) nextWaiting(now time.Time) *trackedCall {
+	mayRun := func(priority int) bool { return c.mayRunExternal(now, priority) }
+	if float64(c.running-c.nested.running) < c.minExternalSlots() {
+		overdue := func(tc *trackedCall) bool {
+			return now.Sub(tc.arrived) >= time.Duration(maxWaitFraction*float64(tc.objective()))
+		}
+		if tc := c.queue.nextExternal(mayRun, overdue); tc != nil {
+			return tc
+		}
+	}
+	return c.queue.next(mayRun)
+}
+
 // refuseWaiting refuses every waiting call, so that its entry node can send it to
 // another target.
 func (c *Core) refuseWaiting(now time.Time) {
@@ -248,20 +254,6 @@
 	return max(int(math.Floor(slotFraction*float64(c.target.slots))), 1)
 }
 
-// expectedWait estimates how long a call waits for a slot.
-func (c *Core) expectedWait(now time.Time, tc *trackedCall) time.Duration {
-	ahead := float64(c.queue.countAhead(tc.call.Priority) + 1)
-	slots := float64(c.limit())
-	if !tc.call.Nested {
-		slots = min(slots, max(c.windowFor(tc.call.Priority).size, minWindow))
-	}
-	wait := ahead * float64(c.meanRunTime) / slots
-	if c.target.cold(now) {
-		wait = max(wait, ahead/c.target.coldRate*float64(time.Second))
-	}
-	return time.Duration(wait)
-}
-
 // Load returns the target's load, which is sent with the answers to calls.
 func (c *Core) Load() model.Load {
 	return model.Load{InFlight: c.running, Queued: c.queue.length, Limit: c.limit()}
@@ -282,8 +274,8 @@
 	r.Crashes = c.crashes.TakeReports()
 	r.FailureRate = c.failures.fraction(now, c.countStuck(now))
 	r.ShedFraction, r.QueueDelay = c.pressure.shedFraction(now), c.pressure.queueDelay(now)
-	if now.Sub(c.runTimeSampledAt) < runTimeMaxAge {
-		r.MeanRunTime = c.meanRunTime
+	if c.runTimes.all.recent(now) {
+		r.MeanRunTime = c.runTimes.all.mean
 	}
 }
 
--- a/policy/mesh/gate/failure_rate.go
+++ b/policy/mesh/gate/failure_rate.go
@@ -77,5 +77,5 @@
 // ended.
 func (c *Core) isStuck(now time.Time, tc *trackedCall) bool {
 	minElapsed := time.Duration(stuckSLOFraction * float64(tc.call.SLODeadline.Sub(tc.arrived)))
-	return now.Sub(tc.started) > max(stuckRunTimeFactor*c.meanRunTime, minElapsed)
+	return now.Sub(tc.started) > max(stuckRunTimeFactor*c.runTimes.all.mean, minElapsed)
 }
--- a/policy/mesh/gate/target.go
+++ b/policy/mesh/gate/target.go
@@ -299,13 +299,6 @@
 	return b
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 func (t *target) tick(now time.Time) {
 	if t.available() && t.announceInterval > 0 && t.probes.Len() == 0 && now.Sub(t.lastHeardAt) > maxMissedAnnouncements*t.announceInterval {
 		t.lastHeardAt = now // if the target stays silent, it is probed again after the same time
--- a/policy/mesh/gate/window.go
+++ b/policy/mesh/gate/window.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
@@ -83,10 +84,14 @@
 	}
 }
 
-// mayRunExternal reports whether the window of a priority allows another external
-// call.
-func (c *Core) mayRunExternal(priority int) bool {
+// mayRunExternal reports whether the window of a priority allows another external call
+// and, if these calls are long, one of the slots that nested calls did not need recently is
+// free.
+func (c *Core) mayRunExternal(now time.Time, priority int) bool {
 	w := c.windowFor(priority)
+	if c.runTimes.long(now, priority) && float64(c.running-c.nested.running) >= math.Floor(c.slotsForLong(now)) {
+		return false
+	}
 	return float64(w.running) < max(w.size, minWindow)
 }
 
@@ -164,7 +169,7 @@
 // stopReopening pauses the reopening of the window after a late end.
 func (w *window) stopReopening(now time.Time, run time.Duration) {
 	pause := time.Duration(lateEndPause * float64(run) / max(w.size, minWindow))
-	w.reopensAt = earlier(later(now, w.reopensAt).Add(pause), now.Add(maxReopenPause))
+	w.reopensAt = timers.Earlier(later(now, w.reopensAt).Add(pause), now.Add(maxReopenPause))
 }
 
 // settledSize returns the size below which the late end of a call does not shrink its own
--- a/policy/mesh/gate/window_test.go
+++ b/policy/mesh/gate/window_test.go
@@ -69,12 +69,12 @@
 
 func (s *backendSim) size() float64 { return s.core.windowFor(2).size }
 
-var runTimes = []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond, time.Second}
+var ownWorkTimes = []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond, time.Second}
 
 // Guards against a service level that returns only a minute after a service behind the
 // target was saturated, because the windows reopen by one call for a window of answers.
 func TestWindowReopensAfterSaturation(t *testing.T) {
-	for _, ownWork := range runTimes {
+	for _, ownWork := range ownWorkTimes {
 		demand := 1.2 * 100 / ownWork.Seconds()
 		s := newBackendSim(t, ownWork)
 		s.run(6*time.Second, demand, 25, func() {})
@@ -102,7 +102,7 @@
 // Guards against windows that reopen although a service behind takes only seven tenths of
 // what is asked, and collapse again and again.
 func TestWindowSettlesAtSaturatedService(t *testing.T) {
-	for _, ownWork := range runTimes {
+	for _, ownWork := range ownWorkTimes {
 		const demand = 60 // per second; 0.7 of it for 2 s, the objective, are fewer calls than the limit
 		s := newBackendSim(t, ownWork)
 		s.core.windowFor(2).size = s.core.minWindowSize()
