dispatch: nested calls carry the progress of their parent

Cause: neither the gate's queue nor the retry budget could tell the last call of a request, on which all its work depends, from the first.

Change: the entry node learns for each route of the configuration how many nested calls a run makes at its own target, and sends with a nested call the fraction that has ended; 0 for a route that it has not seen.

Ruled out: runs with a failed nested call as samples. They end before they have made all their calls, so that under overload, when the order matters, the mean would fall and all calls would look nearly done.

Result: the first run of a route has progress 0 for each call, the next one with four calls 0, 0.25, 0.5 and 0.75, also after a run that failed with its first call.

--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -49,6 +49,8 @@
 	// target's answer reads it.
 	NestedFailed atomic.Bool
 
+	endedCalls int // nested calls that have ended; only used by the thread that owns the Core
+
 	mu   sync.Mutex
 	work []model.ServiceWork // of the nested calls that have ended
 }
@@ -83,6 +85,7 @@
 	targets    *targetSet
 	rates      *quota.Limiter
 	budgets    map[model.Service]*retryBudget
+	profiles   callProfiles
 	splitters  map[string]*splitter
 	parents    map[string]*Parent // calls that run at the node's own target, by AttemptID; nested requests name it in Parent
 	suspicions *poison.Table
@@ -108,6 +111,7 @@
 		targets:    newTargetSet(self, zone, rng),
 		rates:      quota.New(),
 		budgets:    make(map[model.Service]*retryBudget),
+		profiles:   make(callProfiles),
 		splitters:  make(map[string]*splitter),
 		parents:    make(map[string]*Parent),
 		suspicions: poison.NewTable(),
@@ -154,6 +158,7 @@
 	}
 	c.config = config
 	clear(c.splitters)
+	c.profiles.retain(config)
 	for name, customer := range config.Customers {
 		c.rates.SetLimit(now, name, customer.Rate, customer.Burst)
 	}
@@ -288,10 +293,12 @@
 // the customer that holds their key, if the route needs a key.
 func (c *Core) OnParentStarted(p *Parent) { c.parents[p.Call.AttemptID] = p }
 
-// OnParentEnded removes a call that has ended at the node's own target.
+// OnParentEnded removes a call that has ended at the node's own target, and learns from it how
+// many nested calls its route makes.
 func (c *Core) OnParentEnded(call *model.Call) {
 	if p := c.parents[call.AttemptID]; p != nil && p.Call == call {
 		delete(c.parents, call.AttemptID)
+		c.learnProfile(p)
 	}
 }
 
--- a/policy/mesh/dispatch/request.go
+++ b/policy/mesh/dispatch/request.go
@@ -171,7 +171,7 @@
 		r.parent = parent
 		call.Nested = true
 		call.Priority, call.OnBehalfOf = parent.Call.Priority, parent.Call.OnBehalfOf
-		call.IsRetry = parent.Call.IsRetry
+		call.IsRetry, call.Progress = parent.Call.IsRetry, r.core.progressOf(parent)
 	}
 	return call
 }
@@ -319,6 +319,7 @@
 		r.refundRate()
 	}
 	if r.parent != nil {
+		r.parent.endedCalls++
 		r.parent.AddWork(r.work)
 		if serviceFailed(a) {
 			r.parent.NestedFailed.Store(true)
