dispatch: retry budget follows the operators' rule and prefers calls that are nearly done

Cause: a bucket of two tokens forgot what a node had not used, so that the first second of a fault found no retries, and gave them to whichever call failed first.

Change: each node counts requests and retries to a service in 40 steps of 0.5 s. In any 10 s its retries stay within 0.15 of the largest count of requests in that window, the one before and the one half a window before. A bucket with the tokens of the requests in the last 3 s spreads them. Half of the bucket beyond two tokens is open to a call only in proportion to its progress, as far as calls with progress exist; after four retries in a row that only progress allowed, the next one is open to any call. Budgets of services that the configuration drops are removed.

Ruled out: the rule's windows alone. The largest count of several windows is not additive: a node that requests have left could still spend 0.15 of them while the node that they moved to spends 0.15 as well, 0.3 of the requests in 10 s by calculation. With 3 s the sum is at most 0.15 x 13 / 10 = 0.195 at a steady rate.

--- a/policy/mesh/dispatch/budget.go
+++ b/policy/mesh/dispatch/budget.go
@@ -1,9 +1,8 @@
-// This file holds the retry budgets of the services and the splitter, which divides
-// the requests of a route among services.
-
 package dispatch
 
 import (
+	"time"
+
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
 )
@@ -13,72 +12,151 @@
 	// to this node's retry budget. The operators' requirement is at most 0.2 retries
 	// per first attempt in the whole fleet, plus some fifty requests. The difference
 	// is a margin for calls nested in retried requests, which count as retries at the
-	// services that they reach and cannot be prevented.
+	// services that they reach and cannot be prevented, and for requests that move to
+	// another node.
 	retryRatio = 0.15
-	// maxRetryTokens is the size of the token bucket of a service's retry budget, and
-	// maxRetryDebt bounds how far calls nested in retried requests can overdraw it.
+	// maxRetryTokens is the least size of the token bucket of a service's retry budget,
+	// and maxRetryDebt bounds how far calls nested in retried requests can overdraw it.
 	maxRetryTokens = 2  // retries
 	maxRetryDebt   = 20 // retries
+	// initialRetryTokens is small, since the budgets of all nodes that start add up.
+	initialRetryTokens = 1 // retries
+	// budgetStep is the resolution of the counts of requests and retries.
+	budgetStep = 500 * time.Millisecond
+	// ruleSteps is the window of the operators' requirement, 10 s. The largest count of
+	// requests in that window, the one before, and the one half a window before counts.
+	ruleSteps = 20
+	// tokenSteps bounds the bucket to the tokens of the requests in the last 3 s. When
+	// requests move to other nodes, the nodes that they leave can still spend these: the
+	// sum over all nodes is 0.15 of the requests in 13 s, or 0.195 of those in 10 s.
+	tokenSteps = 6
+	// lastPart is the part of the bucket, beyond maxRetryTokens, on which a call may draw
+	// only in proportion to its progress, if all calls have progress. It shrinks with their
+	// share, so that nothing is kept for calls that do not exist.
+	lastPart = 0.5
+	// maxReservedRetries is the number of retries in a row that progress has let through
+	// where other calls could not retry. Then any call may retry, until one without such a
+	// privilege has.
+	maxReservedRetries = 4
 )
 
-// retryBudget is a token bucket that limits the retries to one service.
-type retryBudget struct{ tokens float64 }
+// budgetCount counts the requests and retries of one budgetStep. advanced are the requests
+// with progress.
+type budgetCount struct{ requests, advanced, retries int }
+
+// retryBudget limits the retries to one service. It follows the operators' rule in two ways: a
+// count of the retries in the rule's window, and a token bucket that spreads them and whose
+// sum over the nodes stays within the rule when requests move between nodes.
+type retryBudget struct {
+	tokens   float64
+	counts   [2 * ruleSteps]budgetCount // ring, by step
+	step     int64                      // latest step
+	epoch    time.Time                  // start of step 0
+	reserved int                        // see maxReservedRetries
+}
 
 func (c *Core) budgetFor(s model.Service) *retryBudget {
 	b := c.budgets[s]
 	if b == nil {
-		b = &retryBudget{tokens: 1}
+		b = &retryBudget{tokens: initialRetryTokens}
 		c.budgets[s] = b
 	}
 	return b
 }
 
-// onFirstAttempt adds the first attempt of a request to the budget. A request that is
-// nested in a retried one counts as a retry itself.
-func (b *retryBudget) onFirstAttempt(isRetry bool) {
-	b.tokens = min(b.tokens+retryRatio, maxRetryTokens)
-	if isRetry {
-		b.spend()
+// retainBudgets removes the budgets of services that the configuration does not have.
+func (c *Core) retainBudgets(config *graph.Config) {
+	for s := range c.budgets {
+		if config.Services[s] == nil {
+			delete(c.budgets, s)
+		}
+	}
+}
+
+// advance clears the counts of the steps that have passed since the latest one, and drops
+// tokens beyond the size of the bucket.
+func (b *retryBudget) advance(now time.Time) {
+	if b.epoch.IsZero() {
+		b.epoch = now
+	}
+	step := int64(now.Sub(b.epoch) / budgetStep)
+	for n := 0; b.step < step && n < len(b.counts); n++ {
+		b.step++
+		*b.latest() = budgetCount{}
+	}
+	b.step = max(b.step, step)
+	b.tokens = min(b.tokens, b.bucketSize())
+}
+
+func (b *retryBudget) latest() *budgetCount { return &b.counts[b.step%int64(len(b.counts))] }
+
+// sum returns the counts of the steps whose age in steps is at least from and below to.
+func (b *retryBudget) sum(from, to int) budgetCount {
+	var total budgetCount
+	for age := int64(from); age < int64(to) && age <= b.step; age++ {
+		c := b.counts[(b.step-age)%int64(len(b.counts))]
+		total.requests += c.requests
+		total.advanced += c.advanced
+		total.retries += c.retries
 	}
+	return total
 }
 
-func (b *retryBudget) available() bool { return b.tokens >= 1 }
-func (b *retryBudget) spend()          { b.tokens = max(b.tokens-1, -maxRetryDebt) }
+func (b *retryBudget) bucketSize() float64 {
+	return max(retryRatio*float64(b.sum(0, tokenSteps).requests), maxRetryTokens)
+}
 
-// splitter divides the requests of a route among its services by smooth weighted round
-// robin: for each request, every service's credit grows by its weight, the service with
-// the most credit gets the request, and its credit is reduced by the sum of the weights.
-type splitter struct{ credit []float64 }
+// left returns how many retries the rule's window still allows. The step that began before
+// the window counts as well for the retries.
+func (b *retryBudget) left() float64 {
+	requests := max(b.sum(0, ruleSteps).requests, b.sum(ruleSteps, 2*ruleSteps).requests,
+		b.sum(ruleSteps/2, ruleSteps*3/2).requests)
+	return max(retryRatio*float64(requests), maxRetryTokens) - float64(b.sum(0, ruleSteps+1).retries)
+}
 
-// pickService returns the service for the next request of a route.
-func (c *Core) pickService(r *graph.Route) model.Service {
-	if len(r.Split) == 1 {
-		return r.Split[0].Service
+// onFirstAttempt adds the first attempt of a request to the budget. A request that is
+// nested in a retried one counts as a retry itself.
+func (b *retryBudget) onFirstAttempt(now time.Time, call *model.Call) {
+	b.advance(now)
+	b.latest().requests++
+	if call.Progress > 0 {
+		b.latest().advanced++
 	}
-	s := c.splitters[r.Name]
-	if s == nil {
-		s = c.newSplitter(r)
-		c.splitters[r.Name] = s
+	b.tokens = min(b.tokens+retryRatio, b.bucketSize())
+	if call.IsRetry {
+		b.charge()
 	}
-	var total float64
-	best := 0
-	for i, ws := range r.Split {
-		total += ws.Weight
-		s.credit[i] += ws.Weight
-		if s.credit[i] > s.credit[best] {
-			best = i
-		}
+}
+
+// available reports whether a call whose request has the given progress may be retried, or
+// moved after a refusal by a target.
+func (b *retryBudget) available(now time.Time, progress float64) bool {
+	b.advance(now)
+	return b.allows(progress) || b.reserved >= maxReservedRetries && b.allows(1)
+}
+
+func (b *retryBudget) allows(progress float64) bool {
+	recent := b.sum(0, tokenSteps)
+	last := lastPart * (b.bucketSize() - maxRetryTokens) * float64(recent.advanced) / float64(max(recent.requests, 1))
+	return min(b.tokens, b.left()) >= 1+last*(1-progress)
+}
+
+// spend charges a retry that was available.
+func (b *retryBudget) spend(now time.Time, progress float64) {
+	b.advance(now)
+	switch {
+	case !b.allows(progress):
+		b.reserved = 0 // it was the turn of any call
+	case !b.allows(0):
+		b.reserved++
 	}
-	s.credit[best] -= total
-	return r.Split[best].Service
+	b.charge()
 }
 
-// newSplitter returns a splitter with random credits, so that the first requests at all
-// nodes do not go to the same service.
-func (c *Core) newSplitter(r *graph.Route) *splitter {
-	s := &splitter{credit: make([]float64, len(r.Split))}
-	for i, ws := range r.Split {
-		s.credit[i] = c.rng.Float64() * ws.Weight
+// charge charges a retry. The debt is bounded both in the bucket and in the rule's window.
+func (b *retryBudget) charge() {
+	b.tokens = max(b.tokens-1, -maxRetryDebt)
+	if b.left() > -maxRetryDebt {
+		b.latest().retries++
 	}
-	return s
 }
--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -159,6 +159,7 @@
 	c.config = config
 	clear(c.splitters)
 	c.profiles.retain(config)
+	c.retainBudgets(config)
 	for name, customer := range config.Customers {
 		c.rates.SetLimit(now, name, customer.Rate, customer.Burst)
 	}
@@ -254,7 +255,7 @@
 		return
 	}
 	c.expiry.Set(r.id, r.call.Deadline)
-	c.budgetFor(r.call.Service).onFirstAttempt(r.call.IsRetry)
+	c.budgetFor(r.call.Service).onFirstAttempt(now, r.call)
 	r.step(now, eventAdmitted)
 }
 
--- a/policy/mesh/dispatch/fleet_budget_test.go
+++ b/policy/mesh/dispatch/fleet_budget_test.go
@@ -26,15 +26,39 @@
 	cores    []*Core
 	indexOf  map[model.Instance]int
 	failures []float64 // fraction of the runs at each service that end with status 500
+	rejects  []float64 // fraction of the calls that the targets of each service reject although they are not full
 	requests map[model.Service]int
 	repeats  map[model.Service]int // arrivals beyond the first, and those of calls that a repeated run makes
 	nextID   model.CallID
+
+	config  *graph.Config
+	reports []*model.NodeReport
+	now     time.Time
+	byStep  map[model.Service]map[int]*stepCounts // by the number of the ruleStep
+}
+
+// stepCounts counts what one service gets in one ruleStep.
+type stepCounts struct{ requests, repeats int }
+
+// ruleStep is the distance of the windows of 10 s for which the operators' rule is checked.
+const ruleStep = 500 * time.Millisecond
+
+func (f *chainFleet) count(s model.Service) *stepCounts {
+	if f.byStep[s] == nil {
+		f.byStep[s] = make(map[int]*stepCounts)
+	}
+	step := int(f.now.Sub(start) / ruleStep)
+	if f.byStep[s][step] == nil {
+		f.byStep[s][step] = new(stepCounts)
+	}
+	return f.byStep[s][step]
 }
 
 func newChainFleet(t *testing.T, seed uint64, nodes int, failures ...float64) *chainFleet {
 	f := &chainFleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 2)), indexOf: make(map[model.Instance]int), failures: failures,
-		requests: make(map[model.Service]int), repeats: make(map[model.Service]int),
+		rejects: make([]float64, len(failures)), requests: make(map[model.Service]int), repeats: make(map[model.Service]int),
+		now: start, byStep: make(map[model.Service]map[int]*stepCounts),
 	}
 	var routes []*graph.Route
 	var services []*graph.Service
@@ -52,25 +76,37 @@
 	routes = append(routes, &payments)
 	config, err := graph.New(1, graph.Limits{}, routes, services, nil)
 	assert.NilError(t, err)
-	var reports []*model.NodeReport
+	f.config = config
 	for n := range nodes {
 		instance := model.Instance(fmt.Sprintf("10.0.%d.%d:7000", n/200, n%200+1))
 		f.indexOf[instance] = n
-		service := f.services[n%len(f.services)]
-		f.cores = append(f.cores, New(instance, "z", service, rand.New(rand.NewPCG(seed, uint64(n)))))
-		reports = append(reports, &model.NodeReport{NodeInfo: model.NodeInfo{
-			Node: model.NodeID{Instance: instance, Incarnation: 1}, Service: service, Zone: "z", State: model.TargetServing, Limit: 1000,
+		f.reports = append(f.reports, &model.NodeReport{NodeInfo: model.NodeInfo{
+			Node: model.NodeID{Instance: instance, Incarnation: 1}, Service: f.services[n%len(f.services)], Zone: "z", State: model.TargetServing, Limit: 1000,
 		}})
 	}
-	for _, c := range f.cores {
-		c.OnConfig(start, config, nil)
-		for _, r := range reports {
-			c.OnReport(start, r)
-		}
+	f.cores = make([]*Core, nodes)
+	for n := range nodes {
+		f.restart(n, seed)
 	}
 	return f
 }
 
+// restart replaces a node by one without memory.
+func (f *chainFleet) restart(n int, seed uint64) {
+	r := f.reports[n]
+	c := New(r.Node.Instance, "z", r.Service, rand.New(rand.NewPCG(seed, uint64(n))))
+	c.OnConfig(f.now, f.config, nil)
+	f.cores[n] = c
+	f.report(c)
+}
+
+// report lets a node know the targets' present state.
+func (f *chainFleet) report(c *Core) {
+	for _, r := range f.reports {
+		c.OnReport(f.now, r)
+	}
+}
+
 // serve sends a request at a node and returns whether it was answered with success.
 func (f *chainFleet) serve(node, depth int, parent string) bool {
 	return f.serveAt(node, depth, parent, "/"+string(f.services[depth])+"/x")
@@ -81,7 +117,8 @@
 	id := f.nextID
 	core, service := f.cores[node], f.services[depth]
 	f.requests[service]++
-	core.OnRequest(start, &model.Request{
+	f.count(service).requests++
+	core.OnRequest(f.now, &model.Request{
 		ID: id, AttemptID: fmt.Sprintf("%s.%d", parent, id), Parent: parent, Host: "h", Path: path, Method: http.MethodGet,
 	})
 	for {
@@ -94,11 +131,19 @@
 		if next.Answer != nil {
 			return next.Answer.Status == http.StatusOK
 		}
-		if next.Call.IsRetry {
+		// A refusal by the target before this attempt was an arrival, too.
+		if next.Call.IsRetry || next.Call.Attempt > 0 {
 			f.repeats[service]++
+			f.count(service).repeats++
+		}
+		if f.rng.Float64() < f.rejects[depth] {
+			refusal := model.NewRefusal(id, model.ReasonShed, "the target rejects")
+			refusal.Status = http.StatusServiceUnavailable
+			core.OnAnswer(f.now, next.Peer, refusal)
+			continue
 		}
 		status, nestedFailed := f.run(f.indexOf[next.Peer], depth, next.Call)
-		core.OnAnswer(start, next.Peer, &model.Answer{ID: id, Run: model.Completed, Status: status, NestedFailed: nestedFailed})
+		core.OnAnswer(f.now, next.Peer, &model.Answer{ID: id, Run: model.Completed, Status: status, NestedFailed: nestedFailed})
 	}
 }
 
@@ -153,3 +198,98 @@
 		}
 	}
 }
+
+// play serves rate requests a second for a period at the nodes that chooseNode returns, and
+// calls onStep before each 100 ms.
+func (f *chainFleet) play(period time.Duration, rate float64, chooseNode func() int, onStep func()) {
+	const step = 100 * time.Millisecond
+	due := 0.0
+	for i := range int(period / step) {
+		onStep()
+		if i%10 == 0 {
+			for _, c := range f.cores {
+				f.report(c)
+			}
+		}
+		for due += rate * step.Seconds(); due >= 1; due-- {
+			f.serve(chooseNode(), 0, "")
+		}
+		f.now = f.now.Add(step)
+	}
+}
+
+// checkRule checks the operators' rule for each window of 10 s: a fifth of the requests, of
+// which the largest number of the window, the one before and the one half a window before
+// counts, and the slack. It returns the largest ratio of repeats to requests.
+func (f *chainFleet) checkRule(t *testing.T, name string, slack int) float64 {
+	t.Helper()
+	const window = int(10 * time.Second / ruleStep)
+	worst := 0.0
+	for _, s := range f.services {
+		sum := func(from int) (total stepCounts) {
+			for step := from; step < from+window; step++ {
+				if c := f.byStep[s][step]; c != nil {
+					total.requests += c.requests
+					total.repeats += c.repeats
+				}
+			}
+			return total
+		}
+		for from := range int(f.now.Sub(start) / ruleStep) {
+			requests := max(sum(from).requests, sum(from-window).requests, sum(from-window/2).requests)
+			repeats := sum(from).repeats
+			worst = max(worst, float64(repeats)/float64(max(requests, 1)))
+			assert.Check(t, repeats <= requests/5+slack, "%s, %s, from step %d: %d repeats for %d requests", name, s, from, repeats, requests)
+		}
+	}
+	return worst
+}
+
+// Guards against a sum of the nodes' budgets that exceeds the operators' rule in some 10 s:
+// when requests move between nodes, nodes restart, the runs of several services fail, or the
+// targets of a service reject calls although they are not full.
+func TestRepeatsStayWithinRuleInAnyWindow(t *testing.T) {
+	const nodes, rate, slack = 40, 300.0, 50
+	anyNode := func(f *chainFleet) func() int { return func() int { return f.rng.IntN(nodes) } }
+	for _, c := range []struct {
+		name       string
+		failures   []float64
+		chooseNode func(f *chainFleet) func() int
+		onStep     func(f *chainFleet)
+	}{
+		{"requests move every 5 s", []float64{0.5, 0, 0, 0}, func(f *chainFleet) func() int {
+			return func() int { return f.rng.IntN(nodes/2) + nodes/2*(int(f.now.Sub(start)/(5*time.Second))%2) }
+		}, nil},
+		{"requests move every 10 s", []float64{0.2, 0.2, 0.2, 0.2}, func(f *chainFleet) func() int {
+			return func() int { return f.rng.IntN(nodes/2) + nodes/2*(int(f.now.Sub(start)/(10*time.Second))%2) }
+		}, nil},
+		{"nodes restart", []float64{0.3, 0.3, 0.3, 0.3}, anyNode, func(f *chainFleet) {
+			if step := int(f.now.Sub(start) / (100 * time.Millisecond)); step%100 == 0 {
+				for n := range nodes {
+					f.restart(n, uint64(step))
+				}
+			} else {
+				f.restart(step%nodes, uint64(step))
+			}
+		}},
+		{"all fail", []float64{0.3, 0.3, 0.3, 0.3}, anyNode, nil},
+		{"targets reject", make([]float64, 4), anyNode, func(f *chainFleet) {
+			since := f.now.Sub(start)
+			f.rejects[3] = 0
+			if since >= 5*time.Second && since < 13500*time.Millisecond {
+				f.rejects[3] = 0.55
+			}
+		}},
+		{"last fails with demand that falls", []float64{0, 0, 0, 0.5}, anyNode, nil},
+	} {
+		f := newChainFleet(t, 3, nodes, c.failures...)
+		onStep := func() {
+			if c.onStep != nil {
+				c.onStep(f)
+			}
+		}
+		f.play(15*time.Second, rate, c.chooseNode(f), onStep)
+		f.play(15*time.Second, rate/3, c.chooseNode(f), onStep)
+		t.Logf("%s: at most %.3f repeats for each request", c.name, f.checkRule(t, c.name, slack))
+	}
+}
--- a/policy/mesh/dispatch/request.go
+++ b/policy/mesh/dispatch/request.go
@@ -241,16 +241,26 @@
 	if r.moves >= maxMoves || r.answer.Reason == model.ReasonDeadline {
 		return false
 	}
-	if refusedByTarget(r.answer) && !r.core.budgetFor(r.call.Service).available() {
+	if refusedByTarget(r.answer) && !r.retryAvailable() {
 		return false
 	}
 	return r.chooseNextTarget()
 }
 
+// retryAvailable reports whether the service's retry budget allows another attempt, and
+// spendRetry charges it.
+func (r *request) retryAvailable() bool {
+	return r.core.budgetFor(r.call.Service).available(r.now, r.call.Progress)
+}
+
+func (r *request) spendRetry() {
+	r.core.budgetFor(r.call.Service).spend(r.now, r.call.Progress)
+}
+
 // mayRetry reports whether a request that may have run may be retried, and chooses the
 // target.
 func (r *request) mayRetry() bool {
-	if !r.call.Idempotent || !r.core.budgetFor(r.call.Service).available() {
+	if !r.call.Idempotent || !r.retryAvailable() {
 		return false
 	}
 	return r.chooseNextTarget()
@@ -277,14 +287,14 @@
 func (r *request) countMove() {
 	r.moves++
 	if refusedByTarget(r.answer) {
-		r.core.budgetFor(r.call.Service).spend()
+		r.spendRetry()
 	}
 }
 
 // chargeRetry charges a retry to the service's retry budget and to the customer's
 // rate.
 func (r *request) chargeRetry() {
-	r.core.budgetFor(r.call.Service).spend()
+	r.spendRetry()
 	if r.grant != quota.Refused {
 		r.core.rates.Charge(r.now, r.call.Customer)
 	}
