gate: long calls leave slots only to nested calls of their own and higher priorities

Cause: found in review: long calls left slots free for nested calls of any priority, so that a long request of a high priority was served worse than chains of a lower one at the same service.

Change: the peak of running nested calls is kept for each priority; the expected wait of external calls counts nested calls in the same way.

Result: after nine nested calls of priority 3, long calls of priority 2 have all 19 slots, those of priorities 3 and 4 have 10.

--- a/policy/mesh/gate/call.go
+++ b/policy/mesh/gate/call.go
@@ -99,7 +99,7 @@
 	c.pressure.onStarted(tc.now, tc.now.Sub(tc.arrived))
 	c.running++
 	if tc.call.Nested {
-		c.nested.onStarted(tc.now)
+		c.nested.onStarted(tc.now, tc.call.Priority)
 	} else {
 		w := c.windowFor(tc.call.Priority)
 		w.running++
--- a/policy/mesh/gate/core.go
+++ b/policy/mesh/gate/core.go
@@ -77,7 +77,7 @@
 	epoch          time.Time // arrival of the first call, from which urgency counts
 	nextExpiryScan time.Time
 	running        int
-	nested         nestedPeak
+	nested         nestedLoad
 	windows        map[int]*window // by priority
 	runTimes       runTimes
 	target         target
@@ -96,6 +96,7 @@
 		zone:          zone,
 		byID:          make(map[model.CallID]*trackedCall),
 		windows:       make(map[int]*window),
+		nested:        nestedLoad{byPriority: make(map[int]*nestedPeak)},
 		runTimes:      newRunTimes(),
 		callMachine:   newCallMachine(),
 		targetMachine: newTargetMachine(),
@@ -155,7 +156,7 @@
 	if !tc.call.Nested {
 		c.adjustWindows(now, tc, classifyRun(now, tc, outcome, status))
 	} else {
-		c.nested.onEnded(now)
+		c.nested.onEnded(now, tc.call.Priority)
 	}
 	if outcome == model.OutcomeAnswered {
 		c.runTimes.add(now, tc, now.Sub(tc.started))
--- a/policy/mesh/gate/window.go
+++ b/policy/mesh/gate/window.go
@@ -88,10 +88,12 @@
 // and, if these calls are long, one of the slots that nested calls did not need recently is
 // free.
 func (c *Core) mayRunExternal(now time.Time, priority int) bool {
-	w := c.windowFor(priority)
-	if c.runTimes.long(now, priority) && float64(c.running-c.nested.running) >= math.Floor(c.slotsForLong(now)) {
-		return false
+	if c.runTimes.long(now, priority) {
+		if slots, taken := c.slotsForLong(now, priority); float64(taken) >= math.Floor(slots) {
+			return false
+		}
 	}
+	w := c.windowFor(priority)
 	return float64(w.running) < max(w.size, minWindow)
 }
 
