mesh: logs and metrics show the retry budget, the windows and what nested calls need

Cause: neither a request that was not sent again because of the budget nor a window that holds calls back could be told from the logs and metrics.

Change: the lines mesh_answered and mesh_refused say whether the retry budget denied another attempt, mesh_run how long the call waited and its progress. New metrics: retries_denied, external_windows by priority, nested_slots.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -299,12 +299,15 @@
 	delete(h.pending, d.ID)
 	took := now.Sub(p.arrivedAt)
 	h.node.metrics.recordAnswer(d.Answer, took)
+	if d.RetryDenied {
+		h.node.metrics.retriesDenied.Add(1)
+	}
 	if d.Answer.FromNode() {
 		h.node.log.Emit(event.MeshRefused, "id", p.attemptID, "call", d.ID, "route", d.Route, "reason", d.Answer.Reason,
-			"run", d.Answer.Run, "detail", d.Answer.Detail, "config", d.ConfigVersion, "documents_age", h.node.documentsAge(), "took", took)
+			"run", d.Answer.Run, "detail", d.Answer.Detail, "config", d.ConfigVersion, "documents_age", h.node.documentsAge(), "retry_denied", d.RetryDenied, "took", took)
 	} else {
 		h.node.log.Emit(event.MeshAnswered, "id", p.attemptID, "call", d.ID, "route", d.Route, "status", d.Answer.Status,
-			"config", d.ConfigVersion, "took", took)
+			"config", d.ConfigVersion, "retry_denied", d.RetryDenied, "took", took)
 	}
 	p.reply.Send(d.Answer)
 }
--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -270,7 +270,7 @@
 	h.cancels[d.ID] = cancel
 	callerLink := h.callerLinks[d.ID]
 	h.node.log.Emit(event.MeshCallStarted, "id", d.Run.AttemptID, "call", d.ID, "target", d.Target,
-		"left", d.Run.Deadline.Sub(now), "customer", d.Run.Customer, "origin", d.Run.CallerService)
+		"left", d.Run.Deadline.Sub(now), "waited", d.Waited, "nested", d.Run.Nested, "progress", d.Run.Progress, "customer", d.Run.Customer, "origin", d.Run.CallerService)
 	// While the target serves the call, it may send nested calls through the
 	// entry duty, which must know their parent first. If the ring is full, the
 	// nested calls only lose the parent's priority, customer and retry mark.
@@ -338,6 +338,8 @@
 		h.node.log.Emit(event.MeshCrashed, "fingerprint", c.Fingerprint, "crashes", c.Count)
 	}
 	h.node.idle.Store(h.core.Idle())
+	h.core.EachWindow(h.node.metrics.setWindow)
+	h.node.metrics.nestedSlots.Set(h.core.NestedSlots(now))
 	// A report whose ring is full is lost, but each crash is reported only once. The peers
 	// duty gets it after the entry duty has it, which tells the peers whose links open
 	// later.
--- a/agent/mesh/metrics.go
+++ b/agent/mesh/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	refusedByReason *expvar.Map
 	served          expvar.Int // requests that a target answered, with any status
 	gateRefused     expvar.Int
+	retriesDenied   expvar.Int   // requests that the retry budget of their service did not allow to be sent again
+	windows         *expvar.Map  // sizes of the windows of external calls, by priority
+	nestedSlots     expvar.Float // slots that nested calls needed recently
 	probes          expvar.Int
 	crashReports    expvar.Int // reports that a target crashed while it ran a request, also those of peers
 	// suspectedRequests is the number of requests that are suspected of crashing targets,
@@ -41,6 +45,7 @@
 	m := &metrics{
 		vars:            new(expvar.Map).Init(),
 		refusedByReason: new(expvar.Map).Init(),
+		windows:         new(expvar.Map).Init(),
 
 		sentInZone:       new(expvar.Map).Init(),
 		sentToOtherZones: new(expvar.Map).Init(),
@@ -50,6 +55,9 @@
 	m.vars.Set("served", &m.served)
 	m.vars.Set("refused_by_reason", m.refusedByReason)
 	m.vars.Set("gate_refused", &m.gateRefused)
+	m.vars.Set("retries_denied", &m.retriesDenied)
+	m.vars.Set("external_windows", m.windows)
+	m.vars.Set("nested_slots", &m.nestedSlots)
 	m.vars.Set("probes", &m.probes)
 	m.vars.Set("crash_reports", &m.crashReports)
 	m.vars.Set("suspected_requests", &m.suspectedRequests)
@@ -69,6 +77,13 @@
 	return m.sentToOtherZones
 }
 
+// setWindow sets the size of the window of external calls of a priority.
+func (m *metrics) setWindow(priority int, size float64) {
+	v := new(expvar.Float)
+	v.Set(size)
+	m.windows.Set(strconv.Itoa(priority), v)
+}
+
 // recordAnswer counts an answer to a caller and, if a target sent it, records the
 // latency.
 func (m *metrics) recordAnswer(a *model.Answer, elapsed time.Duration) {
--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -40,6 +40,7 @@
 	RetryReason   model.Reason  // why the previous attempt was refused or failed; empty for the first, and after a target's answer with status 500
 	ConfigVersion uint64        // version of the configuration in use
 	ReportAge     time.Duration // age of the target's latest report
+	RetryDenied   bool          // with Answer: the retry budget allowed no further attempt
 }
 
 // Parent is a call that runs at the node's own target and may make nested calls.
--- a/policy/mesh/dispatch/request.go
+++ b/policy/mesh/dispatch/request.go
@@ -47,18 +47,19 @@
 	id      model.CallID
 	arrived time.Time
 
-	route      *graph.Route
-	call       *model.Call
-	parent     *Parent // call for which the node's own target sent the request, if known
-	target     *target // target of the current attempt, or the one chosen for the first
-	next       *target // chosen for the next attempt
-	tried      []*target
-	moves      int
-	reached    int                 // attempts that may have reached a target, bounded by the route's MaxAttempts
-	mayHaveRun bool                // a target may have run the request
-	work       []model.ServiceWork // of all attempts
-	cutAnswers int                 // attempts that failed with ReasonAnswerCut, usually because the connection to the target broke
-	grant      quota.Grant         // how the customer's rate admitted the request; Refused if it was not charged
+	route       *graph.Route
+	call        *model.Call
+	parent      *Parent // call for which the node's own target sent the request, if known
+	target      *target // target of the current attempt, or the one chosen for the first
+	next        *target // chosen for the next attempt
+	tried       []*target
+	moves       int
+	reached     int                 // attempts that may have reached a target, bounded by the route's MaxAttempts
+	mayHaveRun  bool                // a target may have run the request
+	work        []model.ServiceWork // of all attempts
+	retryDenied bool                // the retry budget allowed no further attempt
+	cutAnswers  int                 // attempts that failed with ReasonAnswerCut, usually because the connection to the target broke
+	grant       quota.Grant         // how the customer's rate admitted the request; Refused if it was not charged
 
 	answer *model.Answer
 }
@@ -196,6 +197,7 @@
 		d.RetryReason = r.answer.Reason
 	}
 	r.call.Attempt++
+	r.retryDenied = false
 	r.answer = nil
 	r.core.decisions = append(r.core.decisions, d)
 }
@@ -250,7 +252,9 @@
 // retryAvailable reports whether the service's retry budget allows another attempt, and
 // spendRetry charges it.
 func (r *request) retryAvailable() bool {
-	return r.core.budgetFor(r.call.Service).available(r.now, r.call.Progress)
+	available := r.core.budgetFor(r.call.Service).available(r.now, r.call.Progress)
+	r.retryDenied = !available
+	return available
 }
 
 func (r *request) spendRetry() {
@@ -336,7 +340,7 @@
 		}
 	}
 	d := r.newDecision()
-	d.Answer = a
+	d.Answer, d.RetryDenied = a, r.retryDenied
 	r.core.decisions = append(r.core.decisions, d)
 }
 
--- a/policy/mesh/gate/call.go
+++ b/policy/mesh/gate/call.go
@@ -106,7 +106,7 @@
 		tc.endedAtStart = w.ended
 	}
 	c.target.takeColdToken(tc.now)
-	tc.emit(Decision{Run: tc.call, Target: c.target.id})
+	tc.emit(Decision{Run: tc.call, Target: c.target.id, Waited: tc.now.Sub(tc.arrived)})
 }
 
 func (tc *trackedCall) refuseUnavailable() {
--- a/policy/mesh/gate/core.go
+++ b/policy/mesh/gate/core.go
@@ -60,6 +60,7 @@
 	ID     model.CallID
 	Run    *model.Call    // send it to the target
 	Target model.Instance // id of the target that may run the call
+	Waited time.Duration  // with Run: for a slot
 	Cancel bool           // cancel the running call
 	Answer *model.Answer  // refusal for the caller's node
 }
--- a/policy/mesh/gate/nested_load.go
+++ b/policy/mesh/gate/nested_load.go
@@ -67,6 +67,12 @@
 	return running, recent
 }
 
+// NestedSlots returns the number of slots that nested calls needed recently, for metrics.
+func (c *Core) NestedSlots(now time.Time) float64 {
+	_, recent := c.nested.upTo(now, math.MaxInt)
+	return recent
+}
+
 // minExternalSlots returns the number of slots that are open to external calls however
 // many nested calls run or wait.
 func (c *Core) minExternalSlots() float64 {
--- a/policy/mesh/gate/window.go
+++ b/policy/mesh/gate/window.go
@@ -76,6 +76,13 @@
 	return w
 }
 
+// EachWindow calls f with the size of each window, for metrics.
+func (c *Core) EachWindow(f func(priority int, size float64)) {
+	for priority, w := range c.windows {
+		f(priority, w.size)
+	}
+}
+
 // resizeWindows scales the windows in proportion to a change of the concurrency limit
 // from oldLimit.
 func (c *Core) resizeWindows(oldLimit int) {
