mesh: the check of clocks reads the policies in their new folder

Cause: moved the policies to policy/mesh. The test still looked in policy/ and failed, since it found only 34 of the at least 40 files that it must check.

Change: the path. The check is as strict as before and covers the policies again.

--- a/agent/mesh/clock_test.go
+++ b/agent/mesh/clock_test.go
@@ -30,7 +30,7 @@
 	}
 	policies := []string{"fleet", "quota", "dispatch", "gate", "poison", "freshness"}
 	for _, name := range policies {
-		folders = append(folders, "../../policy/"+name)
+		folders = append(folders, "../../policy/mesh/"+name)
 	}
 	checked := 0
 	for _, folder := range folders {
