gate: a window does not reopen while calls of a higher priority end late

Cause: found in review: a late end shrinks the lowest window by half a call, but that window could reopen by a factor of e a second if its own calls are timely, at the expense of the others.

Change: a late end pauses the reopening of the windows of its own and of lower priorities.

Result: with ten late ends a second of a higher priority, the window of the lower one stays at its size; before, it opened to the limit within 2 s of virtual time.

--- a/policy/mesh/gate/window.go
+++ b/policy/mesh/gate/window.go
@@ -116,7 +116,7 @@
 	w.observeRun(now, run)
 	switch {
 	case signal == signalLate:
-		w.stopReopening(now, run)
+		c.pauseReopening(now, tc.call.Priority, run)
 		lowest := c.windowToShrink(tc.call.Priority)
 		floor := c.minWindowSize()
 		if lowest == w {
@@ -175,10 +175,15 @@
 	}
 }
 
-// stopReopening pauses the reopening of the window after a late end.
-func (w *window) stopReopening(now time.Time, run time.Duration) {
-	pause := time.Duration(lateEndPause * float64(run) / max(w.size, minWindow))
-	w.reopensAt = timers.Earlier(later(now, w.reopensAt).Add(pause), now.Add(maxReopenPause))
+// pauseReopening pauses the reopening of the windows of the given and lower priorities after
+// a late end. Calls of lower priorities must not take what makes higher ones late.
+func (c *Core) pauseReopening(now time.Time, priority int, run time.Duration) {
+	pause := time.Duration(lateEndPause * float64(run) / max(c.windowFor(priority).size, minWindow))
+	for p, w := range c.windows {
+		if p >= priority {
+			w.reopensAt = timers.Earlier(later(now, w.reopensAt).Add(pause), now.Add(maxReopenPause))
+		}
+	}
 }
 
 // settledSize returns the size below which the late end of a call does not shrink its own
--- a/policy/mesh/gate/window_test.go
+++ b/policy/mesh/gate/window_test.go
@@ -104,3 +104,24 @@
 		assert.Check(t, used >= 0.95, "run time %v: %.3f of the capacity is used", ownWork, used)
 	}
 }
+
+// Guards against a window that reopens at the expense of calls of a higher priority, which end
+// late.
+func TestWindowDoesNotReopenWhileHigherPriorityIsLate(t *testing.T) {
+	c := newCore(t)
+	late, timely := newCall(start), newCall(start)
+	late.Priority, timely.Priority = 1, 5
+	timely.SLODeadline = start.Add(8 * time.Second)
+	const size = 8.0
+	low := c.windowFor(timely.Priority)
+	low.size = size
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		for _, call := range []*model.Call{late, timely} {
+			tc := &trackedCall{core: c, call: call, arrived: start.Add(-time.Second), started: now.Add(-time.Second)}
+			c.windowFor(call.Priority).running = 9
+			c.adjustWindows(now, tc, map[*model.Call]loadSignal{late: signalLate, timely: signalTimely}[call])
+		}
+	}
+	assert.Assert(t, low.size <= size, "%.1f", low.size)
+}
