mesh: requests are admitted for their whole chain of calls

Cause: the node of a request's caller looks at the load of the first service only.

Refused callers are asked to return one after the other.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -162,6 +162,7 @@
 		next = h.core.Tick(now)
 		h.applyDecisions(now)
 		h.node.metrics.suspectedRequests.Set(int64(h.core.SuspectedRequests()))
+		h.reportChainLimits()
 		for _, record := range h.core.TakePoisonWrites() {
 			h.node.poisonWriter.records.Offer(record) // the core requests it again
 		}
@@ -176,6 +177,18 @@
 	return next
 }
 
+// reportChainLimits logs the changes of the limits on requests whose nested calls need a
+// service that is short of room, and publishes the limits in force.
+func (h *entryHandler) reportChainLimits() {
+	for _, c := range h.core.ChainChanges() {
+		h.node.log.Emit(event.MeshChainLimitChanged, "service", c.Service, "from", c.From, "to", c.To, "fraction", c.Fraction,
+			"shed", c.Load.ShedFraction, "queue_delay", c.Load.QueueDelay, "running", c.Load.Running, "nested", c.Load.Nested,
+			"limit", c.Load.Limit, "targets", c.Load.Targets)
+	}
+	limits := h.core.ChainLimits()
+	h.node.metrics.chainLimits.Store(&limits)
+}
+
 func (h *entryHandler) handle(now time.Time, m entryMessage) {
 	switch m := m.(type) {
 	case *requestReceived:
--- a/agent/mesh/metrics.go
+++ b/agent/mesh/metrics.go
@@ -3,11 +3,13 @@
 import (
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/chain"
 )
 
 const (
@@ -30,6 +32,9 @@
 	// including the refused ones.
 	suspectedRequests expvar.Int
 	logChecks         expvar.Int // checks whether the log has newer documents
+	// chainLimits holds the limits on requests whose nested calls need a service that is
+	// short of room; nil until the first tick of the entry duty.
+	chainLimits atomic.Pointer[[]chain.Limit]
 	// Bytes sent on links within the availability zone and to other zones.
 	sentInZone, sentToOtherZones *expvar.Map
 
@@ -54,6 +59,7 @@
 	m.vars.Set("crash_reports", &m.crashReports)
 	m.vars.Set("suspected_requests", &m.suspectedRequests)
 	m.vars.Set("log_checks", &m.logChecks)
+	m.vars.Set("chain_limits", expvar.Func(m.chainLimitsByService))
 	m.vars.Set("sent_bytes_in_zone", m.sentInZone)
 	m.vars.Set("sent_bytes_to_other_zones", m.sentToOtherZones)
 	m.vars.Set("latency_us", expvar.Func(m.latencyQuantiles))
@@ -82,6 +88,21 @@
 	_ = m.latency.RecordValue(min(elapsed, maxLatency).Microseconds()) // clamped to the range
 }
 
+// chainLimitsByService returns, for each service that requests reach through nested calls,
+// the fraction of these requests that is begun and the load that decides it.
+func (m *metrics) chainLimitsByService() any {
+	out := make(map[string]map[string]any)
+	if limits := m.chainLimits.Load(); limits != nil {
+		for _, l := range *limits {
+			out[string(l.Service)] = map[string]any{
+				"state": l.State, "fraction": l.Fraction, "shed": l.Load.ShedFraction,
+				"queue_delay_ms": l.Load.QueueDelay.Milliseconds(), "nested": l.Load.Nested, "limit": l.Load.Limit,
+			}
+		}
+	}
+	return out
+}
+
 func (m *metrics) latencyQuantiles() any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -83,4 +83,7 @@
 	MeshPanicked = define(1044, "mesh_panicked", hclog.Error,
 		"An unexpected error inside the program ended the handling of one message. A request that the message carried has failed; other requests go on.",
 		"Report a bug and attach the line, which has the stack trace.")
+	MeshChainLimitChanged = define(1045, "mesh_chain_limit_changed", hclog.Info,
+		"The limit on requests whose nested calls need a service behind the first one has entered another state. fraction is the part of the requests that is begun; shed, queue_delay, nested and limit are the load of the service that decides it.",
+		"See docs/operators/chain-admission.md.")
 )
--- a/model/reason.go
+++ b/model/reason.go
@@ -25,6 +25,7 @@
 	ReasonIDTooOld         Reason = "id_too_old"        // the record of this id may have been dropped
 	ReasonNoTarget         Reason = "no_target"         // no target can serve the call
 	ReasonShed             Reason = "shed"              // no room at the target or in its node's queue, or the target declined to run the call
+	ReasonOverload         Reason = "overload"          // a service that the request's nested calls need cannot take them; nothing was begun
 	ReasonDeadline         Reason = "deadline"          // the deadline has passed or would be missed, or the caller's mesh node stopped before the answer arrived
 	ReasonCanceled         Reason = "canceled"          // the caller disconnected
 	ReasonZoneOut          Reason = "zone_out"          // the target's availability zone is out of service
--- a/model/report.go
+++ b/model/report.go
@@ -65,8 +65,9 @@
 	Running      int
 	Queued       int
 	FailureRate  float64       // fraction of calls that fail at the target, 0 to 1
-	ShedFraction float64       // fraction of recent calls that the target or its node turned away for lack of room, 0 to 1
-	QueueDelay   time.Duration // mean time that recent calls waited for a slot
+	ShedFraction float64       // fraction of recent nested calls that the target or its node turned away for lack of room, 0 to 1
+	QueueDelay   time.Duration // mean time that recent nested calls waited for a slot
+	Nested       int           // running calls that are nested in others
 	MeanRunTime  time.Duration // recent mean run time of a request; 0 if none ran recently
 	Documents    DocumentsState
 	DocumentsAge time.Duration   // time since the log confirmed to this node that there are no newer documents; negative if that is long ago
--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -15,6 +15,7 @@
 	"github.com/oleanderworks/oleanderworks/core/timers"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/chain"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/quota"
 )
@@ -84,6 +85,7 @@
 	rates      *quota.Limiter
 	budgets    map[model.Service]*retryBudget
 	splitters  map[string]*splitter
+	chain      *chain.Core
 	parents    map[string]*Parent // calls that run at the node's own target, by AttemptID; nested requests name it in Parent
 	suspicions *poison.Table
 	archive    *poison.Archive
@@ -96,7 +98,7 @@
 // New returns a core without a configuration. self and zone are those of the node, and
 // service is the service of its own target.
 func New(self model.Instance, zone model.Zone, service model.Service, rng *rand.Rand) *Core {
-	return &Core{
+	c := &Core{
 		self:       self,
 		zone:       zone,
 		service:    service,
@@ -113,6 +115,8 @@
 		suspicions: poison.NewTable(),
 		archive:    poison.NewArchive(rng),
 	}
+	c.chain = chain.New(c.serviceLoad, rng)
+	return c
 }
 
 func newMachine() *chart.Machine[*request] {
@@ -154,6 +158,11 @@
 	}
 	c.config = config
 	clear(c.splitters)
+	routes := make(map[string]bool, len(config.Routes))
+	for _, r := range config.Routes {
+		routes[r.Name] = true
+	}
+	c.chain.Retain(func(route string) bool { return routes[route] })
 	for name, customer := range config.Customers {
 		c.rates.SetLimit(now, name, customer.Rate, customer.Burst)
 	}
--- a/policy/mesh/dispatch/request.go
+++ b/policy/mesh/dispatch/request.go
@@ -98,6 +98,9 @@
 	if !c.mayEndInTime(r.now, r.target) {
 		return model.NewRefusal(r.id, model.ReasonNodeBusy, "the node of the caller stops before the request can be expected to end")
 	}
+	if a := r.refuseOverloaded(); a != nil {
+		return a
+	}
 	if customer != nil {
 		grant, after := c.rates.Take(r.now, customer.Name)
 		if grant == quota.Refused {
@@ -315,9 +318,12 @@
 		a = model.NewFailure(r.id, a.Reason, "an earlier attempt may have run: "+a.Detail)
 	}
 	if a.Run == model.NotRun {
-		a.RetryAfter = r.retryAfter(a.RetryAfter)
+		if a.Reason != model.ReasonOverload { // which has spread the returns itself
+			a.RetryAfter = r.retryAfter(a.RetryAfter)
+		}
 		r.refundRate()
 	}
+	r.learnChain(a)
 	if r.parent != nil {
 		r.parent.AddWork(r.work)
 		if serviceFailed(a) {
--- a/policy/mesh/dispatch/target.go
+++ b/policy/mesh/dispatch/target.go
@@ -55,6 +55,10 @@
 	reportedAt     time.Time
 	otherNodesLoad int // running and queued calls of other nodes
 	outstanding    int // calls of this node in progress at the target
+	running        int // calls, as last reported
+	nested         int // running calls that are nested in others, as last reported
+	shedFraction   float64
+	queueDelay     time.Duration
 }
 
 // targetSet holds the known targets of all services.
@@ -91,6 +95,7 @@
 	t.cold, t.coldRate = r.Cold, r.ColdRate
 	t.limit, t.runTime, t.failureRate, t.reportedAt = r.Limit, r.MeanRunTime, r.FailureRate, now
 	t.otherNodesLoad = max(r.Running+r.Queued-t.outstanding, 0)
+	t.running, t.nested, t.shedFraction, t.queueDelay = r.Running, r.Nested, r.ShedFraction, r.QueueDelay
 }
 
 func (s *targetSet) remove(t *target) {
--- a/policy/mesh/gate/call.go
+++ b/policy/mesh/gate/call.go
@@ -47,7 +47,7 @@
 			"refuse_overload":    (*trackedCall).refuseOverload,
 			"refuse_deadline":    (*trackedCall).refuseDeadline,
 			"cancel_run":         func(tc *trackedCall) { tc.emit(Decision{Cancel: true}) },
-			"release_slot":       func(tc *trackedCall) { tc.core.running-- },
+			"release_slot":       (*trackedCall).releaseSlot,
 		},
 	})
 }
@@ -86,31 +86,46 @@
 func (tc *trackedCall) run() {
 	c := tc.core
 	tc.started = tc.now
-	c.pressure.onStarted(tc.now, tc.now.Sub(tc.arrived))
 	c.running++
-	if !tc.call.Nested {
+	if tc.call.Nested {
+		c.nested++
+		c.pressure.onStarted(tc.now, tc.now.Sub(tc.arrived))
+	} else {
 		c.windowFor(tc.call.Priority).running++
 	}
 	c.target.takeColdToken(tc.now)
 	tc.emit(Decision{Run: tc.call, Target: c.target.id})
 }
 
+func (tc *trackedCall) releaseSlot() {
+	tc.core.running--
+	if tc.call.Nested {
+		tc.core.nested--
+	}
+}
+
 func (tc *trackedCall) refuseUnavailable() {
 	reason, detail := tc.core.target.refusal()
 	tc.refuse(reason, detail, 0)
 }
 
 func (tc *trackedCall) refuseDeadline() {
-	tc.core.pressure.onTurnedAway(tc.now)
+	tc.recordTurnedAway()
 	tc.refuse(model.ReasonDeadline, "no slot became free before the deadline", 0)
 }
 
 func (tc *trackedCall) refuseOverload() {
 	c := tc.core
-	c.pressure.onTurnedAway(tc.now)
+	tc.recordTurnedAway()
 	tc.refuse(model.ReasonShed, "the queue for the target is too long", c.expectedWait(tc.now, tc))
 }
 
+func (tc *trackedCall) recordTurnedAway() {
+	if tc.call.Nested {
+		tc.core.pressure.onTurnedAway(tc.now)
+	}
+}
+
 func (tc *trackedCall) refuse(reason model.Reason, detail string, retryAfter time.Duration) {
 	a := model.NewRefusal(tc.call.ID, reason, detail)
 	a.RetryAfter = retryAfter
--- a/policy/mesh/gate/core.go
+++ b/policy/mesh/gate/core.go
@@ -85,6 +85,7 @@
 	queue            queue
 	nextExpiryScan   time.Time
 	running          int
+	nested           int             // running calls that are nested in others
 	windows          map[int]*window // by priority
 	meanRunTime      time.Duration
 	runTimeSampledAt time.Time // time of the last sample of meanRunTime
@@ -136,7 +137,9 @@
 	}
 	tc := &trackedCall{core: c, now: now, state: c.callMachine.Initial(), call: call, arrived: now}
 	c.byID[call.ID] = tc
-	c.pressure.onArrival(now)
+	if call.Nested {
+		c.pressure.onArrival(now)
+	}
 	tc.step(now, eventAdmissionRequested)
 	c.admitWaiting(now)
 }
@@ -171,7 +174,7 @@
 		c.meanRunTime += time.Duration(runTimeWeight * float64(sample-c.meanRunTime))
 	}
 	c.recordRunResult(now, tc, outcome, status)
-	if outcome == model.OutcomeTargetFull {
+	if outcome == model.OutcomeTargetFull && tc.call.Nested {
 		c.pressure.onTurnedAway(now)
 	}
 	switch outcome {
@@ -277,7 +280,7 @@
 	r.Cold = c.target.cold(now)
 	r.ColdRate = c.target.coldRate
 	r.Limit = c.limit()
-	r.Running = c.running
+	r.Running, r.Nested = c.running, c.nested
 	r.Queued = c.queue.length
 	r.Crashes = c.crashes.TakeReports()
 	r.FailureRate = c.failures.fraction(now, c.countStuck(now))
--- a/policy/mesh/gate/pressure.go
+++ b/policy/mesh/gate/pressure.go
@@ -9,8 +9,10 @@
 // measured pressure. Callers' nodes must notice overload, and its end, within half a second.
 const pressureDecayTime = 400 * time.Millisecond
 
-// pressure measures how short of room the target is: how many of the calls that arrive are
-// turned away, and how long the others wait for a slot. All counts decay exponentially.
+// pressure measures how short of room the target is for nested calls: how many of those that
+// arrive are turned away, and how long the others wait for a slot. All counts decay
+// exponentially. External calls do not count: the callers' nodes limit the requests that make
+// nested calls by this, and long external calls may wait for seconds without harm.
 type pressure struct {
 	arrived    float64 // calls
 	turnedAway float64 // calls, by the target or its node
--- a/transport/frame/frame_test.go
+++ b/transport/frame/frame_test.go
@@ -36,7 +36,7 @@
 				Node: model.NodeID{Instance: "10.0.0.1:7000", Incarnation: 5}, Target: "t1", Service: "registry",
 				Zone: "north", State: model.TargetLeaving, Limit: 16, ColdRate: 25, Version: "v2",
 			},
-			Cold: true, Running: 3, Queued: 2, MeanRunTime: 20 * time.Millisecond, Documents: model.DocumentsState{End: model.LogPosition{Era: 2, Offset: 12}, Version: 9}, DocumentsAge: 30 * time.Millisecond, FailureRate: 0.25, ShedFraction: 0.5, QueueDelay: 12 * time.Millisecond,
+			Cold: true, Running: 3, Queued: 2, MeanRunTime: 20 * time.Millisecond, Documents: model.DocumentsState{End: model.LogPosition{Era: 2, Offset: 12}, Version: 9}, DocumentsAge: 30 * time.Millisecond, FailureRate: 0.25, ShedFraction: 0.5, QueueDelay: 12 * time.Millisecond, Nested: 2,
 			Usage:   []model.CustomerUsage{{Customer: "herders", Admitted: 7, Demand: 1.25}},
 			Crashes: []model.CrashReport{{Fingerprint: 1 << 60, Count: 2}, {Fingerprint: 5}},
 		}},
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -251,6 +251,7 @@
 	b = appendUint(b, 12, r.Documents.Version)
 	b = appendUint(b, 13, uint64(r.ShedFraction*fractionScale))
 	b = appendUint(b, 14, uint64(r.QueueDelay.Milliseconds()))
+	b = appendUint(b, 15, uint64(r.Nested))
 	return appendCrashReports(b, 8, r.Crashes)
 }
 
@@ -338,6 +339,8 @@
 			r.ShedFraction = decodeFraction(f.value)
 		case 14:
 			r.QueueDelay = time.Duration(min(f.value, maxMilliseconds)) * time.Millisecond
+		case 15:
+			r.Nested = int(f.value)
 		}
 		return nil
 	})
