--- a/policy/mesh/gate/call.go
+++ b/policy/mesh/gate/call.go
@@ -96,10 +96,10 @@
 func (tc *trackedCall) run() {
 	c := tc.core
 	tc.started = tc.now
-	c.pressure.onStarted(tc.now, tc.now.Sub(tc.arrived))
 	c.running++
 	if tc.call.Nested {
 		c.nested.onStarted(tc.now, tc.call.Priority)
+		c.pressure.onStarted(tc.now, tc.now.Sub(tc.arrived))
 	} else {
 		w := c.windowFor(tc.call.Priority)
 		w.running++
@@ -115,16 +115,22 @@
 }
 
 func (tc *trackedCall) refuseDeadline() {
-	tc.core.pressure.onTurnedAway(tc.now)
+	tc.recordTurnedAway()
 	tc.refuse(model.ReasonDeadline, "no slot became free before the deadline", 0)
 }
 
 func (tc *trackedCall) refuseOverload() {
 	c := tc.core
-	c.pressure.onTurnedAway(tc.now)
+	tc.recordTurnedAway()
 	tc.refuse(model.ReasonShed, "the queue for the target is too long", c.expectedWait(tc.now, tc))
 }
 
+func (tc *trackedCall) recordTurnedAway() {
+	if tc.call.Nested {
+		tc.core.pressure.onTurnedAway(tc.now)
+	}
+}
+
 func (tc *trackedCall) refuse(reason model.Reason, detail string, retryAfter time.Duration) {
 	a := model.NewRefusal(tc.call.ID, reason, detail)
 	a.RetryAfter = retryAfter
--- a/policy/mesh/gate/core.go
+++ b/policy/mesh/gate/core.go
@@ -131,7 +131,9 @@
 	tc := &trackedCall{core: c, now: now, state: c.callMachine.Initial(), call: call, arrived: now}
 	c.byID[call.ID] = tc
 	tc.urgency = c.urgencyOf(tc)
-	c.pressure.onArrival(now)
+	if call.Nested {
+		c.pressure.onArrival(now)
+	}
 	tc.step(now, eventAdmissionRequested)
 	c.admitWaiting(now)
 }
@@ -163,7 +165,7 @@
 		c.runTimes.add(now, tc, now.Sub(tc.started))
 	}
 	c.recordRunResult(now, tc, outcome, status)
-	if outcome == model.OutcomeTargetFull {
+	if outcome == model.OutcomeTargetFull && tc.call.Nested {
 		c.pressure.onTurnedAway(now)
 	}
 	switch outcome {
@@ -271,7 +273,7 @@
 	r.Cold = c.target.cold(now)
 	r.ColdRate = c.target.coldRate
 	r.Limit = c.limit()
-	r.Running = c.running
+	r.Running, r.Nested = c.running, c.nested.running
 	r.Queued = c.queue.length
 	r.Crashes = c.crashes.TakeReports()
 	r.FailureRate = c.failures.fraction(now, c.countStuck(now))
