chain: cold targets and calls of the past do not limit requests

The reported wait did not fall while few calls started.

Change: the wait counts as overload only as far as the slots of the service are in use, like calls that are turned away. Two calls without wait are added to the measured pressure.

Ruled out: a limit on the reported wait's age; it delays the end of a true overload as well.

--- a/policy/mesh/chain/chain_test.go
+++ b/policy/mesh/chain/chain_test.go
@@ -187,8 +187,8 @@
 	assert.Assert(t, admitted[1] > 1_200 && admitted[1] < 2_200, "%v", admitted)
 }
 
-// Guards against refusals because of targets that turn calls away although they have room,
-// and because of reports that are missing.
+// Guards against refusals because of targets that turn calls away, or take them slowly while
+// they are cold, although they have room, and because of reports that are missing.
 func TestRejectionsWithoutLoadAndStaleReportsLimitNothing(t *testing.T) {
 	load := ServiceLoad{Targets: 4, Running: 40, Limit: 200, ShedFraction: 0.55}
 	c := New(func(time.Time, model.Service) ServiceLoad { return load }, rand.New(rand.NewPCG(1, 1)))
@@ -201,6 +201,8 @@
 		}
 	}
 	admitAll()
+	load.QueueDelay = 500 * time.Millisecond // cold targets
+	admitAll()
 	load = ServiceLoad{}
 	admitAll()
 }
--- a/policy/mesh/chain/limit.go
+++ b/policy/mesh/chain/limit.go
@@ -48,9 +48,10 @@
 	// below which it has room.
 	overloadedShed = 0.03
 	relievedShed   = 0.01
-	// A service that turns calls away counts as overloaded from fullUtilization on, and
-	// less below it, down to not at all at idleUtilization: targets that refuse calls
-	// although they have room refuse no fewer of them when fewer requests are begun.
+	// A service that turns calls away or lets them wait counts as overloaded from
+	// fullUtilization on, and less below it, down to not at all at idleUtilization. Targets
+	// that refuse calls although they have room refuse no fewer of them when fewer requests
+	// are begun, and cold targets, whose rate is limited, are soon warm.
 	idleUtilization = 0.5
 	fullUtilization = 0.8
 	// Bounds of the times after which refused callers are asked to retry. Callers wait for
@@ -114,19 +115,22 @@
 		return eventStale
 	case l.excess() > 0:
 		return eventOverloaded
-	case l.shed() < relievedShed && l.load.QueueDelay < relievedQueueDelay:
+	case l.full() == 0, l.shed() < relievedShed && l.load.QueueDelay < relievedQueueDelay:
 		return eventRelieved
 	default:
 		return eventTolerable
 	}
 }
 
-// shed returns the fraction of calls that are turned away for lack of room.
-func (l *limit) shed() float64 {
+// full returns how full the service is: 0 up to idleUtilization, 1 from fullUtilization on.
+func (l *limit) full() float64 {
 	full := (l.load.utilization() - idleUtilization) / (fullUtilization - idleUtilization)
-	return l.load.ShedFraction * min(max(full, 0), 1)
+	return min(max(full, 0), 1)
 }
 
+// shed returns the fraction of calls that are turned away for lack of room.
+func (l *limit) shed() float64 { return l.load.ShedFraction * l.full() }
+
 // excess returns the fraction of the admitted load that the service cannot take, or 0 if it
 // takes all.
 func (l *limit) excess() float64 {
@@ -135,7 +139,7 @@
 		excess = shed
 	}
 	if wait := l.load.QueueDelay - maxQueueDelay; wait > 0 {
-		excess = max(excess, min(float64(wait)/float64(severeQueueDelay), 1))
+		excess = max(excess, l.full()*min(float64(wait)/float64(severeQueueDelay), 1))
 	}
 	return excess
 }
--- a/policy/mesh/gate/pressure.go
+++ b/policy/mesh/gate/pressure.go
@@ -9,6 +9,10 @@
 // measured pressure. Callers' nodes must notice overload, and its end, within half a second.
 const pressureDecayTime = 400 * time.Millisecond
 
+// pressurePrior is a number of calls without wait that is added to those counted. Without it
+// the last few calls before a pause would state a long wait until others follow.
+const pressurePrior = 2
+
 // pressure measures how short of room the target is for nested calls: how many of those that
 // arrive are turned away, and how long the others wait for a slot. All counts decay
 // exponentially. External calls do not count: the callers' nodes limit the requests that make
@@ -50,15 +54,14 @@
 	p.waited += waited.Seconds()
 }
 
-// shedFraction returns the fraction of recent calls that were turned away, or 0 if less than
-// one call has arrived recently.
+// shedFraction returns the fraction of recent calls that were turned away.
 func (p *pressure) shedFraction(now time.Time) float64 {
 	p.decay(now)
-	return min(p.turnedAway/max(p.arrived, 1), 1)
+	return min(p.turnedAway/(p.arrived+pressurePrior), 1)
 }
 
 // queueDelay returns the mean wait of the calls that started recently.
 func (p *pressure) queueDelay(now time.Time) time.Duration {
 	p.decay(now)
-	return time.Duration(p.waited / max(p.started, 1) * float64(time.Second))
+	return time.Duration(p.waited / (p.started + pressurePrior) * float64(time.Second))
 }
