mesh: a share of the calls leaves the availability zone

Cause: a call left its zone when a target elsewhere had lower costs at that moment.

Change: policy/mesh/zoneshare decides for each service, and for external and nested calls, which share leaves the zone: from 1.0 (nested: 0.9) of what the zone's targets bear on, within bounds of change and what other zones have to spare, and only to zones that are less full by 0.15. The targets' groups tell stale reports of the own zone from those of others: with stale reports the own zone is enough as long as it has a target in service; before, a full zone with stale reports sent calls to other zones. Further attempts still compare costs.

--- a/policy/mesh/dispatch/placement.go
+++ b/policy/mesh/dispatch/placement.go
@@ -54,12 +54,13 @@
 	loadCorrection = 2.0
 )
 
-// Groups of targets among which a call's target is drawn. A group that is not preferred
-// gets a call if its expected time is shorter in spite of the penalties.
+// Groups of targets among which a call's target is drawn.
 const (
-	nearGroup    = iota // in the node's availability zone
-	farGroup            // in other availability zones
-	avoidedGroup        // with a penalty for failures or a stale report that exceeds the run time
+	nearGroup      = iota // in the node's availability zone
+	farGroup              // in other availability zones
+	nearStaleGroup        // in the node's availability zone, with a stale report
+	farStaleGroup         // in other availability zones, with a stale report
+	failingGroup          // with a penalty for failures that exceeds the run time
 	groupCount
 )
 
@@ -75,38 +76,46 @@
 	logRunTime float64
 }
 
-// choose returns the target for a call, or nil if there is none. It draws one from each
-// group of targets, with the probability of its share of the group's calls, and compares
-// their costs: the expected times until the call ends plus the penalties. Since it draws,
-// nodes that have the same reports choose different targets.
+// choose returns the target for a call, or nil if there is none. It is drawn from the
+// targets of the own availability zone, or, for the share of the calls that leaves the
+// zone, from those of others. Since it is drawn, nodes that have the same reports choose
+// different targets.
 func (s *targetSet) choose(now time.Time, call *model.Call, tried []*target, zonesOut map[model.Zone]bool) *target {
-	s.group(now, call, tried, zonesOut)
-	var best *target
-	var bestCost float64
-	for i := range s.groups {
-		c := s.draw(s.groups[i])
-		if c == nil {
-			continue
-		}
-		cost := c.cost()
-		if i == nearGroup {
-			cost = lowestCost(s.groups[i])
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = c.target, cost
-		}
+	zonePenalty := s.groupTargets(now, call, tried, zonesOut)
+	var best *candidate
+	if len(tried) == 0 && len(s.groups[nearGroup]) > 0 && len(s.groups[farGroup]) > 0 {
+		best = s.drawByZone(now, call, zonePenalty)
+	} else {
+		best = cheaper(s.draw(s.groups[nearGroup]), s.draw(s.groups[farGroup]))
 	}
-	return best
+	best = cheaper(best, s.draw(s.groups[nearStaleGroup]))
+	if best == nil {
+		best = s.draw(s.groups[farStaleGroup])
+	}
+	best = cheaper(best, s.draw(s.groups[failingGroup]))
+	if best == nil {
+		return nil
+	}
+	return best.target
 }
 
-// group divides the targets that may get a call into groups.
-func (s *targetSet) group(now time.Time, call *model.Call, tried []*target, zonesOut map[model.Zone]bool) {
+// cheaper returns the candidate with the lower cost. Either may be nil.
+func cheaper(a, b *candidate) *candidate {
+	if a == nil || b != nil && b.cost() < a.cost() {
+		return b
+	}
+	return a
+}
+
+// groupTargets divides the targets that may get a call into groups. It returns the penalty
+// for targets in other availability zones.
+func (s *targetSet) groupTargets(now time.Time, call *model.Call, tried []*target, zonesOut map[model.Zone]bool) (zonePenalty float64) {
 	for i := range s.groups {
 		s.groups[i] = s.groups[i][:0]
 	}
 	assumedRunTime, medianFailureRate := serviceBaseline(s.byService[call.Service])
 	timeLeft := max(call.SLODeadline.Sub(now), 0).Seconds()
-	zonePenalty := remoteZonePenalty * timeLeft
+	zonePenalty = remoteZonePenalty * timeLeft
 	if call.Nested {
 		zonePenalty = remoteZonePenaltyNested * timeLeft
 	}
@@ -116,21 +125,36 @@
 		}
 		c := newCandidate(t, assumedRunTime)
 		c.penalty = max(t.failureRate-medianFailureRate-failureTolerance, 0) * failurePenalty * timeLeft
-		if t.peer != s.self && t.reportAge(now) > staleReportAge {
-			c.penalty += staleReportPenalty.Seconds()
-		}
-		group := nearGroup
-		switch c.weight = 1 - c.penalty/c.runTime; {
-		case c.weight <= 0:
-			group, c.weight = avoidedGroup, 1
-		case t.zone != s.zone:
-			group = farGroup
-		}
+		c.weight = 1 - c.penalty/c.runTime
 		if t.zone != s.zone {
 			c.penalty += zonePenalty
 		}
+		group := s.groupOf(&c, t.peer != s.self && t.reportAge(now) > staleReportAge)
 		s.groups[group] = append(s.groups[group], c)
 	}
+	return zonePenalty
+}
+
+// groupOf returns the group of a candidate, and sets its weight and its penalty for a stale
+// report.
+func (s *targetSet) groupOf(c *candidate, stale bool) int {
+	if stale {
+		c.penalty += staleReportPenalty.Seconds()
+	}
+	near := c.target.zone == s.zone
+	switch {
+	case c.weight <= 0:
+		c.weight = 1
+		return failingGroup
+	case stale && near:
+		return nearStaleGroup
+	case stale:
+		return farStaleGroup
+	case near:
+		return nearGroup
+	default:
+		return farGroup
+	}
 }
 
 func newCandidate(t *target, assumedRunTime time.Duration) candidate {
--- a/policy/mesh/dispatch/placement_test.go
+++ b/policy/mesh/dispatch/placement_test.go
@@ -16,14 +16,14 @@
 // newFleetSim returns a simulation of 80 nodes and 20 targets in four availability zones.
 func newFleetSim(utilization float64, speeds []float64, choose choice) *fleetSim {
 	return &fleetSim{
-		zoneSizes: []int{5, 5, 5, 5}, speeds: speeds, limit: 68, runTime: 81 * time.Millisecond, utilization: utilization,
+		zoneSizes: []int{5, 5, 5, 5}, speeds: speeds, utilization: utilization,
 		nested: true, objective: 300 * time.Millisecond, length: 5 * time.Second, choose: choose,
 	}
 }
 
 // leastCost chooses the target with the lowest cost of all, with a jitter of 10%.
 func leastCost(s *targetSet, now time.Time, call *model.Call) *target {
-	s.group(now, call, nil, nil)
+	s.groupTargets(now, call, nil, nil)
 	var best *target
 	bestCost := math.Inf(1)
 	for _, group := range s.groups {
@@ -38,7 +38,7 @@
 
 // random chooses any target of the node's availability zone.
 func random(s *targetSet, now time.Time, call *model.Call) *target {
-	s.group(now, call, nil, nil)
+	s.groupTargets(now, call, nil, nil)
 	return s.groups[nearGroup][s.rng.IntN(len(s.groups[nearGroup]))].target
 }
 
--- a/policy/mesh/dispatch/target.go
+++ b/policy/mesh/dispatch/target.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/zoneshare"
 )
 
 // target is the state of a target as known at this node.
@@ -23,11 +24,11 @@
 	runTime        time.Duration
 	failureRate    float64 // fraction of calls that fail
 	reportedAt     time.Time
-	otherNodesLoad int // running and queued calls of other nodes
-	outstanding    int // calls of this node in progress at the target
-	running        int // calls, as last reported
-	nested         int // running calls that are nested in others, as last reported
-	shedFraction   float64
+	otherNodesLoad int     // running and queued calls of other nodes
+	outstanding    int     // calls of this node in progress at the target
+	running        int     // calls, as last reported
+	nested         int     // running calls that are nested in others, as last reported
+	shedFraction   float64 // fraction of calls that are turned away for lack of room
 	queueDelay     time.Duration
 }
 
@@ -39,6 +40,10 @@
 	byPeer    map[model.Instance]*target
 	byService map[model.Service][]*target
 	groups    [groupCount][]candidate // of the latest choice; kept for their memory
+	zoneGroup []candidate             // the same, of one other zone
+
+	shares       map[shareKey]*zoneshare.Share // of the calls that leave the zone
+	shareChanges []ZoneShare
 }
 
 func newTargetSet(self model.Instance, zone model.Zone, rng *rand.Rand) *targetSet {
@@ -48,6 +53,7 @@
 		rng:       rng,
 		byPeer:    make(map[model.Instance]*target),
 		byService: make(map[model.Service][]*target),
+		shares:    make(map[shareKey]*zoneshare.Share),
 	}
 }
 
