--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -163,6 +163,7 @@
 		h.applyDecisions(now)
 		h.node.metrics.suspectedRequests.Set(int64(h.core.SuspectedRequests()))
 		h.reportChainLimits()
+		h.reportZoneShares()
 		for _, record := range h.core.TakePoisonWrites() {
 			h.node.poisonWriter.records.Offer(record) // the core requests it again
 		}
--- a/agent/mesh/metrics.go
+++ b/agent/mesh/metrics.go
@@ -11,6 +11,7 @@
 
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/chain"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/dispatch"
 )
 
 const (
@@ -39,6 +40,9 @@
 	// chainLimits holds the limits on requests whose nested calls need a service that is
 	// short of room; nil until the first tick of the entry duty.
 	chainLimits atomic.Pointer[[]chain.Limit]
+	// zoneShares holds the shares of the calls that leave the availability zone; nil until
+	// the first tick of the entry duty.
+	zoneShares atomic.Pointer[[]dispatch.ZoneShare]
 	// Bytes sent on links within the availability zone and to other zones.
 	sentInZone, sentToOtherZones *expvar.Map
 
@@ -68,6 +72,7 @@
 	m.vars.Set("suspected_requests", &m.suspectedRequests)
 	m.vars.Set("log_checks", &m.logChecks)
 	m.vars.Set("chain_limits", expvar.Func(m.chainLimitsByService))
+	m.vars.Set("zone_shares", expvar.Func(m.zoneSharesByService))
 	m.vars.Set("sent_bytes_in_zone", m.sentInZone)
 	m.vars.Set("sent_bytes_to_other_zones", m.sentToOtherZones)
 	m.vars.Set("latency_us", expvar.Func(m.latencyQuantiles))
--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -86,4 +86,7 @@
 	MeshChainLimitChanged = define(1045, "mesh_chain_limit_changed", hclog.Info,
 		"The limit on requests whose nested calls need a service behind the first one has entered another state. fraction is the part of the requests that is begun; shed, queue_delay, nested and limit are the load of the service that decides it.",
 		"See docs/operators/chain-admission.md.")
+	MeshZoneShareChanged = define(1046, "mesh_zone_share_changed", hclog.Info,
+		"The share of the calls to a service that leaves the availability zone of this node has changed by 0.1 or more, or calls no longer leave. The fields own and others are utilizations of the service's targets in each zone, with the ages of the reports.",
+		"If the reason is own_zone_full for long, add targets of the service in this availability zone.")
 )
