mesh: nodes carry out orders to move a service to another version

Cause: package rollout decides, and nothing calls it.

Change: the entry duty asks it which targets a call may go to and tells it of each response; orders come with the operator's documents, the state of the other nodes with a frame of its own kind, which nodes of earlier builds skip, and which goes the way of the usage of rates. A thread reads and writes the states of orders. The log's client has a conditional append. Settings: the contract rollout and its bounds. Without the contract nothing changes.

Ruled out: a long read of the stream of statuses by every node (each record wakes all nodes, and each read is charged): nodes read it only at their start and in their turn to write.

--- a/agent/mesh/config.go
+++ b/agent/mesh/config.go
@@ -18,6 +18,13 @@
 	Config(value []byte) (*graph.Config, error)
 	// ZonesOutOfService returns the availability zones that are out of service.
 	ZonesOutOfService(records []keyed.Record) []model.Zone
+	// RolloutOrders returns the orders to move services to other versions, and the error of
+	// each record of an invalid one, by key.
+	RolloutOrders(records []keyed.Record) (orders []model.RolloutOrder, invalid map[string]error)
+	// RolloutStatuses returns the states of orders in records of keyed.StreamStatus.
+	RolloutStatuses(records []keyed.Record) []model.RolloutStatus
+	// EncodeRolloutStatus returns the key and the value of the record of an order's state.
+	EncodeRolloutStatus(s model.RolloutStatus) (key string, value []byte, err error)
 }
 
 // configLoader decodes the operator's documents and passes the configuration and
@@ -29,6 +36,9 @@
 	config   *graph.Config
 	value    []byte // of the record with config
 	zonesOut []model.Zone
+	orders   []model.RolloutOrder
+	era      uint64            // of the log, of the documents with orders
+	rejected map[string]string // invalid orders that were logged, by key
 
 	// Whether the duties still have to be told of config and zonesOut.
 	entryOutdated, gateOutdated bool
@@ -40,7 +50,7 @@
 	decodeError   error
 }
 
-func (c *configLoader) apply(records []keyed.Record) {
+func (c *configLoader) apply(records []keyed.Record, era uint64) {
 	decoder := c.node.decoder
 	for _, r := range records {
 		if decoder.IsConfig(r) && (c.config == nil || r.Position != c.position) {
@@ -54,6 +64,7 @@
 		c.node.log.Emit(event.MeshZonesOut, "zones", zonesOut)
 	}
 	c.zonesOut = zonesOut
+	c.loadOrders(records, era)
 	c.entryOutdated, c.gateOutdated = true, true
 	c.deliver()
 }
@@ -62,7 +73,7 @@
 // ring is full gets it with a later call.
 func (c *configLoader) deliver() {
 	if c.entryOutdated {
-		c.entryOutdated = !c.node.entry.Ring().Offer(entryConfigChanged{config: c.config, zonesOut: c.zonesOut})
+		c.entryOutdated = !c.node.entry.Ring().Offer(entryConfigChanged{config: c.config, zonesOut: c.zonesOut, orders: c.orders, era: c.era})
 	}
 	if c.gateOutdated {
 		c.gateOutdated = !c.node.gate.Ring().Offer(gateConfigChanged{config: c.config, zonesOut: c.zonesOut})
--- a/agent/mesh/delivery_test.go
+++ b/agent/mesh/delivery_test.go
@@ -26,6 +26,13 @@
 	return &graph.Config{Version: uint64(value[0])}, nil
 }
 func (versionDecoder) ZonesOutOfService([]keyed.Record) []model.Zone { return nil }
+func (versionDecoder) RolloutOrders([]keyed.Record) ([]model.RolloutOrder, map[string]error) {
+	return nil, nil
+}
+func (versionDecoder) RolloutStatuses([]keyed.Record) []model.RolloutStatus { return nil }
+func (versionDecoder) EncodeRolloutStatus(model.RolloutStatus) (string, []byte, error) {
+	return "", nil, nil
+}
 
 // newIdleNode returns a node whose duties do not run, and the handler of its peers duty.
 func newIdleNode() (*Node, *peersHandler) {
--- a/agent/mesh/documents.go
+++ b/agent/mesh/documents.go
@@ -78,8 +78,8 @@
 	for _, r := range h.core.TakeOutdated() {
 		h.loader.logRejected(r)
 	}
-	documents, _ := h.core.Documents()
-	h.loader.apply(documents)
+	documents, end := h.core.Documents()
+	h.loader.apply(documents, end.Era)
 	h.storeState()
 	h.reportDue = true
 }
--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderworks/oleanderworks/model/graph"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/dispatch"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/rollout"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
 
@@ -85,6 +86,23 @@
 	entryConfigChanged struct {
 		config   *graph.Config
 		zonesOut []model.Zone
+		orders   []model.RolloutOrder // to move services to other versions
+		era      uint64               // of the log, as of the orders
+	}
+	// rolloutReceived is a node's state of an order to move a service to another version.
+	rolloutReceived struct{ report model.RolloutReport }
+	// rolloutStatusRead is the result of a task that reads the states of orders.
+	rolloutStatusRead struct {
+		task     rollout.Task
+		statuses []model.RolloutStatus
+		end      model.LogPosition
+		err      error
+	}
+	// rolloutStatusAppended is the result of a task that appends the state of an order.
+	rolloutStatusAppended struct {
+		task     rollout.Task
+		conflict bool
+		err      error
 	}
 )
 
@@ -106,6 +124,10 @@
 func (failRequests) entryMessage()        {}
 func (nodeStopping) entryMessage()        {}
 
+func (rolloutReceived) entryMessage()       {}
+func (rolloutStatusRead) entryMessage()     {}
+func (rolloutStatusAppended) entryMessage() {}
+
 // entryHandler handles the messages of the entry duty, which runs the dispatch
 // policy.
 type entryHandler struct {
@@ -125,12 +147,16 @@
 
 func newEntryDuty(n *Node) *duty.Duty[entryMessage] {
 	s := n.settings
-	return duty.New[entryMessage]("entry", entryRingCapacity, &entryHandler{
+	h := &entryHandler{
 		node:    n,
 		core:    dispatch.New(s.Instance, s.Zone, s.Service, newRand()),
 		pending: make(map[model.CallID]*pendingRequest),
 		links:   make(map[model.Instance]*link),
-	})
+	}
+	if s.Rollouts != nil {
+		h.core.EnableRollouts(n.id, *s.Rollouts)
+	}
+	return duty.New[entryMessage]("entry", entryRingCapacity, h)
 }
 
 // Handle implements duty.Handler.
@@ -139,6 +165,7 @@
 		ok := h.node.guard("entry", m, func() {
 			h.handle(now, m)
 			h.applyDecisions(now)
+			h.applyRollouts(now)
 		})
 		if m, isRequest := m.(*requestReceived); isRequest && !ok {
 			h.abort(m.request.ID)
@@ -159,8 +186,10 @@
 func (h *entryHandler) Tick(now time.Time) time.Time {
 	next := now.Add(retryTickDelay) // if the timers panic
 	h.node.guard("entry", timersDue{}, func() {
+		h.core.SetConfirmedAt(h.node.documentsConfirmedAt())
 		next = h.core.Tick(now)
 		h.applyDecisions(now)
+		h.applyRollouts(now)
 		h.node.metrics.suspectedRequests.Set(int64(h.core.SuspectedRequests()))
 		h.reportChainLimits()
 		for _, record := range h.core.TakePoisonWrites() {
@@ -211,6 +240,7 @@
 		h.onCrashesReceived(now, m)
 	case peerConnected:
 		h.sendCrashes(now, m.link)
+		h.sendRollouts(now, m.link)
 	case poisonRecordsRead:
 		h.core.OnPoisonRecords(now, m.records, m.loaded)
 	case poisonRecordWritten:
@@ -235,7 +265,10 @@
 		h.core.SetPeers(m.peers)
 	case entryConfigChanged:
 		h.core.OnConfig(now, m.config, m.zonesOut)
+		h.onRolloutOrders(now, m)
 		h.node.configured.Store(h.core.Ready())
+	case rolloutReceived, rolloutStatusRead, rolloutStatusAppended:
+		h.handleRollout(now, m)
 	}
 }
 
--- a/agent/mesh/metrics.go
+++ b/agent/mesh/metrics.go
@@ -35,7 +35,11 @@
 	// suspectedRequests is the number of requests that are suspected of crashing targets,
 	// including the refused ones.
 	suspectedRequests expvar.Int
-	logChecks         expvar.Int // checks whether the log has newer documents
+	// rollouts holds the phase of each service's order to move to another version.
+	rollouts       *expvar.Map
+	rolloutWrites  expvar.Int // states of orders that this node wrote to the log
+	rolloutReports expvar.Int // states of orders that this node sent to its peers
+	logChecks      expvar.Int // checks whether the log has newer documents
 	// chainLimits holds the limits on requests whose nested calls need a service that is
 	// short of room; nil until the first tick of the entry duty.
 	chainLimits atomic.Pointer[[]chain.Limit]
@@ -52,6 +56,7 @@
 		refusedByReason: new(expvar.Map).Init(),
 		windows:         new(expvar.Map).Init(),
 
+		rollouts:         new(expvar.Map).Init(),
 		sentInZone:       new(expvar.Map).Init(),
 		sentToOtherZones: new(expvar.Map).Init(),
 
@@ -67,6 +72,9 @@
 	m.vars.Set("crash_reports", &m.crashReports)
 	m.vars.Set("suspected_requests", &m.suspectedRequests)
 	m.vars.Set("log_checks", &m.logChecks)
+	m.vars.Set("rollouts", m.rollouts)
+	m.vars.Set("rollout_writes", &m.rolloutWrites)
+	m.vars.Set("rollout_reports", &m.rolloutReports)
 	m.vars.Set("chain_limits", expvar.Func(m.chainLimitsByService))
 	m.vars.Set("sent_bytes_in_zone", m.sentInZone)
 	m.vars.Set("sent_bytes_to_other_zones", m.sentToOtherZones)
@@ -128,3 +136,10 @@
 		"count": m.latency.TotalCount(),
 	}
 }
+
+// setRolloutPhase publishes the phase of a service's order to move to another version.
+func (m *metrics) setRolloutPhase(service model.Service, phase model.RolloutPhase) {
+	value := new(expvar.String)
+	value.Set(phase.String())
+	m.rollouts.Set(string(service), value)
+}
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -76,6 +76,7 @@
 	checker         *logChecker
 	publisher       *addressPublisher
 	poisonWriter    *poisonWriter
+	rolloutLog      *rolloutLog
 
 	configured atomic.Bool  // a configuration is known
 	idle       atomic.Bool  // no call waits for the target or runs there
@@ -116,6 +117,7 @@
 	n.checker = newLogChecker(n)
 	n.publisher = newAddressPublisher(n)
 	n.poisonWriter = newPoisonWriter(n)
+	n.rolloutLog = newRolloutLog(n)
 	n.newLogReaders()
 	n.metrics.vars.Set("entry", n.entry.Vars())
 	n.metrics.vars.Set("gate", n.gate.Vars())
@@ -246,6 +248,9 @@
 	n.publisher.request()
 	go n.publisher.run(ctx)
 	go n.poisonWriter.run(ctx)
+	if n.settings.Rollouts != nil {
+		go n.rolloutLog.run(ctx)
+	}
 }
 
 // Serve answers a request. It returns nil if the caller disconnects first.
@@ -382,6 +387,11 @@
 		if m.Node == l.peer.Node && l.peer.Zone != n.settings.Zone {
 			n.peers.Ring().Offer(otherZoneUsage{usage: m})
 		}
+	case frame.Rollout:
+		n.entry.Ring().Offer(rolloutReceived{report: m.Report})
+		if m.Report.Node == l.peer.Node && l.peer.Zone != n.settings.Zone {
+			n.peers.Ring().Offer(otherZoneRollout{rollout: m})
+		}
 	case frame.Crashes:
 		_ = n.entry.Ring().Put(context.Background(), crashesReceived{peer: l.peer.Node.Instance, reports: m.Reports})
 	case frame.Documents:
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -96,6 +96,11 @@
 	// otherZoneUsage is the usage that a node in another availability zone
 	// reports, to be forwarded to all nodes of this zone.
 	otherZoneUsage struct{ usage frame.Usage }
+	// ownRollout is this node's state of an order to move a service to another version.
+	ownRollout struct{ report model.RolloutReport }
+	// otherZoneRollout is the state of a node in another availability zone, to be forwarded
+	// to all nodes of this zone.
+	otherZoneRollout struct{ rollout frame.Rollout }
 	// closeAllLinks closes all links, since the node stops.
 	closeAllLinks struct{}
 )
@@ -116,6 +121,8 @@
 func (ownUsage) peersMessage()            {}
 func (otherZoneUsage) peersMessage()      {}
 func (closeAllLinks) peersMessage()       {}
+func (ownRollout) peersMessage()          {}
+func (otherZoneRollout) peersMessage()    {}
 
 // peersHandler handles the messages of the peers duty, which runs the fleet policy.
 type peersHandler struct {
@@ -220,6 +227,10 @@
 		}
 	case otherZoneUsage:
 		h.forwardInZone(m.usage)
+	case ownRollout:
+		h.sendRollout(frame.Rollout{Report: m.report})
+	case otherZoneRollout:
+		h.forwardInZone(m.rollout)
 	case closeAllLinks:
 		h.closeLinks()
 	}
--- a/agent/mesh/settings.go
+++ b/agent/mesh/settings.go
@@ -15,6 +15,7 @@
 
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/fleet"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/rollout"
 )
 
 const (
@@ -39,6 +40,8 @@
 	AnnounceInterval time.Duration // usual time between two announcements
 	GracePeriod      time.Duration // from the signal to stop to the end of the process
 	MemoryBytes      int64         // memory limit of the process; 0 for none
+
+	Rollouts *rollout.Bounds // for orders to move services to other versions; nil if they are not carried out
 }
 
 // Advertise sets the address at which other nodes reach this one, if it differs
--- a/agent/mesh/usage.go
+++ b/agent/mesh/usage.go
@@ -38,14 +38,28 @@
 	if len(changed) == 0 {
 		return
 	}
+	for _, l := range h.otherZoneLinks() {
+		l.send(frame.Usage{Node: h.node.id, Customers: changed})
+	}
+}
+
+// otherZoneLinks returns the link to the chosen peer of each other availability zone.
+func (h *peersHandler) otherZoneLinks() map[model.Zone]*link {
 	chosen := make(map[model.Zone]*link)
 	for l := range h.incoming {
 		if best := chosen[l.peer.Zone]; !h.inOwnZone(l) && (best == nil || h.rendezvousHash(l) < h.rendezvousHash(best)) {
 			chosen[l.peer.Zone] = l
 		}
 	}
-	for _, l := range chosen {
-		l.send(frame.Usage{Node: h.node.id, Customers: changed})
+	return chosen
+}
+
+// sendRollout sends the node's state of an order in the same way as usage: to the peers of
+// its own zone, and to one of each other zone, which forwards it there.
+func (h *peersHandler) sendRollout(m frame.Rollout) {
+	h.forwardInZone(m)
+	for _, l := range h.otherZoneLinks() {
+		l.send(m)
 	}
 }
 
@@ -55,12 +69,12 @@
 	return xxhash.Sum64String(string(h.node.id.Instance) + " " + string(l.peer.Node.Instance))
 }
 
-// forwardInZone forwards usage from another availability zone to the peers in
-// this one.
-func (h *peersHandler) forwardInZone(u frame.Usage) {
+// forwardInZone sends a message, which may be from another availability zone, to the peers
+// in this one.
+func (h *peersHandler) forwardInZone(m frame.Message) {
 	for l := range h.incoming {
 		if h.inOwnZone(l) {
-			l.send(u)
+			l.send(m)
 		}
 	}
 }
--- a/core/event/mesh.go
+++ b/core/event/mesh.go
@@ -71,6 +71,13 @@
 		"The store's log was restored from a backup and began a new era. The documents in the field retained stay in force although the log lacks them.",
 		"Write again what was written since the backup.")
 
+	MeshRolloutChanged = define(1060, "mesh_rollout_changed", hclog.Warn,
+		"The phase of an order to move a service to another version has changed on the node. If from and to are equal, the field detail says what else has happened.",
+		"If the new phase is stopped, see the field detail for how the version is worse; see docs/operators/rollout.md.")
+	MeshRolloutRecorded = define(1061, "mesh_rollout_recorded", hclog.Info,
+		"The node read the state of an order from the store's log, or wrote it there. The field error is set if the log did not answer or had a newer record; the node or another one tries again.",
+		"If errors go on, check the store.")
+
 	MeshLinkOpened = define(1040, "mesh_link_opened", hclog.Info,
 		"A link to another node was established.", "None.")
 	MeshLinkClosed = define(1041, "mesh_link_closed", hclog.Warn,
--- a/logservice/keyed/keyed.go
+++ b/logservice/keyed/keyed.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,8 @@
 	// StreamNodes holds the address of each node, appended by the node itself, and the
 	// requests that all nodes refuse because they crash targets.
 	StreamNodes = "nodes"
+	// StreamStatus holds the state of the operator's orders, written by any node.
+	StreamStatus = "status"
 )
 
 // Both errors mean that the reader must start again with Newest.
@@ -30,6 +33,21 @@
 	ErrOtherEra = errors.New("the log is in another era")
 )
 
+// ErrConflict reports that a conditional append was not made, since the stream does not end
+// where it should.
+var ErrConflict = errors.New("the stream has newer records")
+
+// Conflict is the error of a conditional append that was not made. It is an ErrConflict.
+type Conflict struct {
+	End int64 // offset at which the stream ends
+}
+
+// Error implements error.
+func (c *Conflict) Error() string { return fmt.Sprintf("%v: it ends at %d", ErrConflict, c.End) }
+
+// Is makes errors.Is find ErrConflict.
+func (c *Conflict) Is(target error) bool { return target == ErrConflict }
+
 // Record sets the value of a key, or deletes the key if the value is empty.
 type Record struct {
 	Key      string
@@ -50,4 +68,8 @@
 	// Append adds a record and returns the era in which it was added. After an error
 	// the record may have been added, or may still be added later.
 	Append(ctx context.Context, stream, key string, value []byte) (era uint64, err error)
+	// AppendAt is like Append, but adds the record only if the stream ends at a position. If
+	// it does not, the error is a Conflict. The log cannot compare eras: the condition holds
+	// for the offset in the era that is returned.
+	AppendAt(ctx context.Context, stream, key string, value []byte, end model.LogPosition) (era uint64, err error)
 }
--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -18,6 +18,7 @@
 	"github.com/oleanderworks/oleanderworks/policy/mesh/chain"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/quota"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/rollout"
 )
 
 // maxConfigAge is the time since its confirmation for which a configuration proves that a
@@ -93,6 +94,7 @@
 	parents    map[string]*Parent // calls that run at the node's own target, by AttemptID; nested requests name it in Parent
 	suspicions *poison.Table
 	archive    *poison.Archive
+	rollouts   *rollout.Core // nil unless orders to move services to other versions are enabled
 	decisions  []Decision
 
 	endsAt      time.Time // when the node gives up the requests in progress, since it stops; zero unless it stops
@@ -177,7 +179,12 @@
 }
 
 // SetConfirmedAt sets when the configuration was last known to be the newest.
-func (c *Core) SetConfirmedAt(t time.Time) { c.confirmedAt = t }
+func (c *Core) SetConfirmedAt(t time.Time) {
+	c.confirmedAt = t
+	if c.rollouts != nil {
+		c.rollouts.SetLogConfirmedAt(t)
+	}
+}
 
 // configOutdated reports whether a newer configuration may be in force that the node
 // does not have.
@@ -186,11 +193,19 @@
 }
 
 // SetPeers sets the other nodes among which the customers' rates are divided.
-func (c *Core) SetPeers(peers []model.Instance) { c.rates.SetPeers(peers) }
+func (c *Core) SetPeers(peers []model.Instance) {
+	c.rates.SetPeers(peers)
+	if c.rollouts != nil {
+		c.rollouts.SetPeers(peers)
+	}
+}
 
 // OnReport handles a node's report on itself and its target.
 func (c *Core) OnReport(now time.Time, r *model.NodeReport) {
 	c.targets.onReport(now, r)
+	if c.rollouts != nil {
+		c.rollouts.OnReport(now, r)
+	}
 	c.onCrashReports(now, r.Crashes, r.Node.Instance == c.self)
 	c.OnUsage(now, r.Node, r.Usage)
 }
@@ -291,6 +306,9 @@
 // broke.
 func (c *Core) OnLinkLost(now time.Time, peer model.Instance) {
 	c.targets.onLinkLost(peer)
+	if c.rollouts != nil {
+		c.rollouts.OnLinkLost(peer)
+	}
 	for id, r := range c.requests {
 		if r.target != nil && r.target.peer == peer {
 			c.OnAnswer(now, peer, model.NewFailure(id, model.ReasonPeerUnreachable, "the link to the target's node broke"))
@@ -335,6 +353,9 @@
 func (c *Core) Abort(id model.CallID) {
 	if r := c.requests[id]; r != nil && r.target != nil && len(r.tried) > 0 {
 		r.target.outstanding--
+		if c.rollouts != nil {
+			c.rollouts.OnEnded(r.call.Service, r.sent.version)
+		}
 	}
 	delete(c.requests, id)
 	c.expiry.Remove(id)
@@ -366,6 +387,9 @@
 		r.step(now, eventExpired)
 	}
 	next := timers.Earlier(c.expiry.NextDue(), c.suspicions.Tick(now))
+	if c.rollouts != nil {
+		next = timers.Earlier(next, c.rollouts.Tick(now))
+	}
 	c.archiveChanges(now, false)
 	return timers.Earlier(next, c.archive.Tick(now))
 }
--- a/policy/mesh/dispatch/placement.go
+++ b/policy/mesh/dispatch/placement.go
@@ -111,7 +111,7 @@
 		zonePenalty = remoteZonePenaltyNested * timeLeft
 	}
 	for _, t := range s.byService[call.Service] {
-		if !t.linkUp || t.state != model.TargetServing || zonesOut[t.zone] || slices.Contains(tried, t) {
+		if !t.linkUp || t.state != model.TargetServing || zonesOut[t.zone] || slices.Contains(tried, t) || s.allowed != nil && !s.allowed(t.peer) {
 			continue
 		}
 		c := newCandidate(t, assumedRunTime)
--- a/policy/mesh/dispatch/request.go
+++ b/policy/mesh/dispatch/request.go
@@ -53,6 +53,7 @@
 	target      *target // target of the current attempt, or the one chosen for the first
 	next        *target // chosen for the next attempt
 	tried       []*target
+	sent        sentVersion // of the latest attempt
 	moves       int
 	reached     int                 // attempts that may have reached a target, bounded by the route's MaxAttempts
 	mayHaveRun  bool                // a target may have run the request
@@ -93,7 +94,7 @@
 	if c.suspicions.Quarantined(r.now, r.call) {
 		return model.NewRefusal(r.id, model.ReasonQuarantined, c.suspicions.Describe(r.now, r.call))
 	}
-	if r.target = c.targets.choose(r.now, r.call, nil, c.zonesOut); r.target == nil {
+	if r.target = c.chooseTarget(r.now, r.call, nil); r.target == nil {
 		return model.NewRefusal(r.id, model.ReasonNoTarget, "no target of the service is in service")
 	}
 	if !c.mayEndInTime(r.now, r.target) {
@@ -187,6 +188,7 @@
 	t := r.target
 	t.outstanding++
 	r.tried = append(r.tried, t)
+	r.noteSent()
 	r.reached++
 	attempt := *r.call
 	attempt.IsRetry = attempt.IsRetry || r.mayHaveRun
@@ -210,6 +212,7 @@
 // the request may have run.
 func (r *request) endAttempt() {
 	r.target.outstanding--
+	r.noteEnded()
 	r.recordWork()
 	if r.answer == nil || r.answer.Run == model.NotRun {
 		if r.answer != nil && !refusedByTarget(r.answer) {
@@ -285,7 +288,7 @@
 	if !r.now.Before(r.call.Deadline) || reached >= r.route.MaxAttempts {
 		return false
 	}
-	r.next = r.core.targets.choose(r.now, r.call, r.tried, r.core.zonesOut)
+	r.next = r.core.chooseTarget(r.now, r.call, r.tried)
 	return r.next != nil && r.core.mayEndInTime(r.now, r.next)
 }
 
--- a/policy/mesh/dispatch/target.go
+++ b/policy/mesh/dispatch/target.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/rollout"
 )
 
 // target is the state of a target as known at this node.
@@ -38,6 +39,7 @@
 	rng       *rand.Rand
 	byPeer    map[model.Instance]*target
 	byService map[model.Service][]*target
+	allowed   rollout.Filter          // which targets the choice in progress allows; nil for all
 	groups    [groupCount][]candidate // of the latest choice; kept for their memory
 }
 
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -40,6 +40,7 @@
 	KindPing                             // shows that the sender is alive if it has nothing else to send
 	KindUsage                            // how much of the customers' rates a node's callers use
 	KindCrashes                          // the requests that the sender knows to have crashed targets
+	KindRollout                          // a node's state of an order to move a service to another version
 )
 
 const (
@@ -57,7 +58,7 @@
 var kindNames = map[Kind]string{
 	KindHello: "hello", KindCall: "call", KindCancel: "cancel", KindAnswer: "answer", KindReport: "report",
 	KindDocumentsRequest: "want", KindDocuments: "documents", KindPing: "ping", KindUsage: "usage",
-	KindCrashes: "crashes",
+	KindCrashes: "crashes", KindRollout: "rollout",
 }
 
 // String returns the name used in metrics.
@@ -67,7 +68,7 @@
 func KindOf(m Message) Kind { return m.kind() }
 
 // Message is the content of a frame: Hello, Call, Cancel, Answer, Report,
-// DocumentsRequest, Documents, Ping, Usage or Crashes.
+// DocumentsRequest, Documents, Ping, Usage, Crashes or Rollout.
 type Message interface {
 	kind() Kind
 	append(b []byte) []byte
@@ -128,6 +129,10 @@
 // a link opens; later crashes and completions are in the reports of the targets' nodes.
 type Crashes struct{ Reports []model.CrashReport }
 
+// Rollout carries a node's state of an order to move a service to another version. A node
+// that receives it from another availability zone forwards it to the peers in its own zone.
+type Rollout struct{ Report model.RolloutReport }
+
 func (Hello) kind() Kind            { return KindHello }
 func (Call) kind() Kind             { return KindCall }
 func (Cancel) kind() Kind           { return KindCancel }
@@ -138,6 +143,7 @@
 func (Ping) kind() Kind             { return KindPing }
 func (Usage) kind() Kind            { return KindUsage }
 func (Crashes) kind() Kind          { return KindCrashes }
+func (Rollout) kind() Kind          { return KindRollout }
 
 // Append appends the frame of m to b.
 func Append(b []byte, m Message) []byte {
@@ -204,6 +210,8 @@
 		return decodeUsage(b)
 	case KindCrashes:
 		return decodeCrashes(b)
+	case KindRollout:
+		return decodeRollout(b)
 	default:
 		return Ping{}, nil
 	}
--- a/transport/frame/frame_test.go
+++ b/transport/frame/frame_test.go
@@ -52,6 +52,17 @@
 			Node:      model.NodeID{Instance: "10.0.0.1:7000", Incarnation: 5},
 			Customers: []model.CustomerUsage{{Customer: "herders", Admitted: 7, Demand: 1.25}},
 		},
+		Rollout{Report: model.RolloutReport{
+			Node: model.NodeID{Instance: "10.0.0.1:7000", Incarnation: 5},
+			Order: model.RolloutOrder{
+				Service: "registry", Version: "v2", Period: 12 * time.Second, Position: model.LogPosition{Era: 2, Offset: 7},
+			},
+			Age: 1500 * time.Millisecond, Phase: model.RolloutMoving, Drained: true, Recorded: true,
+			Counts: []model.RouteCounts{
+				{Route: "browse", New: true, RolloutCounts: model.RolloutCounts{Responses: 9, Failed: 2, Slow: 1, Time: 70 * time.Millisecond}},
+				{Route: "browse", RolloutCounts: model.RolloutCounts{Responses: 300}},
+			},
+		}},
 		Crashes{Reports: []model.CrashReport{{Fingerprint: 1 << 60, Count: 3, Age: 1500 * time.Millisecond}, {Fingerprint: 5}}},
 	}
 }
