rollout: nodes that are cut off stop calls to the ordered version

Change: a node that hears of less than half of the peers that it has heard of before sends no canary calls, and after the move prefers the old targets while they serve. Calls that end without a response count as failed for a quarter only, since all calls of a process that ends do so. A version that a node sees in its first second is not taken for one that has just appeared.

Ruled out: judging on fewer responses (a good version would be given up).

--- a/policy/mesh/dispatch/rollouts.go
+++ b/policy/mesh/dispatch/rollouts.go
@@ -60,12 +60,12 @@
 	if r.answer == nil {
 		return
 	}
-	failed, counts := versionFailed(r.answer)
+	failed, cut, counts := versionFailed(r.answer)
 	if !counts {
 		return
 	}
 	c.OnResponse(r.now, rollout.Response{
-		Service: r.call.Service, Version: r.sent.version, Route: r.route.Name, Failed: failed, Time: r.runTime(),
+		Service: r.call.Service, Version: r.sent.version, Route: r.route.Name, Failed: failed, Cut: cut, Time: r.runTime(),
 	})
 }
 
@@ -80,16 +80,18 @@
 	return r.now.Sub(r.sent.sentAt)
 }
 
-// versionFailed reports whether an answer shows a failure of the target's version, and
-// whether it counts at all. Refusals, links that break, and failures of nested calls are not
-// the version's; a call that has not ended by its deadline is.
-func versionFailed(a *model.Answer) (failed, counts bool) {
+// versionFailed reports whether an answer shows a failure of the target's version, whether
+// the target gave none, and whether the answer counts at all. Refusals, links that break, and
+// failures of nested calls are not the version's; a call that has not ended by its deadline
+// is.
+func versionFailed(a *model.Answer) (failed, cut, counts bool) {
 	switch {
 	case a.Run == model.NotRun || a.NestedFailed:
-		return false, false
+		return false, false, false
 	case a.FromNode():
-		failed = a.Reason == model.ReasonAnswerCut || a.Reason == model.ReasonDeadline || a.Reason == model.ReasonTargetFailed
-		return failed, failed
+		cut = a.Reason == model.ReasonAnswerCut || a.Reason == model.ReasonTargetFailed
+		failed = cut || a.Reason == model.ReasonDeadline
+		return failed, cut, failed
 	}
-	return a.Status >= http.StatusInternalServerError, true
+	return a.Status >= http.StatusInternalServerError, false, true
 }
--- a/policy/mesh/rollout/census.go
+++ b/policy/mesh/rollout/census.go
@@ -15,6 +15,10 @@
 	// freshTime is how long a version that appears beside another one without an order gets
 	// only the canary share: its order may still be on its way.
 	freshTime = 2 * time.Second
+	// discoveryTime is the time after which a service of which no old target is known has
+	// none, and after which a version that is first seen is a new one. A node that starts
+	// opens its links meanwhile.
+	discoveryTime = time.Second
 	// unknownVersionGrace is how long a target that has not announced its version may not
 	// get calls during an order. Targets announce themselves about every 1.5 s.
 	unknownVersionGrace = 3 * time.Second
@@ -47,6 +51,7 @@
 type census struct {
 	targets  map[model.Instance]*targetInfo
 	versions map[string]time.Time // when each version was first seen
+	began    time.Time            // when the first target was seen
 	running  map[string]int       // calls of this node in progress, by version
 }
 
@@ -61,6 +66,9 @@
 // update takes a target's report and reports whether anything has changed that the choice
 // depends on.
 func (c *census) update(now time.Time, r *model.NodeReport) bool {
+	if c.began.IsZero() {
+		c.began = now
+	}
 	t := c.targets[r.Node.Instance]
 	serving := r.State == model.TargetServing
 	if t != nil && t.version == r.Version && t.serving == serving && t.limit == r.Limit {
@@ -93,7 +101,7 @@
 // fresh reports whether a version has appeared a moment ago beside another one.
 func (c *census) fresh(now time.Time, version string) bool {
 	seenAt, known := c.versions[version]
-	if !known || now.Sub(seenAt) >= freshTime {
+	if !known || now.Sub(seenAt) >= freshTime || seenAt.Sub(c.began) < discoveryTime {
 		return false
 	}
 	for other, otherSeenAt := range c.versions {
--- a/policy/mesh/rollout/order.go
+++ b/policy/mesh/rollout/order.go
@@ -26,9 +26,6 @@
 	checkTimeout = 3 * time.Second
 	// checkInterval is the time after which such a node reads the log again if it could not.
 	checkInterval = 500 * time.Millisecond
-	// discoveryTime is the time after which a service of which no old target is known has
-	// none. A node that starts opens its links meanwhile.
-	discoveryTime = time.Second
 	// maxLogAge is the time since the log's last answer for which a node may begin to move.
 	// Without the log no status could end the move.
 	maxLogAge = 2 * time.Second
@@ -53,6 +50,7 @@
 	movedAt    time.Time
 	endedAt    time.Time
 	peers      map[model.Instance]peerState
+	isolated   bool // less than half of the peers have been heard of lately
 
 	recorder recorderState
 	recorded bool // the log has had a status of this order
@@ -160,7 +158,7 @@
 func (o *order) moved(now time.Time) bool {
 	switch o.phase() {
 	case model.RolloutMoving:
-		return true
+		return !o.isolated || !o.service.baseUp
 	case model.RolloutComplete:
 		return !o.released(now)
 	case model.RolloutCanary:
@@ -186,6 +184,9 @@
 // tick runs what is due and reports whether it must be called again soon.
 func (o *order) tick(now time.Time) bool {
 	o.now = now
+	if isolated := o.checkIsolated(now); isolated != o.isolated {
+		o.isolated, o.service.outdated = isolated, true
+	}
 	o.tickCheck(now)
 	if p := o.phase(); p == model.RolloutCanary || p == model.RolloutMoving {
 		o.statistics.saveWindow(now)
--- a/policy/mesh/rollout/report.go
+++ b/policy/mesh/rollout/report.go
@@ -15,6 +15,9 @@
 	// repeatInterval bounds how often a node tells others an order's final state again that
 	// they do not know.
 	repeatInterval = 500 * time.Millisecond
+	// isolationTime is the time without reports after which a peer does not count as heard
+	// of. A bad version must be stopped well within the operators' bound of some seconds.
+	isolationTime = 2 * time.Second
 	// maxOrderAge bounds the age of an order that a peer may state.
 	maxOrderAge = time.Hour
 	// maxOrderPeers bounds the peers whose phase is known for an order.
@@ -48,6 +51,21 @@
 	o.service.core.reports = append(o.service.core.reports, o.newReport(now, o.statistics.takeUnsent()))
 }
 
+// checkIsolated reports whether the node hears of less than half of the peers that it has
+// heard of before, or of none. The others may have found that the version is bad.
+func (o *order) checkIsolated(now time.Time) bool {
+	if len(o.peers) == 0 {
+		return len(o.service.core.peers) > 0 && now.Sub(o.createdAt) > isolationTime
+	}
+	heard := 0
+	for _, p := range o.peers {
+		if now.Sub(p.heardAt) <= isolationTime {
+			heard++
+		}
+	}
+	return 2*heard < len(o.peers)
+}
+
 // OnPeerReport handles a peer's report of an order. The node takes an order from it that the
 // log has not told it yet.
 func (c *Core) OnPeerReport(now time.Time, r model.RolloutReport) {
--- a/policy/mesh/rollout/rollout_test.go
+++ b/policy/mesh/rollout/rollout_test.go
@@ -71,11 +71,29 @@
 				t.Logf("%d nodes: rolled back after %v, %d of %d exposed", nodes, s.finalAt.Sub(s.orderedAt), s.exposed, s.requests)
 				s.assertWithinBounds()
 				assert.Equal(t, s.refused, 0)
+				if name == "under load" {
+					assert.Assert(t, s.finalAt.Sub(s.orderedAt) < 10*time.Second, "the canary share did not show it")
+				}
 			}
 		})
 	}
 }
 
+// Guards against a version that becomes bad after many good responses, which hide it in the
+// sum of all.
+func TestVersionThatTurnsBadIsFoundByRecentResponses(t *testing.T) {
+	s := newSimulation(t, 4, 20, 500)
+	s.period = 60 * time.Second
+	s.failing = func(s *simulation, r *model.NodeReport, _ string) (bool, float64) {
+		return r.Version == "v2" && s.now.Sub(s.orderedAt) > 40*time.Second && s.rng.Float64() < 0.2, 1
+	}
+	s.addTargets("v2", 20)
+	s.give(s.order("v2", 1))
+	s.run(58 * time.Second)
+	assert.Equal(t, s.finalState(), model.RolloutStateRolledBack)
+	s.assertWithinBounds()
+}
+
 // Guards against a slack that each of many nodes uses up for itself: with few calls each,
 // together they send no more than the share and a few requests.
 func TestShareHoldsSummedOverNodesWithFewCalls(t *testing.T) {
@@ -118,6 +136,39 @@
 	}
 }
 
+// Guards against nodes that are cut off and go on to send calls to a version that the others
+// have found to be bad, also when they have moved to it.
+func TestNodesThatAreCutOffStopCallsToTheVersion(t *testing.T) {
+	for _, cutIn := range []model.RolloutPhase{model.RolloutCanary, model.RolloutMoving} {
+		s := newSimulation(t, 8, 10, 40)
+		s.addTargets("v2", 10)
+		s.give(s.order("v2", 1))
+		s.run(3 * time.Second)
+		for s.nodes[0].core.Phases()[simService] != cutIn || s.nodes[1].core.Phases()[simService] != cutIn {
+			s.run(simStep)
+		}
+		for _, n := range s.nodes[:2] {
+			n.cut = true
+		}
+		s.failing = func(s *simulation, r *model.NodeReport, _ string) (bool, float64) {
+			return r.Version == "v2" && s.rng.Float64() < 0.5, 1
+		}
+		s.run(10 * time.Second)
+		assert.Equal(t, s.finalState(), model.RolloutStateRolledBack)
+		late := s.lastNew.Sub(s.finalAt)
+		assert.Assert(t, late < 3*time.Second, "the version got a call %v after it was rolled back", late)
+		s.assertWithinBounds()
+		assert.Equal(t, s.refused, 0)
+		for _, n := range s.nodes {
+			n.cut = false
+		}
+		s.run(2 * time.Second)
+		for _, n := range s.nodes {
+			assert.Equal(t, n.core.Phases()[simService], model.RolloutRolledBack)
+		}
+	}
+}
+
 // moveFirstWriterLast moves the node that has the first turn to the end of the list.
 func (s *simulation) moveFirstWriterLast() {
 	first := 0
@@ -148,11 +199,11 @@
 			s.failing = func(s *simulation, r *model.NodeReport, _ string) (bool, float64) {
 				return bad && r.Version == "v2" && s.rng.Float64() < 0.4, 1
 			}
-			s.run(9 * time.Second)
+			s.run(9900 * time.Millisecond)
 			for _, n := range s.nodes {
 				assert.Assert(t, !s.store.down || n.core.Phases()[simService] != model.RolloutMoving, "%s: moved without the log", name)
 			}
-			s.run(6 * time.Second)
+			s.run(5 * time.Second)
 			s.store.down, s.store.loseAppends, s.store.delay = false, false, simStep
 			s.run(6 * time.Second)
 			want := model.RolloutStateComplete
@@ -197,7 +248,15 @@
 	s.give(s.order("v3", 2))
 	s.run(500 * time.Millisecond)
 	changed := s.now
-	s.run(13 * time.Second)
+	s.run(4 * time.Second)
+	s.store.era = 2
+	for _, offset := range []int64{1, 2} { // a restore brings the order for v2 back; then the operator writes that for v3 again
+		for _, n := range s.nodes {
+			n.core.OnOrders(s.now, []model.RolloutOrder{s.order([]string{"", "v2", "v3"}[offset], offset)}, 2)
+		}
+		s.run(time.Second)
+	}
+	s.run(7 * time.Second)
 	assert.Equal(t, s.finalState(), model.RolloutStateComplete)
 	assert.Equal(t, s.finals[0].Version, "v3")
 	assert.Assert(t, s.lastNew.Before(changed), "v2 got calls after the order for v3")
@@ -260,3 +319,30 @@
 	s.run(5 * time.Second)
 	assert.Assert(t, s.exposed > s.requests/4, "%d of %d requests", s.exposed, s.requests)
 }
+
+// Guards against a second final state: an append that finds a newer record counts only after
+// the stream was read again, and not if that shows a final state.
+func TestAppendThatFindsNewerRecordReadsAgain(t *testing.T) {
+	s := newSimulation(t, 1, 4, 0)
+	c, order := s.nodes[0].core, s.order("v2", 1)
+	c.OnOrders(s.now, []model.RolloutOrder{order}, 1)
+	takeTask := func() Task {
+		t.Helper()
+		c.Tick(s.now)
+		tasks := c.TakeTasks()
+		assert.Equal(t, len(tasks), 1)
+		return tasks[0]
+	}
+	read := takeTask()
+	assert.Assert(t, read.Read)
+	c.OnStatusRead(s.now, read, nil, model.LogPosition{Era: 1, Offset: 5}, nil)
+	write := takeTask()
+	assert.Equal(t, write.Status.State, model.RolloutStateRunning)
+	c.OnStatusAppended(s.now, write, true, nil)
+	again := takeTask()
+	assert.Assert(t, again.Read)
+	status := model.RolloutStatus{Service: simService, Version: "v2", State: model.RolloutStateRolledBack}
+	c.OnStatusRead(s.now, again, []model.RolloutStatus{status}, model.LogPosition{Era: 1, Offset: 6}, nil)
+	assert.Equal(t, c.Phases()[simService], model.RolloutRolledBack)
+	assert.Equal(t, len(c.TakeTasks()), 0)
+}
--- a/policy/mesh/rollout/service.go
+++ b/policy/mesh/rollout/service.go
@@ -7,6 +7,10 @@
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
+// cutWeight is the share of the calls that end without a response that count as failed. When
+// a process ends, all its calls do, which says little about the version.
+const cutWeight = 0.25
+
 // shareCounter limits by counting the share of the calls that go to a version. It starts at
 // a random place, so that nodes with few calls together send the share and not one call
 // each.
@@ -187,7 +191,7 @@
 		return []Filter{s.filter(now, classNew), s.filter(now, classBase)}
 	}
 	var out []Filter
-	if s.share.due(c.share()) {
+	if s.share.due(c.share()) && !(s.order != nil && s.order.isolated) {
 		out = append(out, canary)
 	}
 	out = append(out, s.filter(now, classBase))
@@ -231,7 +235,7 @@
 // OnResponse counts a response for its target's version.
 func (c *Core) OnResponse(now time.Time, r Response) {
 	s := c.services[r.Service]
-	if s == nil || s.order == nil || s.order.ended() {
+	if s == nil || s.order == nil || s.order.ended() || r.Cut && c.rng.Float64() >= cutWeight {
 		return
 	}
 	if isNew := r.Version == s.order.Version; isNew || s.classify(now, r.Version) == classBase {
--- a/policy/mesh/rollout/stats.go
+++ b/policy/mesh/rollout/stats.go
@@ -53,6 +53,7 @@
 	Version string
 	Route   string
 	Failed  bool
+	Cut     bool          // the call ended without a response
 	Time    time.Duration // for which the call ran
 }
 
