rollout: canary calls go to other targets in turns

Change: the canary share goes to the next targets every 1.5 s; slow responses must be more frequent while few targets have given them; services with few requests use half of the slack for canary calls; a canary target gets at most 1.15 of a usual target's load; the move begins at the latest 0.6 s before the deadline.

--- a/policy/mesh/rollout/census.go
+++ b/policy/mesh/rollout/census.go
@@ -27,6 +27,10 @@
 	completeGuardTime = 10 * time.Second
 )
 
+// maxOverUsual is by how much of a usual target's load a canary target may get more: one that
+// gets too much looks bad.
+const maxOverUsual = 0.15
+
 // targetInfo is what the node knows of a target.
 type targetInfo struct {
 	peer    model.Instance
@@ -134,8 +138,9 @@
 
 // concentrate returns the targets that get the canary share: of the serving targets that
 // match, in an order given by a hash of seed, as few as it takes to give each about the
-// load of one of the others, so that a version that is bad under load shows it.
-func (c *census) concentrate(seed string, share float64, match, base func(*targetInfo) bool) map[model.Instance]bool {
+// load of one of the others, so that a version that is bad under load shows it. Each turn
+// has the next targets, so that a slow one or a failing one does not stand for the version.
+func (c *census) concentrate(seed string, turn int, share float64, match, base func(*targetInfo) bool) map[model.Instance]bool {
 	var candidates []*targetInfo
 	for _, t := range c.targets {
 		if t.serving && match(t) {
@@ -150,10 +155,10 @@
 	})
 	count, limit := c.capacity(match)
 	_, baseLimit := c.capacity(base)
-	usual := math.Round(share * float64(baseLimit) * float64(count) / float64(limit))
+	usual := int(math.Ceil(share*float64(baseLimit)*float64(count)/float64(limit) - maxOverUsual))
 	chosen := make(map[model.Instance]bool)
-	for _, t := range candidates[:min(max(int(usual), 1), len(candidates))] {
-		chosen[t.peer] = true
+	for i := range min(max(usual, 1), len(candidates)) {
+		chosen[candidates[(turn*max(usual, 1)+i)%len(candidates)].peer] = true
 	}
 	return chosen
 }
--- a/policy/mesh/rollout/core.go
+++ b/policy/mesh/rollout/core.go
@@ -15,11 +15,6 @@
 )
 
 const (
-	// canaryShare is the share of a node's calls to a service that go to the ordered version
-	// until it is moved to. shareOfBound is the part of the bound on the exposure that the
-	// canary share may use at most; the move uses the rest.
-	canaryShare  = 0.03
-	shareOfBound = 0.3
 	// tickInterval is the time between two looks at an order that has not ended.
 	tickInterval = 50 * time.Millisecond
 	// maxHistory is the number of earlier orders of a service that are known, so that a
@@ -77,8 +72,6 @@
 	}
 }
 
-func (c *Core) share() float64 { return min(canaryShare, shareOfBound*c.bounds.ExposeShare) }
-
 // windows returns how many windows make up the recent counts. They span less than half of the
 // time in which a bad version must be found and stopped.
 func (c *Core) windows() int {
--- a/policy/mesh/rollout/order.go
+++ b/policy/mesh/rollout/order.go
@@ -26,6 +26,9 @@
 	checkTimeout = 3 * time.Second
 	// checkInterval is the time after which such a node reads the log again if it could not.
 	checkInterval = 500 * time.Millisecond
+	// rateTime is the time after an order in which its service's requests are counted before
+	// their rate is used.
+	rateTime = time.Second
 	// maxLogAge is the time since the log's last answer for which a node may begin to move.
 	// Without the log no status could end the move.
 	maxLogAge = 2 * time.Second
@@ -50,7 +53,8 @@
 	movedAt    time.Time
 	endedAt    time.Time
 	peers      map[model.Instance]peerState
-	isolated   bool // less than half of the peers have been heard of lately
+	expected   float64 // requests between the order and its deadline; 0 if not known yet
+	isolated   bool    // less than half of the peers have been heard of lately
 
 	recorder recorderState
 	recorded bool // the log has had a status of this order
@@ -190,6 +194,9 @@
 	o.tickCheck(now)
 	if p := o.phase(); p == model.RolloutCanary || p == model.RolloutMoving {
 		o.statistics.saveWindow(now)
+		if now.Sub(o.startedAt) >= rateTime {
+			o.expected = o.statistics.rate(now) * o.Period.Seconds()
+		}
 		o.judge(now)
 	}
 	switch o.phase() {
@@ -219,7 +226,7 @@
 
 // judge compares the versions by all counts and by the recent ones.
 func (o *order) judge(now time.Time) {
-	verdict := judge(o.statistics.total, clearlyWorse)
+	verdict := judge(o.statistics.total, clearlyWorse.since(now.Sub(o.startedAt)))
 	if verdict == "" {
 		verdict = judge(o.statistics.recent(), recentlyWorse)
 	}
@@ -238,7 +245,7 @@
 	if !o.moveDue(now) {
 		return
 	}
-	if verdict := judge(o.statistics.total, probablyWorse); verdict != "" {
+	if verdict := judge(o.statistics.total, probablyWorse.since(now.Sub(o.startedAt))); verdict != "" {
 		o.onVerdict(now, verdict+" (at the time of the move)")
 		return
 	}
--- a/policy/mesh/rollout/schedule.go
+++ b/policy/mesh/rollout/schedule.go
@@ -11,7 +11,7 @@
 const (
 	// minLead and maxLead bound the time from the move to the deadline. The least is what
 	// the move, a look at the responses, and the write by the second or third node need.
-	minLead = 700 * time.Millisecond
+	minLead = 600 * time.Millisecond
 	maxLead = 1500 * time.Millisecond
 	// shortPeriodShare bounds the lead for short periods.
 	shortPeriodShare = 0.5
@@ -24,7 +24,7 @@
 	// minMoveTime is the least time from the move to the write, in which responses under the
 	// whole load are judged, and maxMoveTime bounds the wait for running calls when the
 	// deadline has passed.
-	minMoveTime = 250 * time.Millisecond
+	minMoveTime = 200 * time.Millisecond
 	maxMoveTime = time.Second
 	// provenDelay is the time after which an order for a version that served before the
 	// order it supersedes is carried out. Nodes learn of the order meanwhile.
--- a/policy/mesh/rollout/service.go
+++ b/policy/mesh/rollout/service.go
@@ -11,6 +11,18 @@
 // a process ends, all its calls do, which says little about the version.
 const cutWeight = 0.25
 
+const (
+	// canaryShare is the share of a node's calls to a service that go to the ordered version
+	// until it is moved to. shareOfBound is the part of the bound on the exposure that the
+	// canary share may use at most; the move uses the rest.
+	canaryShare  = 0.03
+	shareOfBound = 0.3
+	// slackForShare is the part of the slack that the canary share uses.
+	slackForShare = 0.5
+	// canaryTurn is the time after which the canary share goes to other targets.
+	canaryTurn = 1500 * time.Millisecond
+)
+
 // shareCounter limits by counting the share of the calls that go to a version. It starts at
 // a random place, so that nodes with few calls together send the share and not one call
 // each.
@@ -66,6 +78,17 @@
 	return known && !s.former[version] && s.census.serves(version) && now.Sub(seenAt) >= freshTime
 }
 
+// canaryShare returns the share of the calls that go to the ordered version, or to a fresh
+// one. Few requests would show too little, so that an order uses part of the slack for them.
+func (s *service) canaryShare() float64 {
+	b := s.core.bounds
+	share := min(canaryShare, shareOfBound*b.ExposeShare)
+	if s.order == nil || s.order.expected <= 0 {
+		return share
+	}
+	return min(share+slackForShare*float64(b.ExposeSlack)/s.order.expected, b.ExposeShare)
+}
+
 // begin makes an order the service's current one.
 func (s *service) begin(o *order) {
 	delete(s.former, o.Version)
@@ -140,11 +163,12 @@
 			s.hasBase, s.baseUp = true, s.baseUp || t.serving
 		}
 	}
-	seed := string(s.name)
+	seed, turn := string(s.name), 0
 	if s.order != nil {
 		seed += " " + s.order.Version
+		turn = int(now.Sub(s.order.startedAt) / canaryTurn)
 	}
-	s.canaries = s.census.concentrate(seed, s.core.share(), func(t *targetInfo) bool {
+	s.canaries = s.census.concentrate(seed, turn, s.canaryShare(), func(t *targetInfo) bool {
 		k := s.classOf(now, t)
 		return k == classNew || k == classFresh
 	}, isBase)
@@ -191,7 +215,7 @@
 		return []Filter{s.filter(now, classNew), s.filter(now, classBase)}
 	}
 	var out []Filter
-	if s.share.due(c.share()) && !(s.order != nil && s.order.isolated) {
+	if s.share.due(s.canaryShare()) && !(s.order != nil && s.order.isolated) {
 		out = append(out, canary)
 	}
 	out = append(out, s.filter(now, classBase))
@@ -219,7 +243,7 @@
 	if s.restricted(now) {
 		s.refresh(now)
 		k := s.classOf(now, t)
-		s.share.onSent(c.share(), k == classNew || k == classFresh)
+		s.share.onSent(s.canaryShare(), k == classNew || k == classFresh)
 	}
 	return t.version
 }
--- a/policy/mesh/rollout/verdict.go
+++ b/policy/mesh/rollout/verdict.go
@@ -3,13 +3,14 @@
 import (
 	"fmt"
 	"math"
+	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
 // criterion is how clearly the new version must be worse than the old ones.
 type criterion struct {
-	minBad       float64 // bad responses
+	minBad       float64 // failed responses; of slow ones it takes twice as many
 	minDeviation float64 // deviation from the expectation, in standard deviations
 	// minFailures and minSlow are the fractions by which a version's failed or slow
 	// responses must exceed those of the old versions.
@@ -18,17 +19,30 @@
 
 var (
 	// clearlyWorse is for the counts since the order. A target's malfunction makes many bad
-	// responses at once, so that the deviation must be larger than chance alone needs. The
-	// canary share goes to few targets, one of which may be a slow one.
-	clearlyWorse = criterion{minBad: 5, minDeviation: 5, minFailures: 0.05, minSlow: 0.15}
+	// responses at once, so that the deviation must be larger than chance alone needs.
+	clearlyWorse = criterion{minBad: 5, minDeviation: 5, minFailures: 0.05, minSlow: 0.18}
 	// recentlyWorse is for the counts of the last two seconds, in which a target that is
 	// slower than others may have run 2.5 times slower still for 600 ms.
-	recentlyWorse = criterion{minBad: 5, minDeviation: 5, minFailures: 0.05, minSlow: 0.4}
+	recentlyWorse = criterion{minBad: 5, minDeviation: 5, minFailures: 0.05, minSlow: 0.35}
 	// probablyWorse is for the counts before the move: a version of which little is known
 	// is not given all calls on a suspicion.
-	probablyWorse = criterion{minBad: 3, minDeviation: 3, minFailures: 0.05, minSlow: 0.15}
+	probablyWorse = criterion{minBad: 3, minDeviation: 3, minFailures: 0.05, minSlow: 0.18}
 )
 
+const (
+	// fewTargetsMinSlow is minSlow for responses of one or two targets, which may be slower
+	// than the others and have a slow moment. It falls by minSlowDecay for each second since
+	// the order, since the canary share goes to other targets, down to that of clearlyWorse.
+	fewTargetsMinSlow = 0.4
+	minSlowDecay      = 0.05
+)
+
+// since returns the criterion for the counts of some time since the order.
+func (c criterion) since(age time.Duration) criterion {
+	c.minSlow = max(c.minSlow, fewTargetsMinSlow-minSlowDecay*age.Seconds())
+	return c
+}
+
 // leastExpected is the least fraction of bad responses that is expected of any version.
 const leastExpected = 0.01
 
@@ -38,6 +52,7 @@
 	if detail := judgeBy(c, by, "fails", by.minFailures, func(n model.RolloutCounts) uint64 { return n.Failed }); detail != "" {
 		return detail
 	}
+	by.minBad *= 2
 	return judgeBy(c, by, "is slow", by.minSlow, func(n model.RolloutCounts) uint64 { return n.Slow })
 }
 
