--- a/policy/mesh/rollout/order.go
+++ b/policy/mesh/rollout/order.go
@@ -245,7 +245,11 @@
 	if !o.moveDue(now) {
 		return
 	}
-	if verdict := judge(o.statistics.total, probablyWorse.since(now.Sub(o.startedAt))); verdict != "" {
+	verdict := judge(o.statistics.total, probablyWorse.since(now.Sub(o.startedAt)))
+	if verdict == "" {
+		verdict = judge(o.statistics.recent(), probablyWorseLately)
+	}
+	if verdict != "" {
 		o.onVerdict(now, verdict+" (at the time of the move)")
 		return
 	}
--- a/policy/mesh/rollout/verdict.go
+++ b/policy/mesh/rollout/verdict.go
@@ -27,6 +27,8 @@
 	// probablyWorse is for the counts before the move: a version of which little is known
 	// is not given all calls on a suspicion.
 	probablyWorse = criterion{minBad: 3, minDeviation: 3, minFailures: 0.05, minSlow: 0.18}
+	// probablyWorseLately is the same for the counts of the last two seconds.
+	probablyWorseLately = criterion{minBad: 3, minDeviation: 3, minFailures: 0.1, minSlow: 0.3}
 )
 
 const (
