dispatch: targets kept from calls by an order are no room for their service

Cause: with the admission control for the chain and the placement of main, the idle targets of an ordered version would count as room of their service, so that too few requests were rejected while the old targets were full.

Change: serviceLoad leaves out the targets that an order keeps from the service's calls. The filter of an order goes to the placement through the target set, so that the tests of the placement stay as they are.

--- a/policy/mesh/dispatch/chain.go
+++ b/policy/mesh/dispatch/chain.go
@@ -15,7 +15,7 @@
 func (c *Core) ChainLimits() []chain.Limit { return c.chain.Limits() }
 
 // serviceLoad returns the load of a service by the reports of its targets that are not
-// stale. Fractions and delays are weighted by the calls that a target runs.
+// stale and that an order to move the service does not keep from its calls. Fractions and delays are weighted by the calls that a target runs.
 func (c *Core) serviceLoad(now time.Time, s model.Service) chain.ServiceLoad {
 	var load chain.ServiceLoad
 	var weight, shed, delay float64
@@ -23,6 +23,9 @@
 		if !t.linkUp || t.state != model.TargetServing || c.zonesOut[t.zone] || now.Sub(t.reportedAt) > staleReportAge {
 			continue
 		}
+		if c.rollouts != nil && !c.rollouts.Carries(now, s, t.peer) {
+			continue // its slots are not there for the service's calls
+		}
 		load.Targets++
 		load.Running += t.running
 		load.Nested += t.nested
--- a/policy/mesh/rollout/service.go
+++ b/policy/mesh/rollout/service.go
@@ -225,6 +225,21 @@
 	return out
 }
 
+// Carries reports whether a target gets its part of the service's calls, and not just the
+// canary share or none.
+func (c *Core) Carries(now time.Time, name model.Service, peer model.Instance) bool {
+	s := c.services[name]
+	if s == nil || !s.restricted(now) || s.census.targets[peer] == nil {
+		return true
+	}
+	s.refresh(now)
+	k := s.classOf(now, s.census.targets[peer])
+	if s.order != nil && s.order.moved(now) {
+		return k == classNew
+	}
+	return k == classBase || !s.baseUp
+}
+
 func (s *service) filter(now time.Time, k class) Filter {
 	return func(peer model.Instance) bool {
 		t := s.census.targets[peer]
