rollout: an order told by a peer is not withdrawn by documents before it

Cause: a node that hears of an order from a peer first, and then applies documents that end before the order's record, took the order for withdrawn and ignored it from then on. A node that had just started took the phase canary from a peer at once, which may have been cut off since.

The test TestOrderToldByPeerBeforeTheLog is the regression test. Tests that call OnOrders give a position in place of an era.

--- a/agent/mesh/config.go
+++ b/agent/mesh/config.go
@@ -37,7 +37,7 @@
 	value    []byte // of the record with config
 	zonesOut []model.Zone
 	orders   []model.RolloutOrder
-	era      uint64            // of the log, of the documents with orders
+	end      model.LogPosition // up to which the documents with orders were read
 	rejected map[string]string // invalid orders that were logged, by key
 
 	// Whether the duties still have to be told of config and zonesOut.
@@ -50,7 +50,7 @@
 	decodeError   error
 }
 
-func (c *configLoader) apply(records []keyed.Record, era uint64) {
+func (c *configLoader) apply(records []keyed.Record, end model.LogPosition) {
 	decoder := c.node.decoder
 	for _, r := range records {
 		if decoder.IsConfig(r) && (c.config == nil || r.Position != c.position) {
@@ -64,7 +64,7 @@
 		c.node.log.Emit(event.MeshZonesOut, "zones", zonesOut)
 	}
 	c.zonesOut = zonesOut
-	c.loadOrders(records, era)
+	c.loadOrders(records, end)
 	c.entryOutdated, c.gateOutdated = true, true
 	c.deliver()
 }
@@ -73,7 +73,7 @@
 // ring is full gets it with a later call.
 func (c *configLoader) deliver() {
 	if c.entryOutdated {
-		c.entryOutdated = !c.node.entry.Ring().Offer(entryConfigChanged{config: c.config, zonesOut: c.zonesOut, orders: c.orders, era: c.era})
+		c.entryOutdated = !c.node.entry.Ring().Offer(entryConfigChanged{config: c.config, zonesOut: c.zonesOut, orders: c.orders, end: c.end})
 	}
 	if c.gateOutdated {
 		c.gateOutdated = !c.node.gate.Ring().Offer(gateConfigChanged{config: c.config, zonesOut: c.zonesOut})
--- a/agent/mesh/config_test.go
+++ b/agent/mesh/config_test.go
@@ -28,7 +28,7 @@
 	var log bytes.Buffer
 	n.log = event.New(hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: &log}))
 	n.decoder = warningDecoder{}
-	h.loader.apply([]keyed.Record{{Key: "config", Value: []byte{7}, Position: model.LogPosition{Offset: 1}}}, 0)
+	h.loader.apply([]keyed.Record{{Key: "config", Value: []byte{7}, Position: model.LogPosition{Offset: 1}}}, model.LogPosition{Offset: 2})
 	assert.Assert(t, strings.Contains(log.String(), "unknown type"), log.String())
 }
 
--- a/agent/mesh/documents.go
+++ b/agent/mesh/documents.go
@@ -79,7 +79,7 @@
 		h.loader.logRejected(r)
 	}
 	documents, end := h.core.Documents()
-	h.loader.apply(documents, end.Era)
+	h.loader.apply(documents, end)
 	h.storeState()
 	h.reportDue = true
 }
--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -87,7 +87,7 @@
 		config   *graph.Config
 		zonesOut []model.Zone
 		orders   []model.RolloutOrder // to move services to other versions
-		era      uint64               // of the log, as of the orders
+		end      model.LogPosition    // up to which the documents with the orders were read
 	}
 	// rolloutReceived is a node's state of an order to move a service to another version.
 	rolloutReceived struct{ report model.RolloutReport }
--- a/agent/mesh/rollouts.go
+++ b/agent/mesh/rollouts.go
@@ -12,9 +12,9 @@
 // This file has what the entry duty does with orders to move services to other versions.
 
 // loadOrders decodes the orders in the documents. One that is invalid is logged once.
-func (c *configLoader) loadOrders(records []keyed.Record, era uint64) {
+func (c *configLoader) loadOrders(records []keyed.Record, end model.LogPosition) {
 	orders, invalid := c.node.decoder.RolloutOrders(records)
-	c.orders, c.era = orders, era
+	c.orders, c.end = orders, end
 	rejected := make(map[string]string, len(invalid))
 	for key, err := range invalid {
 		rejected[key] = err.Error()
@@ -27,7 +27,7 @@
 
 func (h *entryHandler) onRolloutOrders(now time.Time, m entryConfigChanged) {
 	if c := h.core.Rollouts(); c != nil {
-		c.OnOrders(now, m.orders, m.era)
+		c.OnOrders(now, m.orders, m.end)
 	}
 }
 
--- a/policy/mesh/dispatch/rollouts_test.go
+++ b/policy/mesh/dispatch/rollouts_test.go
@@ -28,8 +28,8 @@
 	}
 	report()
 	now = now.Add(3 * time.Second)
-	c.Rollouts().OnOrders(now, nil, 1)
-	c.Rollouts().OnOrders(now, []model.RolloutOrder{{Service: service, Version: "v2", Period: 12 * time.Second}}, 1)
+	c.Rollouts().OnOrders(now, nil, model.LogPosition{Era: 1, Offset: 100})
+	c.Rollouts().OnOrders(now, []model.RolloutOrder{{Service: service, Version: "v2", Period: 12 * time.Second}}, model.LogPosition{Era: 1, Offset: 100})
 	onNew := 0
 	send := func(n int) {
 		for i := range n {
--- a/policy/mesh/rollout/core.go
+++ b/policy/mesh/rollout/core.go
@@ -132,9 +132,9 @@
 // SetLogConfirmedAt sets when the log last answered this node or a peer.
 func (c *Core) SetLogConfirmedAt(t time.Time) { c.logConfirmedAt = t }
 
-// OnOrders handles the complete list of the orders in the operator's documents, as of an era
-// of the log.
-func (c *Core) OnOrders(now time.Time, orders []model.RolloutOrder, era uint64) {
+// OnOrders handles the complete list of the orders in the operator's documents up to a
+// position in the log.
+func (c *Core) OnOrders(now time.Time, orders []model.RolloutOrder, end model.LogPosition) {
 	present := make(map[model.Service]bool)
 	for _, o := range orders {
 		present[o.Service] = true
@@ -142,15 +142,16 @@
 	}
 	c.loaded = true
 	for name, s := range c.services {
-		// An order that the log lacks since a restore stays in force.
-		if o := s.order; o != nil && !present[name] && o.Position.Era == max(era, c.era) {
+		// An order that the log lacks since a restore stays in force, and one after the
+		// position is known from a peer.
+		if o := s.order; o != nil && !present[name] && o.Position.Era == end.Era && o.Position.Before(end) {
 			s.end()
 		}
 	}
-	if era > c.era && c.era > 0 {
+	if end.Era > c.era && c.era > 0 {
 		c.onRestored(now)
 	}
-	c.era = max(c.era, era)
+	c.era = max(c.era, end.Era)
 }
 
 // onOrder takes an order. atStart tells that the node has just started, so that the order
--- a/policy/mesh/rollout/report.go
+++ b/policy/mesh/rollout/report.go
@@ -72,7 +72,7 @@
 	if r.Node == c.self || r.Phase >= model.RolloutSuperseded || r.Order.Service == "" || r.Order.Version == "" {
 		return
 	}
-	o := c.onOrder(now, r.Order, false)
+	o := c.onOrder(now, r.Order, !c.loaded || r.Phase == model.RolloutChecking)
 	if o == nil || !o.SameAs(r.Order) {
 		return
 	}
@@ -92,8 +92,13 @@
 	o.followPeer(now, r.Phase)
 }
 
-// followPeer takes the phase of a peer that has come further.
+// followPeer takes the phase of a peer that has come further. A node that has just started
+// waits for the log before it takes a phase that is not final, since the peer may have been
+// cut off.
 func (o *order) followPeer(now time.Time, phase model.RolloutPhase) {
+	if o.phase() == model.RolloutChecking && phase <= model.RolloutMoving && now.Sub(o.createdAt) < checkInterval {
+		return
+	}
 	switch phase {
 	case model.RolloutCanary:
 		o.step(now, eventUnsettled)
--- a/policy/mesh/rollout/rollout_test.go
+++ b/policy/mesh/rollout/rollout_test.go
@@ -197,7 +197,7 @@
 	s.store.era = 2
 	for _, offset := range []int64{1, 2} { // a restore brings the order for v2 back; then the operator writes that for v3 again
 		for _, n := range s.nodes {
-			n.core.OnOrders(s.now, []model.RolloutOrder{s.order([]string{"", "v2", "v3"}[offset], offset)}, 2)
+			n.core.OnOrders(s.now, []model.RolloutOrder{s.order([]string{"", "v2", "v3"}[offset], offset)}, model.LogPosition{Era: 2, Offset: 100})
 		}
 		s.run(time.Second)
 	}
@@ -232,7 +232,7 @@
 	restarted := s.now
 	for _, n := range s.nodes {
 		s.start(n)
-		n.core.OnOrders(s.now, []model.RolloutOrder{order}, s.store.era)
+		n.core.OnOrders(s.now, []model.RolloutOrder{order}, s.end())
 	}
 	s.run(10 * time.Second)
 	assert.Equal(t, s.finalState(), model.RolloutStateRolledBack)
@@ -245,7 +245,7 @@
 	s.run(6 * time.Second)
 	for _, n := range s.nodes {
 		s.start(n)
-		n.core.OnOrders(s.now, []model.RolloutOrder{order}, s.store.era)
+		n.core.OnOrders(s.now, []model.RolloutOrder{order}, s.end())
 	}
 	s.run(13 * time.Second)
 	assert.Equal(t, s.finalState(), model.RolloutStateComplete)
--- a/policy/mesh/rollout/sim_test.go
+++ b/policy/mesh/rollout/sim_test.go
@@ -77,7 +77,7 @@
 	}
 	for _, n := range s.nodes {
 		s.start(n)
-		n.core.OnOrders(s.now, nil, s.store.era)
+		n.core.OnOrders(s.now, nil, s.end())
 	}
 	s.run(3 * time.Second) // so that no version is fresh
 	return s
@@ -115,13 +115,16 @@
 	return model.RolloutOrder{Service: simService, Version: version, Period: s.period, Position: model.LogPosition{Era: s.store.era, Offset: offset}}
 }
 
+// end returns a position after all orders.
+func (s *simulation) end() model.LogPosition { return model.LogPosition{Era: s.store.era, Offset: 100} }
+
 // give gives an order to the nodes that can be reached, at slightly different times.
 func (s *simulation) give(o model.RolloutOrder) {
 	s.orderedAt, s.requests, s.exposed, s.bad = s.now, 0, 0, 0
 	for _, n := range s.nodes {
 		s.after(time.Duration(s.rng.IntN(10))*simStep, func() {
 			if !n.cut {
-				n.core.OnOrders(s.now, []model.RolloutOrder{o}, s.store.era)
+				n.core.OnOrders(s.now, []model.RolloutOrder{o}, s.end())
 			}
 		})
 	}
--- a/policy/mesh/rollout/status_test.go
+++ b/policy/mesh/rollout/status_test.go
@@ -54,7 +54,7 @@
 	assert.Equal(t, s.finalState(), model.RolloutStateComplete)
 	s.store.status, s.store.end, s.store.era, s.finals = map[model.Service]model.RolloutStatus{}, 0, 2, nil
 	for _, n := range s.nodes {
-		n.core.OnOrders(s.now, nil, 2)
+		n.core.OnOrders(s.now, nil, model.LogPosition{Era: 2, Offset: 100})
 	}
 	s.run(2 * time.Second)
 	s.give(s.order("v2", 9))
@@ -69,7 +69,7 @@
 func TestAppendThatFindsNewerRecordReadsAgain(t *testing.T) {
 	s := newSimulation(t, 1, 4, 0)
 	c, order := s.nodes[0].core, s.order("v2", 1)
-	c.OnOrders(s.now, []model.RolloutOrder{order}, 1)
+	c.OnOrders(s.now, []model.RolloutOrder{order}, model.LogPosition{Era: 1, Offset: 100})
 	takeTask := func() Task {
 		t.Helper()
 		c.Tick(s.now)
@@ -90,3 +90,24 @@
 	assert.Equal(t, c.Phases()[simService], model.RolloutRolledBack)
 	assert.Equal(t, len(c.TakeTasks()), 0)
 }
+
+// Guards against an order that counts as withdrawn because a peer has told it before the node
+// has read so far, and against a node that starts and takes the word of a peer that was cut
+// off before it has asked the log.
+func TestOrderToldByPeerBeforeTheLog(t *testing.T) {
+	s := newSimulation(t, 1, 4, 0)
+	c := s.nodes[0].core
+	report := model.RolloutReport{Node: model.NodeID{Instance: "p:1", Incarnation: 1}, Order: s.order("v2", 7), Phase: model.RolloutCanary}
+	c.OnPeerReport(s.now, report)
+	c.OnOrders(s.now, nil, model.LogPosition{Era: 1, Offset: 7})
+	assert.Equal(t, c.Phases()[simService], model.RolloutCanary)
+	c.OnOrders(s.now, nil, model.LogPosition{Era: 1, Offset: 8})
+	assert.Equal(t, len(c.Phases()), 0)
+
+	s.start(s.nodes[0])
+	c = s.nodes[0].core
+	c.OnPeerReport(s.now, report)
+	assert.Equal(t, c.Phases()[simService], model.RolloutChecking)
+	c.OnStatusRead(s.now, c.TakeTasks()[0], nil, model.LogPosition{Era: 1}, nil)
+	assert.Equal(t, c.Phases()[simService], model.RolloutCanary)
+}
