exchange: an answer with an impossible status is no answer of the target

Cause: net/http parses any three digits as a status. 600 and above went to the client as an answer; below 100 counted as informational, so that the call waited for another answer until its deadline and ended as 504, with the connection left to the next bytes.

Change: a status outside 200 to 599 that is not informational, and 101, which no call asks for, end the call as failed (502), and the connection is closed.

--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -212,7 +212,7 @@
 	case ctx.Err() != nil:
 		return model.OutcomeCanceled
 	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, errHeadTooLarge),
-		errors.Is(err, errBodyTooLarge), errors.Is(err, budget.ErrExceeded):
+		errors.Is(err, errImpossibleStatus), errors.Is(err, errBodyTooLarge), errors.Is(err, budget.ErrExceeded):
 		return model.OutcomeFailed
 	}
 	return model.OutcomeConnectionBroken
--- a/transport/exchange/head.go
+++ b/transport/exchange/head.go
@@ -14,7 +14,13 @@
 	maxHeadBytes = 16 << 10
 )
 
-var errHeadTooLarge = errors.New("the head of the answer is too large")
+// maxStatus is the largest status of an HTTP response. net/http parses any three digits.
+const maxStatus = 599
+
+var (
+	errHeadTooLarge     = errors.New("the head of the answer is too large")
+	errImpossibleStatus = errors.New("no response has the status of the answer")
+)
 
 // limitedReader reads from a connection and fails when a limit is reached.
 type limitedReader struct {
@@ -36,7 +42,8 @@
 	return n, err
 }
 
-// readHead reads the head of a response and skips informational responses.
+// readHead reads the head of a response and skips informational responses. It returns
+// errImpossibleStatus for a status that the response to a call cannot have.
 func readHead(cn *conn, method string) (*http.Response, error) {
 	cn.received.limited, cn.received.left = true, maxHeadBytes
 	defer func() { cn.received.limited = false }()
@@ -48,8 +55,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch status := resp.StatusCode; {
+		case status >= http.StatusOK && status <= maxStatus:
 			return resp, nil
+		case status < http.StatusContinue || status > maxStatus, status == http.StatusSwitchingProtocols:
+			return nil, errImpossibleStatus // calls do not ask for another protocol
 		}
 	}
 }
