mesh: a node that stops waits for answers that are read slowly

A node that stopped saw no request in progress, gave its servers 300 ms and cut what was still being written, with half of the grace period left.

Change: a request counts until its answer is written. What is left 0.8 s before the end of the grace period is answered with a failure as before; answers that are being read then have another 250 ms.

--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -82,7 +82,7 @@
 	idle       atomic.Bool  // no call waits for the target or runs there
 	leaving    atomic.Bool  // the shutdown has begun, and the node reports that it is not ready
 	closing    atomic.Bool  // new requests of callers are refused unless nested, and responses tell callers to close their connections
-	serving    atomic.Int64 // requests of callers in progress
+	serving    atomic.Int64 // requests of callers in progress, until their answers are written
 	running    atomic.Int64 // calls that run at the target
 	queued     atomic.Int64 // calls that wait for the target
 	// documents states which documents the node needs no peer for; nil if there are none.
@@ -253,15 +253,27 @@
 	}
 }
 
-// Serve answers a request. It returns nil if the caller disconnects first.
-func (n *Node) Serve(ctx context.Context, req *model.Request) *model.Answer {
+// Serve handles a request and calls write with the answer, unless the caller disconnects
+// first. It reports whether it has called write. The request counts as in progress until
+// write returns, since a caller may read its answer slowly.
+func (n *Node) Serve(ctx context.Context, req *model.Request, write func(*model.Answer)) bool {
+	n.serving.Add(1)
+	defer n.serving.Add(-1)
+	answer := n.answer(ctx, req)
+	if answer == nil {
+		return false
+	}
+	write(answer)
+	return true
+}
+
+// answer returns the answer to a request, or nil if the caller disconnects first.
+func (n *Node) answer(ctx context.Context, req *model.Request) *model.Answer {
 	if n.closing.Load() && req.Parent == "" {
 		// The request might not finish before the node stops. Nested requests are
 		// accepted, since calls that already run wait for their answers.
 		return model.NewRefusal(req.ID, model.ReasonNodeBusy, "the node of the caller stops")
 	}
-	n.serving.Add(1)
-	defer n.serving.Add(-1)
 	m := &requestReceived{request: req, reply: ring.NewReply[*model.Answer]()}
 	if !n.entry.Ring().Offer(m) {
 		return model.NewRefusal(req.ID, model.ReasonNodeBusy, "the entry duty's ring is full")
--- a/agent/mesh/shutdown.go
+++ b/agent/mesh/shutdown.go
@@ -17,8 +17,12 @@
 	// that are still in progress are answered with a failure. A failure tells the
 	// caller more than a connection that is closed without an answer.
 	answerMargin = 800 * time.Millisecond
-	// answerTimeout bounds the time for writing these failures.
-	answerTimeout = 300 * time.Millisecond
+	// writeTimeAtEnd is how much longer callers may read these failures and the answers that
+	// they read slowly.
+	writeTimeAtEnd = 250 * time.Millisecond
+	// closeTimeout bounds the wait for connections that are in use without a request in
+	// progress, such as one whose caller stopped in the middle of a request.
+	closeTimeout = 200 * time.Millisecond
 	// idleCheckInterval is the time between checks whether all requests have ended.
 	idleCheckInterval = 20 * time.Millisecond
 )
@@ -27,8 +31,8 @@
 // and waits notReadyPeriod for callers to switch to other nodes. From the start it sends a
 // request only if that can be expected to end before the grace period does. It then refuses new
 // calls to its target and new requests of callers, except nested ones, and stops when
-// all requests and calls have ended or the grace period is almost over. Requests that
-// are still in progress then are answered with a failure.
+// all requests and calls have ended, with their answers written, or the grace period is
+// almost over. Requests that are still in progress then are answered with a failure.
 func (n *Node) Stop() error {
 	began := time.Now()
 	n.leaving.Store(true)
@@ -42,10 +46,13 @@
 	defer cancel()
 	n.waitIdle(ctx)
 	_ = n.entry.Ring().Put(context.Background(), failRequests{})
-	ctx, cancel = context.WithTimeout(context.Background(), answerTimeout)
+	ctx, cancel = context.WithTimeout(context.Background(), writeTimeAtEnd)
+	defer cancel()
+	n.waitWritten(ctx)
+	ctx, cancel = context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	for _, s := range n.servers {
-		_ = s.Shutdown(ctx) // returns after answerTimeout at the latest
+		_ = s.Shutdown(ctx) // returns after closeTimeout at the latest
 	}
 	err := n.Close()
 	n.log.Emit(event.MeshStopped, "took", time.Since(began), "requests", n.serving.Load())
@@ -64,6 +71,13 @@
 	return n.tomb.Wait()
 }
 
+// waitWritten waits until the answers to all requests are written.
+func (n *Node) waitWritten(ctx context.Context) {
+	for ctx.Err() == nil && n.serving.Load() > 0 {
+		sleep(ctx, idleCheckInterval)
+	}
+}
+
 // waitIdle waits until no request of a caller and no call at the target is in
 // progress.
 func (n *Node) waitIdle(ctx context.Context) {
