memory: the account of the bytes that a node holds for others

Cause: no part of a node knows what the others hold, so that each may be within its limit while the process is beyond its memory.

Change: policy/mesh/memory keeps one account and decides which charge waits, which is refused and which connection is closed: the one that holds most and moves least, and only while others need its room. Bodies leave a sixth of the account to small requests, and these a twelfth to answers. Nothing uses it yet.

Measured: its tests pass, in virtual time.

--- /dev/null
+++ b/policy/mesh/memory/core.go
@@ -0,0 +1,330 @@
+// Package memory keeps the account of the bytes that a node holds for others: connections,
+// heads and bodies of requests, answers that wait for their reader, and frames on links.
+// While the account is short, it decides who waits, who is refused and whose connection is
+// closed. It needs no network; its methods get the time.
+//
+// A charge is made before the bytes are read. Bodies may use less of the account than small
+// charges, and those less than answers: a crowd that sends bodies leaves room for ordinary
+// requests, and these leave room for the answers of what has run.
+package memory
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// waitTime is how long a charge may wait for room. Within it, slow holders are found and
+	// closed.
+	waitTime = 1500 * time.Millisecond
+	// rateWindow is the time over which a holder's rate is measured.
+	rateWindow = 500 * time.Millisecond
+	// SampleInterval is the time between two samples of all holders while the account is
+	// short.
+	SampleInterval = 250 * time.Millisecond
+	// minBytesPerSecond is the rate below which a holder is closed if others need its room.
+	// A caller that sends a body within its deadline is far above it.
+	minBytesPerSecond = 16 << 10
+	// closeTimeout is how long a holder may take to end after it was told to.
+	closeTimeout = time.Second
+)
+
+// HolderID identifies a connection or a call that holds bytes.
+type HolderID uint64
+
+// ChargeID identifies a charge until it is decided.
+type ChargeID uint64
+
+// Use is what a charge is for.
+type Use uint8
+
+// Uses, in the order of how much of the account they may fill.
+const (
+	UseBody   Use = iota // a body that a caller sends
+	UseSmall             // a connection or a head
+	UseAnswer            // an answer, or a call that a peer has admitted
+	useCount
+)
+
+// State is what a holder waits for.
+type State uint8
+
+// States of a holder. A holder that runs waits for the node and is never closed.
+const (
+	StateRunning State = iota
+	StateIdle          // waits for the next request
+	StateReading       // waits for the caller to send
+	StateWriting       // waits for the caller to read
+)
+
+// Limits bounds an account.
+type Limits struct {
+	Bytes           int64
+	Connections     int
+	ConnectionBytes int64 // charged for each connection; covers a small request and its answer
+}
+
+// Kind is the kind of a decision.
+type Kind uint8
+
+// Kinds of decisions.
+const (
+	Granted Kind = iota // Charge may be used
+	Refused             // Charge found no room
+	Close               // Holder must end
+)
+
+// Decision is a decision that Decisions returns.
+type Decision struct {
+	Kind   Kind
+	Charge ChargeID
+	Holder HolderID
+	Held   int64   // by the holder
+	Rate   float64 // bytes per second of the holder, for Close
+	State  State   // of the holder, for Close
+	Force  bool    // the holder was told before and has not ended
+}
+
+type holder struct {
+	id         HolderID
+	connection bool
+	held       int64
+	state      State
+	markedAt   time.Time // begin of the rate window; zero before the first sample
+	marked     int64     // bytes moved until then
+	rate       float64   // in the latest window
+	slow       bool      // below the minimum rate in the latest window, or idle
+	closedAt   time.Time // when it was told to end
+}
+
+type charge struct {
+	id     ChargeID
+	holder *holder
+	bytes  int64
+	use    Use
+	since  time.Time
+}
+
+// Core is the account. It must be used by one thread.
+type Core struct {
+	limits      Limits
+	held        int64
+	leaving     int64 // held by holders that were told to end
+	connections int   // without those that were told to end
+	holders     map[HolderID]*holder
+	waiting     []charge // in the order of arrival
+	decisions   []Decision
+}
+
+// New returns an empty account.
+func New(l Limits) *Core { return &Core{limits: l, holders: make(map[HolderID]*holder)} }
+
+// limit returns how much of the account may be held after a charge.
+func (c *Core) limit(u Use) int64 {
+	switch u {
+	case UseBody:
+		return c.limits.Bytes - c.limits.Bytes/6
+	case UseSmall:
+		return c.limits.Bytes - c.limits.Bytes/12
+	default:
+		return c.limits.Bytes
+	}
+}
+
+// Held returns the bytes in use, Connections the number of open connections and Waiting
+// that of the charges that wait.
+func (c *Core) Held() int64 { return c.held }
+
+// Connections returns the number of open connections.
+func (c *Core) Connections() int { return c.connections }
+
+// Waiting returns the number of charges that wait.
+func (c *Core) Waiting() int { return len(c.waiting) }
+
+// Short reports whether the holders must be sampled.
+func (c *Core) Short() bool {
+	return len(c.waiting) > 0 || c.held > c.limits.Bytes/2 || c.connections > c.limits.Connections/2
+}
+
+// Open adds a connection and reports whether there is room for it. If there is none, the
+// connection that holds most and moves least is closed.
+func (c *Core) Open(now time.Time, id HolderID) bool {
+	if c.connections >= c.limits.Connections && !c.closeSlowest(now, 0) {
+		return false
+	}
+	if c.held+c.limits.ConnectionBytes > c.limit(UseSmall) && !c.closeSlowest(now, 0) {
+		return false
+	}
+	if c.held-c.leaving+c.limits.ConnectionBytes > c.limit(UseSmall) {
+		return false
+	}
+	c.holders[id] = &holder{id: id, connection: true, held: c.limits.ConnectionBytes, state: StateReading}
+	c.held += c.limits.ConnectionBytes
+	c.connections++
+	return true
+}
+
+// Add adds a holder that is no connection, such as a call of a peer. It is never closed.
+func (c *Core) Add(id HolderID) { c.holders[id] = &holder{id: id} }
+
+// Charge asks for bytes for a holder. The decision follows in Decisions, at once or later.
+func (c *Core) Charge(now time.Time, id ChargeID, holderID HolderID, bytes int64, use Use) {
+	h := c.holders[holderID]
+	if h == nil || h.held+bytes > c.limit(use) { // it can never be granted
+		c.decisions = append(c.decisions, Decision{Kind: Refused, Charge: id, Holder: holderID})
+		return
+	}
+	c.waiting = append(c.waiting, charge{id: id, holder: h, bytes: bytes, use: use, since: now})
+	c.grantWaiting()
+}
+
+// Release returns bytes of a holder.
+func (c *Core) Release(id HolderID, bytes int64) {
+	if h := c.holders[id]; h != nil {
+		c.drop(h, min(bytes, h.held))
+		c.grantWaiting()
+	}
+}
+
+// Remove removes a holder and returns all its bytes. Its waiting charges are refused.
+func (c *Core) Remove(id HolderID) {
+	h := c.holders[id]
+	if h == nil {
+		return
+	}
+	c.drop(h, h.held)
+	delete(c.holders, id)
+	if h.connection && h.closedAt.IsZero() {
+		c.connections--
+	}
+	c.refuseWaiting(func(w charge) bool { return w.holder == h })
+	c.grantWaiting()
+}
+
+func (c *Core) drop(h *holder, bytes int64) {
+	h.held -= bytes
+	c.held -= bytes
+	if !h.closedAt.IsZero() {
+		c.leaving -= bytes
+	}
+}
+
+// Sample states what a connection waits for and how many bytes it has sent and read so far.
+func (c *Core) Sample(now time.Time, id HolderID, state State, moved int64) {
+	h := c.holders[id]
+	if h == nil {
+		return
+	}
+	if !h.closedAt.IsZero() {
+		if now.Sub(h.closedAt) >= closeTimeout {
+			h.closedAt = now
+			c.decisions = append(c.decisions, Decision{Kind: Close, Holder: id, Held: h.held, Rate: h.rate, State: h.state, Force: true})
+		}
+		return
+	}
+	if state != h.state || h.markedAt.IsZero() {
+		h.state, h.markedAt, h.marked, h.slow = state, now, moved, false
+		return
+	}
+	if elapsed := now.Sub(h.markedAt); elapsed >= rateWindow {
+		h.rate = float64(moved-h.marked) / elapsed.Seconds()
+		h.slow = state != StateRunning && h.rate < minBytesPerSecond
+		h.markedAt, h.marked = now, moved
+	}
+}
+
+// Tick closes slow holders if charges wait, refuses charges that have waited too long, and
+// returns when it must be called again; the zero time if the account is not short.
+func (c *Core) Tick(now time.Time) time.Time {
+	c.refuseWaiting(func(w charge) bool { return now.Sub(w.since) >= waitTime })
+	c.closeForWaiting(now)
+	if !c.Short() {
+		return time.Time{}
+	}
+	return now.Add(SampleInterval)
+}
+
+// closeForWaiting closes slow holders until the charges that wait would find room.
+func (c *Core) closeForWaiting(now time.Time) {
+	var needed, minHeld int64
+	for _, w := range c.waiting {
+		needed = max(needed, c.held-c.leaving+w.bytes-c.limit(w.use))
+	}
+	for needed > 0 {
+		// A connection that holds nothing besides itself frees too little for a body.
+		minHeld = c.limits.ConnectionBytes + 1
+		if needed <= c.limits.ConnectionBytes {
+			minHeld = 0
+		}
+		before := c.leaving
+		if !c.closeSlowest(now, minHeld) {
+			return
+		}
+		needed -= c.leaving - before
+	}
+}
+
+// closeSlowest closes the slow connection that holds most and, among equals, moves least.
+// It reports whether there is one that holds at least minHeld.
+func (c *Core) closeSlowest(now time.Time, minHeld int64) bool {
+	var victim *holder
+	for _, h := range c.holders {
+		if h.connection && h.slow && h.closedAt.IsZero() && h.held >= minHeld && (victim == nil || h.goesBefore(victim)) {
+			victim = h
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	victim.closedAt = now
+	c.leaving += victim.held
+	c.connections--
+	c.decisions = append(c.decisions, Decision{Kind: Close, Holder: victim.id, Held: victim.held, Rate: victim.rate, State: victim.state})
+	return true
+}
+
+// goesBefore reports whether h is closed before another holder.
+func (h *holder) goesBefore(other *holder) bool {
+	if h.held != other.held {
+		return h.held > other.held
+	}
+	if h.rate != other.rate {
+		return h.rate < other.rate
+	}
+	return h.id < other.id
+}
+
+// grantWaiting grants the charges that find room, the least restricted use first.
+func (c *Core) grantWaiting() {
+	for use := useCount; use > 0; use-- {
+		c.waiting = slices.DeleteFunc(c.waiting, func(w charge) bool {
+			if w.use != use-1 || c.held+w.bytes > c.limit(w.use) {
+				return false
+			}
+			w.holder.held += w.bytes
+			c.held += w.bytes
+			if !w.holder.closedAt.IsZero() {
+				c.leaving += w.bytes
+			}
+			c.decisions = append(c.decisions, Decision{Kind: Granted, Charge: w.id, Holder: w.holder.id})
+			return true
+		})
+	}
+}
+
+func (c *Core) refuseWaiting(match func(charge) bool) {
+	c.waiting = slices.DeleteFunc(c.waiting, func(w charge) bool {
+		if !match(w) {
+			return false
+		}
+		c.decisions = append(c.decisions, Decision{Kind: Refused, Charge: w.id, Holder: w.holder.id})
+		return true
+	})
+}
+
+// Decisions returns the decisions since the last call.
+func (c *Core) Decisions() []Decision {
+	d := c.decisions
+	c.decisions = nil
+	return d
+}
--- /dev/null
+++ b/policy/mesh/memory/core_test.go
@@ -0,0 +1,151 @@
+package memory
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const mib = 1 << 20
+
+var testLimits = Limits{Bytes: 96 * mib, Connections: 10, ConnectionBytes: 32 << 10}
+
+// decide returns the kinds of the decisions about charges and the holders to close.
+func decide(c *Core) (charges map[ChargeID]Kind, closed []HolderID) {
+	charges = make(map[ChargeID]Kind)
+	for _, d := range c.Decisions() {
+		if d.Kind == Close {
+			closed = append(closed, d.Holder)
+			continue
+		}
+		charges[d.Charge] = d.Kind
+	}
+	return charges, closed
+}
+
+// Guards against a crowd of bodies that leaves no room for small requests and answers, and
+// against a wait that does not end.
+func TestBodiesLeaveRoomForOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(testLimits)
+	for id := HolderID(1); id <= 3; id++ {
+		assert.Assert(t, c.Open(now, id))
+		c.Charge(now, ChargeID(id), id, 40*mib, UseBody)
+	}
+	charges, _ := decide(c)
+	assert.DeepEqual(t, charges, map[ChargeID]Kind{1: Granted}) // two would take the reserved parts
+	assert.Assert(t, c.Open(now, 4))
+	c.Charge(now, 4, 4, 64<<10, UseSmall)
+	c.Charge(now, 5, 4, 4*mib, UseAnswer)
+	charges, _ = decide(c)
+	assert.DeepEqual(t, charges, map[ChargeID]Kind{4: Granted, 5: Granted})
+	c.Remove(1)
+	charges, _ = decide(c)
+	assert.DeepEqual(t, charges, map[ChargeID]Kind{2: Granted})
+	c.Tick(now.Add(waitTime))
+	charges, _ = decide(c)
+	assert.DeepEqual(t, charges, map[ChargeID]Kind{3: Refused})
+	c.Charge(now, 6, 4, 100*mib, UseBody)
+	charges, _ = decide(c)
+	assert.DeepEqual(t, charges, map[ChargeID]Kind{6: Refused}) // it could never be granted
+}
+
+// Guards against closing a holder that moves or whose request runs, and one that holds
+// little while another holds more.
+func TestHolderOfMostThatMovesLeastIsClosed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(testLimits)
+	for id := HolderID(1); id <= 5; id++ {
+		assert.Assert(t, c.Open(now, id))
+		c.Charge(now, ChargeID(id), id, 10*mib+int64(id), UseBody)
+	}
+	sample := func() {
+		moved := now.Sub(time.Unix(1000, 0)).Milliseconds() * 1000
+		c.Sample(now, 1, StateReading, 0)
+		c.Sample(now, 2, StateReading, 100)
+		c.Sample(now, 3, StateReading, moved)
+		c.Sample(now, 4, StateRunning, 0)
+		c.Sample(now, 5, StateWriting, moved)
+	}
+	sample()
+	now = now.Add(rateWindow)
+	sample()
+	c.Tick(now)
+	_, closed := decide(c)
+	assert.Equal(t, len(closed), 0, "nothing waits")
+	assert.Assert(t, c.Open(now, 6))
+	c.Charge(now, 6, 6, 39*mib, UseBody)
+	c.Tick(now)
+	_, closed = decide(c)
+	assert.DeepEqual(t, closed, []HolderID{2})
+	c.Remove(2)
+	charges, _ := decide(c)
+	assert.DeepEqual(t, charges, map[ChargeID]Kind{6: Granted})
+}
+
+// Guards against connections that stop halfway and take the place of new callers.
+func TestConnectionLimitClosesSlowOnes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(testLimits)
+	for id := HolderID(1); id <= 10; id++ {
+		assert.Assert(t, c.Open(now, id))
+		c.Sample(now, id, StateReading, 0)
+	}
+	assert.Assert(t, !c.Open(now, 11), "all may still move")
+	now = now.Add(rateWindow)
+	for id := HolderID(1); id <= 10; id++ {
+		c.Sample(now, id, StateReading, int64(id)<<20)
+	}
+	assert.Assert(t, !c.Open(now, 11))
+	now = now.Add(rateWindow)
+	c.Sample(now, 7, StateReading, 7<<20)
+	assert.Assert(t, c.Open(now, 11))
+	_, closed := decide(c)
+	assert.DeepEqual(t, closed, []HolderID{7})
+	c.Sample(now.Add(closeTimeout), 7, StateReading, 7<<20)
+	assert.Assert(t, c.Decisions()[0].Force)
+}
+
+// Guards against bytes that are lost or counted twice, and against charges beyond the
+// limit, in random sequences.
+func TestAccountStaysWithinLimit(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	now := time.Unix(1000, 0)
+	c := New(testLimits)
+	for i := range 20000 {
+		now = now.Add(time.Duration(r.IntN(100)) * time.Millisecond)
+		id := HolderID(r.IntN(20))
+		switch r.IntN(6) {
+		case 0:
+			if c.holders[id] == nil {
+				c.Open(now, id)
+			}
+		case 1, 2:
+			c.Charge(now, ChargeID(i), id, int64(r.IntN(20*mib)), Use(r.IntN(int(useCount))))
+		case 3:
+			c.Release(id, int64(r.IntN(20*mib)))
+		case 4:
+			c.Sample(now, id, State(r.IntN(4)), int64(i)*int64(r.IntN(3))*mib)
+		case 5:
+			c.Remove(id)
+		}
+		c.Tick(now)
+		c.Decisions()
+		var sum, leaving int64
+		open := 0
+		for _, h := range c.holders {
+			sum += h.held
+			if h.closedAt.IsZero() {
+				open++
+			} else {
+				leaving += h.held
+			}
+		}
+		assert.Equal(t, c.held, sum)
+		assert.Equal(t, c.leaving, leaving)
+		assert.Equal(t, c.connections, open)
+		assert.Assert(t, c.held-c.leaving <= testLimits.Bytes)
+	}
+}
