frame, exchange: large bodies are written from where they are

Cause: a call or an answer with a body of 64 MiB was copied into the buffer of its frame, and into that of the target's request, each of which grew by doubling.

Change: the body is the last field of a frame, and AppendSplit leaves it out, so that the link can write it without a copy. A request to the target is written as two buffers if its body is above 16 KiB. Nodes of earlier versions read the fields in any order.

--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -148,10 +148,8 @@
 	now := time.Now()
 	cn.attempts = append(cn.attempts, c.hashAttempt(call))
 	_ = cn.SetDeadline(call.Deadline.Add(deadlineGrace))
-	request := make([]byte, 0, 512+len(call.Body))
-	request = c.codec.AppendRequest(request, call, target, call.Deadline.Sub(now))
-	request = append(request, call.Body...)
-	if n, err := cn.Write(request); err != nil {
+	head := c.codec.AppendRequest(make([]byte, 0, headBytes), call, target, call.Deadline.Sub(now))
+	if n, err := cn.writeRequest(head, call.Body); err != nil {
 		if n == 0 && cn.reused() && ctx.Err() == nil {
 			return nil, model.OutcomeConnectionBroken, true
 		}
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -27,6 +27,11 @@
 	// maxCallsPerConn limits the calls on one connection, and so the memory for their
 	// attempts.
 	maxCallsPerConn = 1024
+	// headBytes is the usual size of a request's head.
+	headBytes = 512
+	// maxCopiedBytes is the size up to which a body is copied behind the head of its request.
+	// Larger ones are written from where they are.
+	maxCopiedBytes = 16 << 10
 )
 
 // conn is one connection to the target.
@@ -45,6 +50,16 @@
 	return &conn{Conn: netConn, received: received, r: bufio.NewReaderSize(received, readBufferBytes)}
 }
 
+// writeRequest writes a request and returns the number of bytes written.
+func (cn *conn) writeRequest(head, body []byte) (int64, error) {
+	if len(body) <= maxCopiedBytes {
+		n, err := cn.Write(append(head, body...))
+		return int64(n), err
+	}
+	buffers := net.Buffers{head, body}
+	return buffers.WriteTo(cn.Conn)
+}
+
 // reused reports whether the connection carried another call before the latest one.
 func (cn *conn) reused() bool { return len(cn.attempts) > 1 }
 
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -10,11 +10,9 @@
 
 import (
 	"encoding/binary"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
@@ -45,9 +43,10 @@
 
 const (
 	headerBytes = 5 // 4 for the length of kind and payload, 1 for the kind
+	// idFieldBytes is the size of the first field of a call or an answer, a fixed64.
+	idFieldBytes = 9
 	// MaxBytes is the maximum length of kind and payload. It exceeds the largest
-	// body of an answer from nodes of earlier versions, 64 MiB, by enough for the
-	// headers. Nodes of this version send less (maxAnswerBytes in transport/exchange).
+	// body of a request, 64 MiB, by enough for the headers.
 	MaxBytes = 80 << 20
 	// MaxHelloBytes is the same for a hello, which is read before the sender is known to
 	// be a node.
@@ -147,45 +146,28 @@
 
 // Append appends the frame of m to b.
 func Append(b []byte, m Message) []byte {
-	start := len(b)
-	b = append(b, 0, 0, 0, 0, byte(m.kind()))
-	b = m.append(b)
-	binary.BigEndian.PutUint32(b[start:], uint32(len(b)-start-4))
-	return b
+	b, body := AppendSplit(b, m)
+	return append(b, body...)
 }
 
-// Read reads one frame and decodes its message, which does not share memory with
-// messages read later.
-func Read(r io.Reader) (Message, error) { return read(r, MaxBytes) }
-
-// ReadHello reads the first frame of a connection, which must be a hello.
-func ReadHello(r io.Reader) (Hello, error) {
-	m, err := read(r, MaxHelloBytes)
-	if err != nil {
-		return Hello{}, err
-	}
-	hello, ok := m.(Hello)
-	if !ok {
-		return Hello{}, errors.Errorf("the first frame is %T, want a hello", m)
+// AppendSplit appends the frame of m to b without the body of a call or an answer, which
+// is the end of the frame. The sender writes it after b, so that it needs no copy.
+func AppendSplit(b []byte, m Message) (frame, body []byte) {
+	start := len(b)
+	b = append(b, 0, 0, 0, 0, byte(m.kind()))
+	if carrier, ok := m.(bodyCarrier); ok {
+		b, body = carrier.appendSplit(b)
+	} else {
+		b = m.append(b)
 	}
-	return hello, nil
+	binary.BigEndian.PutUint32(b[start:], uint32(len(b)+len(body)-start-4))
+	return b, body
 }
 
-func read(r io.Reader, maxBytes uint32) (Message, error) {
-	var header [headerBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
-	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size < 1 || size > maxBytes {
-		return nil, errors.Errorf("frame of %d bytes, want 1 to %d", size, maxBytes)
-	}
-	payload := make([]byte, size-1)
-	if _, err := io.ReadFull(r, payload); err != nil {
-		return nil, errors.Wrap(err, "read frame")
-	}
-	m, err := decode(Kind(header[4]), payload)
-	return m, errors.Wrapf(err, "frame of kind %d", header[4])
+// bodyCarrier is a message with a body.
+type bodyCarrier interface {
+	// appendSplit appends all fields but the content of the body, which is the last one.
+	appendSplit(b []byte) (fields, body []byte)
 }
 
 // decode decodes a payload. Frames of unknown kinds, which a node of a later
@@ -271,6 +253,12 @@
 	return protowire.AppendBytes(b, v)
 }
 
+// appendLength appends the begin of a field of bytes, whose content follows.
+func appendLength(b []byte, number protowire.Number, v []byte) []byte {
+	b = protowire.AppendTag(b, number, protowire.BytesType)
+	return protowire.AppendVarint(b, uint64(len(v)))
+}
+
 func appendUint(b []byte, number protowire.Number, v uint64) []byte {
 	if v == 0 {
 		return b
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -37,6 +37,11 @@
 }
 
 func (m Call) append(b []byte) []byte {
+	b, body := m.appendSplit(b)
+	return append(b, body...)
+}
+
+func (m Call) appendSplit(b []byte) (fields, body []byte) {
 	c := m.Call
 	b = appendFixed64(b, 1, uint64(c.ID))
 	b = appendString(b, 2, string(c.Service))
@@ -53,14 +58,14 @@
 	b = appendDuration(b, 13, m.Remaining)
 	b = appendDuration(b, 14, m.SLORemaining)
 	b = appendHeader(b, 15, 16, c.Header)
-	b = appendBytes(b, 17, c.Body)
 	if c.OnBehalfOf != c.Customer {
 		b = appendString(b, 18, string(c.OnBehalfOf))
 	}
 	b = appendBool(b, 19, c.IsRetry)
 	b = appendUint(b, 20, uint64(c.CrashCount))
 	b = appendBool(b, 21, c.CrashesReported)
-	return appendUint(b, 22, uint64(c.Progress*fractionScale))
+	b = appendUint(b, 22, uint64(c.Progress*fractionScale))
+	return appendLength(b, 17, c.Body), c.Body
 }
 
 func decodeCall(b []byte) (Message, error) {
@@ -136,6 +141,11 @@
 }
 
 func (m Answer) append(b []byte) []byte {
+	b, body := m.appendSplit(b)
+	return append(b, body...)
+}
+
+func (m Answer) appendSplit(b []byte) (fields, body []byte) {
 	a := m.Answer
 	b = appendFixed64(b, 1, uint64(a.ID))
 	b = appendUint(b, 2, uint64(a.Run))
@@ -146,9 +156,9 @@
 	b = appendUint(b, 7, uint64(a.Load.InFlight))
 	b = appendUint(b, 8, uint64(a.Load.Queued))
 	b = appendHeader(b, 9, 10, a.Header)
-	b = appendBytes(b, 11, a.Body)
 	b = appendBool(b, 12, a.NestedFailed)
-	return appendWork(b, 13, a.Work)
+	b = appendWork(b, 13, a.Work)
+	return appendLength(b, 11, a.Body), a.Body
 }
 
 // appendWork appends what a request used at each service, with slot times in whole
