mesh: one account of the bytes that a node holds for others

Only the answers that are being read from the target had a bound, a quarter of the memory.

Ruled out: a bound for each kind (their sum must then fit, and each is too small for a single large body); releasing bytes when the collector finds them unused (the account is then short of what is already free); a check of sizes in the HTTP handler alone (a head is in memory before the handler runs).

Change: the memory duty runs policy/mesh/memory. The account is 0.7 of ram_mb less 32 MiB; it replaces answer_bytes. A connection is charged 32 KiB, which covers a small request and its answer without a message to the duty. A head is charged beyond 16 KiB of memory while it is read, and limited to 256 fields and max_header_bytes with room (431). A body is charged before it is read, in buffers that grow to its announced length; above max_body_bytes it is refused (413), by default 64 MiB in place of 16. Without room a body waits 1.5 s and is refused as not run (503, Retry-After 1); while others wait, a caller that sends too slowly is answered 408, and one that does not read loses its connection. A large frame is charged before it is read; without room its call is refused as not run, or its answer becomes a failure. An answer holds its bytes until it is written to its reader. Read and write deadlines of a link are extended while bytes move, since a frame of 64 MiB takes longer than they last.

--- a/agent/mesh/clock_test.go
+++ b/agent/mesh/clock_test.go
@@ -28,7 +28,7 @@
 		".", "../../transport/exchange", "../../transport/frame", "../../platform", "../../core/duty", "../../core/ring",
 		"../../core/timers", "../../core/budget",
 	}
-	policies := []string{"fleet", "quota", "dispatch", "gate", "poison", "freshness", "rollout"}
+	policies := []string{"fleet", "quota", "dispatch", "gate", "poison", "freshness", "rollout", "memory"}
 	for _, name := range policies {
 		folders = append(folders, "../../policy/mesh/"+name)
 	}
--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -26,13 +26,20 @@
 	requestReceived struct {
 		request *model.Request
 		reply   ring.Reply[*model.Answer]
+		// held is what the answers to its calls hold of the node's account. It belongs to the
+		// entry duty until it replies, and again if the caller has disconnected.
+		held []*holding
 	}
 	// requestCanceled reports that the caller of a request has disconnected.
-	requestCanceled struct{ id model.CallID }
+	requestCanceled struct {
+		id       model.CallID
+		received *requestReceived
+	}
 	// answerReceived is the result of a call, sent by its target's node.
 	answerReceived struct {
 		peer   model.Instance
 		answer *model.Answer
+		held   *holding // what the answer holds of the node's account; may be nil
 	}
 	// parentStarted reports that a call is about to run at the node's own
 	// target, which may send nested calls.
@@ -140,7 +147,7 @@
 
 // pendingRequest is a request whose caller waits for the answer.
 type pendingRequest struct {
-	reply     ring.Reply[*model.Answer]
+	received  *requestReceived
 	arrivedAt time.Time
 	attemptID string // as sent by the caller
 }
@@ -178,7 +185,7 @@
 	h.core.Abort(id)
 	if p := h.pending[id]; p != nil {
 		delete(h.pending, id)
-		p.reply.Send(model.NewFailure(id, model.ReasonInternal, "unexpected error in the node"))
+		p.received.reply.Send(model.NewFailure(id, model.ReasonInternal, "unexpected error in the node"))
 	}
 }
 
@@ -222,13 +229,15 @@
 func (h *entryHandler) handle(now time.Time, m entryMessage) {
 	switch m := m.(type) {
 	case *requestReceived:
-		h.pending[m.request.ID] = &pendingRequest{reply: m.reply, arrivedAt: now, attemptID: m.request.AttemptID}
+		h.pending[m.request.ID] = &pendingRequest{received: m, arrivedAt: now, attemptID: m.request.AttemptID}
 		h.core.SetConfirmedAt(h.node.documentsConfirmedAt())
 		h.core.OnRequest(now, m.request)
 	case requestCanceled:
 		delete(h.pending, m.id)
+		endAll(m.received.held)
 		h.core.OnCanceled(now, m.id)
 	case answerReceived:
+		h.keepHolding(m)
 		h.core.OnAnswer(now, m.peer, m.answer)
 	case parentStarted:
 		h.core.OnParentStarted(m.parent)
@@ -267,12 +276,24 @@
 	case entryConfigChanged:
 		h.core.OnConfig(now, m.config, m.zonesOut)
 		h.onRolloutOrders(now, m)
+		if m.config != nil {
+			h.node.requestLimits.Store(&m.config.Limits)
+		}
 		h.node.configured.Store(h.core.Ready())
 	case rolloutReceived, rolloutStatusRead, rolloutStatusAppended:
 		h.handleRollout(now, m)
 	}
 }
 
+// keepHolding keeps what an answer holds of the account until the request has ended.
+func (h *entryHandler) keepHolding(m answerReceived) {
+	if p := h.pending[m.answer.ID]; p != nil && m.held != nil {
+		p.received.held = append(p.received.held, m.held)
+		return
+	}
+	m.held.end()
+}
+
 func (h *entryHandler) onCrashesReceived(now time.Time, m crashesReceived) {
 	before := h.core.SuspectedRequests()
 	h.core.OnPeerCrashes(now, m.reports)
@@ -356,7 +377,7 @@
 		h.node.log.Emit(event.MeshAnswered, "id", p.attemptID, "call", d.ID, "route", d.Route, "status", d.Answer.Status,
 			"config", d.ConfigVersion, "retry_denied", d.RetryDenied, "took", took)
 	}
-	p.reply.Send(d.Answer)
+	p.received.reply.Send(d.Answer)
 }
 
 func (h *entryHandler) logSend(d dispatch.Decision) {
--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -37,6 +37,7 @@
 	callArrived struct {
 		call       *model.Call
 		callerLink *link
+		held       *holding // what the call holds of the node's account; may be nil
 	}
 	// callCanceled reports that nobody waits for a call any more: its caller has
 	// disconnected or its time limit has passed.
@@ -94,6 +95,7 @@
 	client         *exchange.Client
 	callerLinks    map[model.CallID]*link              // links to the callers' nodes
 	cancels        map[model.CallID]context.CancelFunc // of calls at the target
+	holdings       map[model.CallID]*holding           // of calls that wait
 	healthPath     string
 	probingStarted bool
 	nextReportAt   time.Time
@@ -110,6 +112,7 @@
 		client:      client,
 		callerLinks: make(map[model.CallID]*link),
 		cancels:     make(map[model.CallID]context.CancelFunc),
+		holdings:    make(map[model.CallID]*holding),
 		healthPath:  defaultHealthPath,
 	})
 }
@@ -123,6 +126,7 @@
 		})
 		if m, isCall := m.(callArrived); isCall && !ok {
 			h.node.deliver(m.callerLink, model.NewFailure(m.call.ID, model.ReasonInternal, "unexpected error in the target's node"))
+			h.takeHolding(m.call.ID).end()
 		}
 	}
 	h.report(now)
@@ -152,6 +156,9 @@
 		if m.callerLink != nil {
 			h.callerLinks[m.call.ID] = m.callerLink
 		}
+		if m.held != nil {
+			h.holdings[m.call.ID] = m.held
+		}
 		h.core.OnCall(now, m.call)
 	case callCanceled:
 		h.core.OnCanceled(now, m.id)
@@ -227,9 +234,17 @@
 func (h *gateHandler) forgetCallerLink(id model.CallID) {
 	if h.cancels[id] == nil {
 		delete(h.callerLinks, id)
+		h.takeHolding(id).end()
 	}
 }
 
+// takeHolding returns what a call that waits holds of the node's account; it may be nil.
+func (h *gateHandler) takeHolding(id model.CallID) *holding {
+	held := h.holdings[id]
+	delete(h.holdings, id)
+	return held
+}
+
 func (h *gateHandler) applyDecisions(now time.Time) {
 	for _, d := range h.core.Decisions() {
 		switch {
@@ -258,6 +273,7 @@
 func (h *gateHandler) refuse(d gate.Decision) {
 	callerLink := h.callerLinks[d.ID]
 	delete(h.callerLinks, d.ID)
+	h.takeHolding(d.ID).end()
 	h.node.metrics.gateRefused.Add(1)
 	h.node.log.Emit(event.MeshGateRefused, "call", d.ID, "reason", d.Answer.Reason, "detail", d.Answer.Detail,
 		"running", d.Answer.Load.InFlight, "queued", d.Answer.Load.Queued, "limit", d.Answer.Load.Limit)
@@ -276,13 +292,18 @@
 	// nested calls only lose the parent's priority, customer and retry mark.
 	parent := &dispatch.Parent{Call: d.Run}
 	h.node.entry.Ring().Offer(parentStarted{parent: parent})
-	go h.performCall(ctx, cancel, d, parent, callerLink)
+	held := h.takeHolding(d.ID)
+	if held == nil {
+		held = h.node.newHolding()
+	}
+	go h.performCall(ctx, cancel, d, parent, callerLink, held)
 }
 
-func (h *gateHandler) performCall(ctx context.Context, cancel context.CancelFunc, d gate.Decision, parent *dispatch.Parent, callerLink *link) {
+// performCall sends a call to the target and delivers the answer. What the two hold of the
+// node's account is returned when the answer has been written.
+func (h *gateHandler) performCall(ctx context.Context, cancel context.CancelFunc, d gate.Decision, parent *dispatch.Parent, callerLink *link, held *holding) {
 	defer cancel()
-	reservation := h.node.answerBytes.NewReservation()
-	defer reservation.Release()
+	reservation := budget.NewReservation(answerSource{held})
 	var answer *model.Answer
 	outcome := model.OutcomeFailed
 	startedAt := time.Now()
@@ -302,7 +323,7 @@
 	if answer.Run != model.NotRun {
 		answer.Work = parent.Work(model.ServiceWork{Service: d.Run.Service, Calls: 1, SlotTime: time.Since(startedAt)})
 	}
-	h.node.deliver(callerLink, answer)
+	h.node.deliverHeld(callerLink, answer, held)
 	_ = h.node.entry.Ring().Put(context.Background(), parentEnded{call: d.Run})
 	if answer.FromNode() {
 		h.node.log.Emit(event.MeshRunFailed, "id", d.Run.AttemptID, "call", d.ID, "target", d.Target,
@@ -365,10 +386,14 @@
 // deliver sends the result of a call to its caller's node. The gate duty may wait
 // here for room in the entry duty's ring. The two cannot deadlock, since the entry
 // duty never waits for the gate duty.
-func (n *Node) deliver(callerLink *link, a *model.Answer) {
+func (n *Node) deliver(callerLink *link, a *model.Answer) { n.deliverHeld(callerLink, a, nil) }
+
+// deliverHeld delivers an answer with what it holds of the node's account, which is returned
+// when the answer has been written.
+func (n *Node) deliverHeld(callerLink *link, a *model.Answer, held *holding) {
 	if callerLink == nil {
-		_ = n.entry.Ring().Put(context.Background(), answerReceived{peer: n.settings.Instance, answer: a})
+		n.onHeldAnswer(n.settings.Instance, a, held)
 		return
 	}
-	callerLink.send(frame.Answer{Answer: a})
+	callerLink.sendHeld(frame.Answer{Answer: a}, held)
 }
--- a/agent/mesh/gate_test.go
+++ b/agent/mesh/gate_test.go
@@ -60,15 +60,18 @@
 	target := newAnsweringTarget(t, memory)
 	n := New(&Settings{Instance: "10.0.0.1:7000", Service: "s", Zone: "z", TargetAddress: target, MemoryBytes: memory},
 		nil, versionDecoder{}, plainCodec{}, hclog.NewNullLogger())
+	n.memory.Start(&n.tomb)
+	t.Cleanup(func() { n.tomb.Kill(nil) })
 	for n.entry.Ring().Offer(failRequests{}) { // nobody takes the answer
 	}
 	h := &gateHandler{node: n, client: n.client}
 	call := &model.Call{ID: 1, Method: "GET", Path: "/x", Deadline: time.Now().Add(time.Minute)}
 	ctx, cancel := context.WithCancel(context.Background())
-	go h.performCall(ctx, cancel, gate.Decision{ID: call.ID, Run: call}, &dispatch.Parent{Call: call}, nil)
+	go h.performCall(ctx, cancel, gate.Decision{ID: call.ID, Run: call}, &dispatch.Parent{Call: call}, nil, n.newHolding())
 	deadline := time.Now().Add(10 * time.Second)
-	for exceeded := false; !exceeded || n.answerBytes.Held() > 0; time.Sleep(time.Millisecond) {
-		exceeded = strings.Contains(n.answerBytes.Var().String(), `"exceeded":1`)
-		assert.Assert(t, time.Now().Before(deadline), "%d bytes are held, exceeded: %t", n.answerBytes.Held(), exceeded)
+	held := &n.metrics.memory.held
+	for dropped := false; !dropped || held.Value() > 0; time.Sleep(time.Millisecond) {
+		dropped = n.metrics.limits.Get("answers_dropped") != nil
+		assert.Assert(t, time.Now().Before(deadline), "%d bytes are held, dropped: %t", held.Value(), dropped)
 	}
 }
--- a/agent/mesh/link.go
+++ b/agent/mesh/link.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/memory"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
 
@@ -27,11 +28,31 @@
 	// writeTimeout bounds one write, in case the peer does not read.
 	writeTimeout = 2 * time.Second
 	// silenceTimeout is the read timeout of a link. A link without received
-	// frames is closed after 75 to 100 % of it, since the deadline is not
-	// extended for each frame. Reports and pings are sent about once a second.
+	// bytes is closed after 75 to 100 % of it, since the deadline is not
+	// extended for each read. Reports and pings are sent about once a second.
 	silenceTimeout = 2500 * time.Millisecond
+	// maxUnchargedBytes is the size up to which a frame is read without a charge to the
+	// node's account. Calls of this size are bounded in number.
+	maxUnchargedBytes = 64 << 10
+	// linkWritePiece is the size of the pieces in which a large body is written. Each must be
+	// written within writeTimeout.
+	linkWritePiece = 1 << 20
 )
 
+// heldMessage is a message with what it holds of the node's account until it is written.
+type heldMessage struct {
+	frame.Message
+	held *holding
+}
+
+// unwrap returns the message to be written and what it holds, which may be nil.
+func unwrap(m frame.Message) (frame.Message, *holding) {
+	if h, ok := m.(heldMessage); ok {
+		return h.Message, h.held
+	}
+	return m, nil
+}
+
 // link is one connection between two nodes. Two nodes have two links, one opened
 // by each. The node that opened a link sends calls, cancellations, pings and
 // requests for documents on it; the other node sends answers, reports, usage and
@@ -43,6 +64,8 @@
 	conn  net.Conn
 	queue *ring.Ring[frame.Message]
 
+	newHolding func() *holding       // for a large frame that is read
+	received   *holding              // of the frame that onMessage handles; used by the reader goroutine only
 	onMessage  func(frame.Message)   // called for each received message
 	onUnsent   func(id model.CallID) // called for each queued call that was not written
 	onClosed   func(error)           // called once, after all other callbacks
@@ -67,6 +90,24 @@
 // send queues a message and reports whether the ring had room.
 func (l *link) send(m frame.Message) bool { return l.queue.Offer(m) }
 
+// sendHeld queues a message that holds a part of the account until it is written or
+// discarded, and reports whether the ring had room.
+func (l *link) sendHeld(m frame.Message, held *holding) bool {
+	if !l.send(heldMessage{Message: m, held: held}) {
+		held.end()
+		return false
+	}
+	return true
+}
+
+// takeReceived returns what the frame that onMessage handles holds of the node's account;
+// it may be nil. The caller of takeReceived must end it.
+func (l *link) takeReceived() *holding {
+	held := l.received
+	l.received = nil
+	return held
+}
+
 // close closes the link. Only the cause of the first call is reported.
 func (l *link) close(cause error) {
 	l.closeOnce.Do(func() {
@@ -76,23 +117,28 @@
 	})
 }
 
+// progressReader extends the read deadline of a connection while bytes arrive.
+type progressReader struct {
+	conn     net.Conn
+	deadline time.Time
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(p []byte) (int, error) {
+	// Setting the deadline for each read would cost more than some reads.
+	if now := time.Now(); r.deadline.Sub(now) < silenceTimeout*3/4 {
+		r.deadline = now.Add(silenceTimeout)
+		_ = r.conn.SetReadDeadline(r.deadline) // an error shows in Read
+	}
+	return r.conn.Read(p)
+}
+
 func (l *link) runReader() {
 	defer l.goroutines.Done()
-	r := bufio.NewReaderSize(l.conn, readBufferSize)
-	var deadline time.Time
+	r := bufio.NewReaderSize(&progressReader{conn: l.conn}, readBufferSize)
 	for {
-		// Setting the deadline for each frame would cost more than reading the frame.
-		if now := time.Now(); deadline.Sub(now) < silenceTimeout*3/4 {
-			deadline = now.Add(silenceTimeout)
-			_ = l.conn.SetReadDeadline(deadline)
-		}
 		var err error
-		panicked := fault.Catch(func() {
-			var m frame.Message
-			if m, err = frame.Read(r); err == nil {
-				l.onMessage(m)
-			}
-		})
+		panicked := fault.Catch(func() { err = l.readFrame(r) })
 		if err == nil {
 			err = panicked // costs this link only
 		}
@@ -103,6 +149,47 @@
 	}
 }
 
+// readFrame reads a frame and passes its message on. The memory of a large one is acquired
+// before it is read; if there is none, the call or the answer is replaced by a refusal or a
+// failure.
+func (l *link) readFrame(r *bufio.Reader) error {
+	h, err := frame.ReadHeader(r)
+	if err != nil {
+		return err
+	}
+	var held *holding
+	if h.PayloadBytes > maxUnchargedBytes && (h.Kind == frame.KindCall || h.Kind == frame.KindAnswer) {
+		held = l.newHolding()
+		if held.acquire(int64(h.PayloadBytes), memory.UseAnswer) != nil {
+			held.end()
+			return l.skipFrame(r, h)
+		}
+	}
+	m, err := h.ReadPayload(r)
+	if err != nil {
+		held.end()
+		return err
+	}
+	l.received = held
+	l.onMessage(m)
+	l.takeReceived().end()
+	return nil
+}
+
+// skipFrame discards a call or an answer for which the node has no memory.
+func (l *link) skipFrame(r *bufio.Reader, h frame.Header) error {
+	id, err := h.SkipPayload(r)
+	if err != nil {
+		return err
+	}
+	if h.Kind == frame.KindCall {
+		l.send(frame.Answer{Answer: model.NewRefusal(id, model.ReasonNodeBusy, "the target's node has no memory for the call")})
+		return nil
+	}
+	l.onMessage(frame.Answer{Answer: model.NewFailure(id, model.ReasonTooLarge, "the caller's node has no memory for the answer")})
+	return nil
+}
+
 func (l *link) runWriter() {
 	defer l.goroutines.Done()
 	batch := make([]frame.Message, maxFramesPerWrite)
@@ -112,19 +199,13 @@
 		if err != nil {
 			return
 		}
-		buffer = buffer[:0]
-		now := time.Now()
-		for _, m := range batch[:n] {
-			before := len(buffer)
-			buffer = frame.Append(buffer, withRemainingTime(now, m))
-			l.sentBytes.Add(frame.KindOf(m).String(), int64(len(buffer)-before))
-		}
-		_ = l.conn.SetWriteDeadline(now.Add(writeTimeout))
-		if _, err := l.conn.Write(buffer); err != nil {
+		if buffer, err = l.writeBatch(batch[:n], buffer[:0]); err != nil {
 			l.close(fault.Wrap("write to link", string(l.peer.Node.Instance), err))
+			endHoldings(batch[:n])
 			l.reportUnsent(batch)
 			return
 		}
+		endHoldings(batch[:n])
 		clear(batch[:n])
 		if cap(buffer) > 1<<20 {
 			buffer = nil
@@ -132,6 +213,51 @@
 	}
 }
 
+func endHoldings(batch []frame.Message) {
+	for _, m := range batch {
+		_, held := unwrap(m)
+		held.end()
+	}
+}
+
+// writeBatch writes messages by way of a buffer, which it returns. Large bodies are written
+// from where they are.
+func (l *link) writeBatch(batch []frame.Message, buffer []byte) ([]byte, error) {
+	now := time.Now()
+	for _, queued := range batch {
+		m, _ := unwrap(queued)
+		before := len(buffer)
+		var body []byte
+		buffer, body = frame.AppendSplit(buffer, withRemainingTime(now, m))
+		l.sentBytes.Add(frame.KindOf(m).String(), int64(len(buffer)-before+len(body)))
+		if len(body) <= maxUnchargedBytes {
+			buffer = append(buffer, body...)
+			continue
+		}
+		if err := l.writePieces(buffer); err != nil {
+			return buffer, err
+		}
+		buffer = buffer[:0]
+		if err := l.writePieces(body); err != nil {
+			return buffer, err
+		}
+	}
+	return buffer, l.writePieces(buffer)
+}
+
+// writePieces writes bytes, with a time limit for each piece.
+func (l *link) writePieces(b []byte) error {
+	for len(b) > 0 {
+		_ = l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // an error shows in Write
+		n, err := l.conn.Write(b[:min(len(b), linkWritePiece)])
+		if err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
 // withRemainingTime sets the remaining time of a call just before it is written.
 func withRemainingTime(now time.Time, m frame.Message) frame.Message {
 	if c, ok := m.(frame.Call); ok {
@@ -148,6 +274,7 @@
 		if err != nil {
 			return
 		}
+		endHoldings(batch[:n])
 		for _, m := range batch[:n] {
 			if c, ok := m.(frame.Call); ok {
 				l.onUnsent(c.Call.ID)
--- a/agent/mesh/metrics.go
+++ b/agent/mesh/metrics.go
@@ -38,9 +38,11 @@
 	suspectedRequests expvar.Int
 	// rollouts holds the phase of each service's order to move to another version.
 	rollouts       *expvar.Map
-	rolloutWrites  expvar.Int // states of orders that this node wrote to the log
-	rolloutReports expvar.Int // states of orders that this node sent to its peers
-	logChecks      expvar.Int // checks whether the log has newer documents
+	rolloutWrites  expvar.Int  // states of orders that this node wrote to the log
+	rolloutReports expvar.Int  // states of orders that this node sent to its peers
+	logChecks      expvar.Int  // checks whether the log has newer documents
+	limits         *expvar.Map // requests and connections that were refused or ended by a limit
+	memory         memoryMetrics
 	// chainLimits holds the limits on requests whose nested calls need a service that is
 	// short of room; nil until the first tick of the entry duty.
 	chainLimits atomic.Pointer[[]chain.Limit]
@@ -59,6 +61,7 @@
 		vars:            new(expvar.Map).Init(),
 		refusedByReason: new(expvar.Map).Init(),
 		windows:         new(expvar.Map).Init(),
+		limits:          new(expvar.Map).Init(),
 
 		rollouts:         new(expvar.Map).Init(),
 		sentInZone:       new(expvar.Map).Init(),
@@ -68,6 +71,7 @@
 	}
 	m.vars.Set("served", &m.served)
 	m.vars.Set("refused_by_reason", m.refusedByReason)
+	m.vars.Set("client_limits", m.limits)
 	m.vars.Set("gate_refused", &m.gateRefused)
 	m.vars.Set("retries_denied", &m.retriesDenied)
 	m.vars.Set("external_windows", m.windows)
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -13,15 +13,16 @@
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
-	"github.com/oleanderworks/oleanderworks/core/budget"
 	"github.com/oleanderworks/oleanderworks/core/duty"
 	"github.com/oleanderworks/oleanderworks/core/event"
 	"github.com/oleanderworks/oleanderworks/core/fault"
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/logservice/keyed"
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/model/graph"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/fleet"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/gate"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/memory"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
 	"github.com/oleanderworks/oleanderworks/transport/exchange"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
@@ -40,10 +41,6 @@
 	// confirmationStep is how much newer a peer's confirmation of the documents must be
 	// to be passed to the peers duty. Each report carries one.
 	confirmationStep = 100 * time.Millisecond
-	// answerMemoryDivisor is the ratio of the node's memory limit to the memory for the
-	// target's answers that are being read. The link to a caller's node holds another copy
-	// of an answer, and the buffer for a body is copied when it grows.
-	answerMemoryDivisor = 4
 )
 
 var (
@@ -67,9 +64,8 @@
 	entry  *duty.Duty[entryMessage]
 	gate   *duty.Duty[gateMessage]
 	peers  *duty.Duty[peersMessage]
+	memory *duty.Duty[memoryMessage]
 	client *exchange.Client
-	// answerBytes limits the memory of the target's answers that are being read.
-	answerBytes *budget.Bytes
 
 	documentsReader *logReader
 	nodesReader     *logReader
@@ -78,13 +74,17 @@
 	poisonWriter    *poisonWriter
 	rolloutLog      *rolloutLog
 
-	configured atomic.Bool  // a configuration is known
-	idle       atomic.Bool  // no call waits for the target or runs there
-	leaving    atomic.Bool  // the shutdown has begun, and the node reports that it is not ready
+	configured atomic.Bool // a configuration is known
+	idle       atomic.Bool // no call waits for the target or runs there
+	leaving    atomic.Bool // the shutdown has begun, and the node reports that it is not ready
+	lastHolder atomic.Uint64
 	closing    atomic.Bool  // new requests of callers are refused unless nested, and responses tell callers to close their connections
 	serving    atomic.Int64 // requests of callers in progress, until their answers are written
 	running    atomic.Int64 // calls that run at the target
 	queued     atomic.Int64 // calls that wait for the target
+	// requestLimits are the limits of the configuration on callers' requests; nil until it is
+	// known.
+	requestLimits atomic.Pointer[graph.Limits]
 	// documents states which documents the node needs no peer for; nil if there are none.
 	documents atomic.Pointer[model.DocumentsState]
 	// confirmedAt is when the log last confirmed to this node or to a peer that there
@@ -108,12 +108,12 @@
 		log:       event.New(out),
 		metrics:   newMetrics(),
 		client:    exchange.New(s.TargetAddress, codec),
-
-		answerBytes: budget.NewBytes(s.MemoryBytes / answerMemoryDivisor),
 	}
 	n.entry = newEntryDuty(n)
 	n.gate = newGateDuty(n, n.client)
 	n.peers = newPeersDuty(n)
+	var limits memory.Limits
+	n.memory, limits = newMemoryDuty(n)
 	n.checker = newLogChecker(n)
 	n.publisher = newAddressPublisher(n)
 	n.poisonWriter = newPoisonWriter(n)
@@ -122,7 +122,8 @@
 	n.metrics.vars.Set("entry", n.entry.Vars())
 	n.metrics.vars.Set("gate", n.gate.Vars())
 	n.metrics.vars.Set("peers", n.peers.Vars())
-	n.metrics.vars.Set("answer_bytes", n.answerBytes.Var())
+	n.metrics.vars.Set("memory", n.metrics.memory.vars(limits))
+	n.metrics.vars.Set("memory_duty", n.memory.Vars())
 	n.metrics.vars.Set("documents_age_ms", expvar.Func(func() any { return n.documentsAge().Milliseconds() }))
 	return n
 }
@@ -167,6 +168,7 @@
 	n.gate.Start(&n.tomb)
 	n.entry.Start(&n.tomb)
 	n.peers.Start(&n.tomb)
+	n.memory.Start(&n.tomb)
 	endpoints := []struct {
 		address string
 		handler http.Handler
@@ -195,10 +197,10 @@
 	if err != nil {
 		return fault.Wrap("listen", address, err)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	server := n.newServer(h)
 	n.servers = append(n.servers, server)
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(&callerListener{Listener: l, node: n}); !errors.Is(err, http.ErrServerClosed) {
 			n.log.Emit(event.MeshServeFailed, "address", address, "error", err)
 		}
 	}()
@@ -259,31 +261,33 @@
 func (n *Node) Serve(ctx context.Context, req *model.Request, write func(*model.Answer)) bool {
 	n.serving.Add(1)
 	defer n.serving.Add(-1)
-	answer := n.answer(ctx, req)
+	answer, held := n.answer(ctx, req)
 	if answer == nil {
 		return false
 	}
 	write(answer)
+	endAll(held)
 	return true
 }
 
-// answer returns the answer to a request, or nil if the caller disconnects first.
-func (n *Node) answer(ctx context.Context, req *model.Request) *model.Answer {
+// answer returns the answer to a request and what it holds of the node's account. The
+// answer is nil if the caller disconnects first.
+func (n *Node) answer(ctx context.Context, req *model.Request) (*model.Answer, []*holding) {
 	if n.closing.Load() && req.Parent == "" {
 		// The request might not finish before the node stops. Nested requests are
 		// accepted, since calls that already run wait for their answers.
-		return model.NewRefusal(req.ID, model.ReasonNodeBusy, "the node of the caller stops")
+		return model.NewRefusal(req.ID, model.ReasonNodeBusy, "the node of the caller stops"), nil
 	}
 	m := &requestReceived{request: req, reply: ring.NewReply[*model.Answer]()}
 	if !n.entry.Ring().Offer(m) {
-		return model.NewRefusal(req.ID, model.ReasonNodeBusy, "the entry duty's ring is full")
+		return model.NewRefusal(req.ID, model.ReasonNodeBusy, "the entry duty's ring is full"), nil
 	}
 	answer, err := m.reply.Wait(ctx)
 	if err != nil {
-		_ = n.entry.Ring().Put(context.Background(), requestCanceled{id: req.ID})
-		return nil
+		_ = n.entry.Ring().Put(context.Background(), requestCanceled{id: req.ID, received: m})
+		return nil, nil
 	}
-	return answer
+	return answer, m.held
 }
 
 // Announce passes an announcement of the target to the gate duty and reports whether
@@ -349,6 +353,7 @@
 		return
 	}
 	l := &link{peer: peer, conn: conn, sentBytes: n.metrics.sentBytes(peer.Zone == n.settings.Zone)}
+	l.newHolding = n.newHolding
 	l.onMessage = func(m frame.Message) { n.onIncomingFrame(l, m) }
 	l.onUnsent = func(model.CallID) {}
 	l.onClosed = func(err error) {
@@ -372,7 +377,9 @@
 	switch m := m.(type) {
 	case frame.Call:
 		call := m.SetDeadlines(time.Now())
-		if !n.gate.Ring().Offer(callArrived{call: call, callerLink: l}) {
+		held := l.takeReceived()
+		if !n.gate.Ring().Offer(callArrived{call: call, callerLink: l, held: held}) {
+			held.end()
 			l.send(frame.Answer{Answer: model.NewRefusal(call.ID, model.ReasonNodeBusy, "the gate duty's ring is full")})
 		}
 	case frame.Cancel:
@@ -386,7 +393,7 @@
 func (n *Node) onOutgoingFrame(l *link, m frame.Message) {
 	switch m := m.(type) {
 	case frame.Answer:
-		n.onAnswer(l.peer.Node.Instance, m.Answer)
+		n.onHeldAnswer(l.peer.Node.Instance, m.Answer, l.takeReceived())
 	case frame.Report:
 		if m.OmitsNodeInfo {
 			m.Report.NodeInfo = l.info
@@ -432,8 +439,14 @@
 	}
 }
 
-func (n *Node) onAnswer(peer model.Instance, a *model.Answer) {
-	_ = n.entry.Ring().Put(context.Background(), answerReceived{peer: peer, answer: a})
+func (n *Node) onAnswer(peer model.Instance, a *model.Answer) { n.onHeldAnswer(peer, a, nil) }
+
+// onHeldAnswer passes an answer to the entry duty with what it holds of the account, which
+// may be nil.
+func (n *Node) onHeldAnswer(peer model.Instance, a *model.Answer, held *holding) {
+	if n.entry.Ring().Put(context.Background(), answerReceived{peer: peer, answer: a, held: held}) != nil {
+		held.end()
+	}
 }
 
 func (n *Node) onOutgoingClosed(l *link, err error) {
--- a/agent/mesh/peers.go
+++ b/agent/mesh/peers.go
@@ -299,6 +299,7 @@
 		return
 	}
 	l := &link{peer: m.hello, conn: m.conn, sentBytes: h.node.metrics.sentBytes(m.hello.Zone == h.node.settings.Zone)}
+	l.newHolding = h.node.newHolding
 	l.onMessage = func(f frame.Message) { h.node.onOutgoingFrame(l, f) }
 	l.onUnsent = func(id model.CallID) {
 		h.node.onAnswer(m.peer, model.NewRefusal(id, model.ReasonPeerUnreachable, "the link broke before the call was sent"))
--- a/core/budget/bytes.go
+++ b/core/budget/bytes.go
@@ -52,10 +52,31 @@
 	})
 }
 
+// Acquire takes n bytes of the budget. If that would exceed the limit, it returns
+// ErrExceeded and takes none.
+func (b *Bytes) Acquire(n int64) error {
+	if b.held.Add(n) > b.limit {
+		b.held.Add(-n)
+		b.exceeded.Add(1)
+		return ErrExceeded
+	}
+	return nil
+}
+
+// Release returns n bytes to the budget.
+func (b *Bytes) Release(n int64) { b.held.Add(-n) }
+
+// Source is what a Reservation takes its bytes from: a Bytes, or another account. Acquire
+// may wait and returns ErrExceeded if there is no room.
+type Source interface {
+	Acquire(n int64) error
+	Release(n int64)
+}
+
 // Reservation is the part of a budget that one call uses. A nil Reservation is valid:
 // it accepts any number of bytes and counts none.
 type Reservation struct {
-	budget *Bytes
+	source Source
 	held   atomic.Int64
 }
 
@@ -64,24 +85,25 @@
 	if b == nil {
 		return nil
 	}
-	return &Reservation{budget: b}
+	return NewReservation(b)
 }
 
-// Acquire adds n bytes to the reservation. If that would exceed the budget's
-// limit, it returns ErrExceeded and adds none. It fails after Release.
+// NewReservation returns an empty reservation of a source. The caller must release it.
+func NewReservation(s Source) *Reservation { return &Reservation{source: s} }
+
+// Acquire adds n bytes to the reservation. If the source has no room, it returns
+// ErrExceeded and adds none. It fails after Release.
 func (r *Reservation) Acquire(n int) error {
 	if r == nil {
 		return nil
 	}
-	if r.budget.held.Add(int64(n)) > r.budget.limit {
-		r.budget.held.Add(-int64(n))
-		r.budget.exceeded.Add(1)
-		return ErrExceeded
+	if err := r.source.Acquire(int64(n)); err != nil {
+		return err
 	}
 	for {
 		held := r.held.Load()
 		if held == released {
-			r.budget.held.Add(-int64(n))
+			r.source.Release(int64(n))
 			return errReleased
 		}
 		if r.held.CompareAndSwap(held, held+int64(n)) {
@@ -90,14 +112,14 @@
 	}
 }
 
-// Release returns the bytes to the budget. A later Acquire fails: the goroutine of an
+// Release returns the bytes to the source. A later Acquire fails: the goroutine of an
 // abandoned call may still be reading, and nothing would release what it acquires.
 func (r *Reservation) Release() {
 	if r == nil {
 		return
 	}
 	if held := r.held.Swap(released); held != released {
-		r.budget.held.Add(-held)
+		r.source.Release(held)
 	}
 }
 
--- a/model/graph/graph.go
+++ b/model/graph/graph.go
@@ -53,7 +53,8 @@
 }
 
 // Limits holds the limits on a caller's request and on the idle time of its
-// connection, as decoded from the configuration. They are not enforced.
+// connection, as decoded from the configuration; 0 for none. The node's own idle time is
+// longer than IdleTimeout, which is not used.
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
--- a/policy/mesh/memory/core.go
+++ b/policy/mesh/memory/core.go
@@ -57,13 +57,6 @@
 	StateWriting       // waits for the caller to read
 )
 
-// Limits bounds an account.
-type Limits struct {
-	Bytes           int64
-	Connections     int
-	ConnectionBytes int64 // charged for each connection; covers a small request and its answer
-}
-
 // Kind is the kind of a decision.
 type Kind uint8
 
@@ -88,6 +81,7 @@
 type holder struct {
 	id         HolderID
 	connection bool
+	address    string // of the caller
 	held       int64
 	state      State
 	markedAt   time.Time // begin of the rate window; zero before the first sample
@@ -111,13 +105,16 @@
 	held        int64
 	leaving     int64 // held by holders that were told to end
 	connections int   // without those that were told to end
+	byAddress   map[string]int
 	holders     map[HolderID]*holder
 	waiting     []charge // in the order of arrival
 	decisions   []Decision
 }
 
 // New returns an empty account.
-func New(l Limits) *Core { return &Core{limits: l, holders: make(map[HolderID]*holder)} }
+func New(l Limits) *Core {
+	return &Core{limits: l, holders: make(map[HolderID]*holder), byAddress: make(map[string]int)}
+}
 
 // limit returns how much of the account may be held after a charge.
 func (c *Core) limit(u Use) int64 {
@@ -131,8 +128,7 @@
 	}
 }
 
-// Held returns the bytes in use, Connections the number of open connections and Waiting
-// that of the charges that wait.
+// Held returns the bytes in use.
 func (c *Core) Held() int64 { return c.held }
 
 // Connections returns the number of open connections.
@@ -146,26 +142,42 @@
 	return len(c.waiting) > 0 || c.held > c.limits.Bytes/2 || c.connections > c.limits.Connections/2
 }
 
-// Open adds a connection and reports whether there is room for it. If there is none, the
-// connection that holds most and moves least is closed.
-func (c *Core) Open(now time.Time, id HolderID) bool {
-	if c.connections >= c.limits.Connections && !c.closeSlowest(now, 0) {
+// Open adds a connection from an address and reports whether there is room for it. If there
+// is none, the slow connection that holds most and moves least is closed.
+func (c *Core) Open(now time.Time, id HolderID, address string) bool {
+	if c.byAddress[address] >= c.limits.AddressConnections && !c.closeSlowest(now, 0, address) {
 		return false
 	}
-	if c.held+c.limits.ConnectionBytes > c.limit(UseSmall) && !c.closeSlowest(now, 0) {
+	if c.connections >= c.limits.Connections && !c.closeSlowest(now, 0, "") {
 		return false
 	}
-	if c.held-c.leaving+c.limits.ConnectionBytes > c.limit(UseSmall) {
+	limit := c.limit(UseSmall) - c.limits.ConnectionBytes
+	if c.held > limit {
+		c.closeSlowest(now, 0, "")
+	}
+	if c.held-c.leaving > limit {
 		return false
 	}
-	c.holders[id] = &holder{id: id, connection: true, held: c.limits.ConnectionBytes, state: StateReading}
+	c.holders[id] = &holder{id: id, connection: true, address: address, held: c.limits.ConnectionBytes, state: StateReading}
 	c.held += c.limits.ConnectionBytes
-	c.connections++
+	c.countConnection(address, 1)
 	return true
 }
 
-// Add adds a holder that is no connection, such as a call of a peer. It is never closed.
-func (c *Core) Add(id HolderID) { c.holders[id] = &holder{id: id} }
+func (c *Core) countConnection(address string, n int) {
+	c.connections += n
+	if c.byAddress[address] += n; c.byAddress[address] == 0 {
+		delete(c.byAddress, address)
+	}
+}
+
+// Add adds a holder that is no connection, such as a call of a peer, unless it is known. It
+// is never closed.
+func (c *Core) Add(id HolderID) {
+	if c.holders[id] == nil {
+		c.holders[id] = &holder{id: id}
+	}
+}
 
 // Charge asks for bytes for a holder. The decision follows in Decisions, at once or later.
 func (c *Core) Charge(now time.Time, id ChargeID, holderID HolderID, bytes int64, use Use) {
@@ -195,7 +207,7 @@
 	c.drop(h, h.held)
 	delete(c.holders, id)
 	if h.connection && h.closedAt.IsZero() {
-		c.connections--
+		c.countConnection(h.address, -1)
 	}
 	c.refuseWaiting(func(w charge) bool { return w.holder == h })
 	c.grantWaiting()
@@ -257,7 +269,7 @@
 			minHeld = 0
 		}
 		before := c.leaving
-		if !c.closeSlowest(now, minHeld) {
+		if !c.closeSlowest(now, minHeld, "") {
 			return
 		}
 		needed -= c.leaving - before
@@ -265,11 +277,13 @@
 }
 
 // closeSlowest closes the slow connection that holds most and, among equals, moves least.
-// It reports whether there is one that holds at least minHeld.
-func (c *Core) closeSlowest(now time.Time, minHeld int64) bool {
+// It reports whether there is one that holds at least minHeld and comes from an address, or
+// from any if that is empty.
+func (c *Core) closeSlowest(now time.Time, minHeld int64, address string) bool {
 	var victim *holder
 	for _, h := range c.holders {
-		if h.connection && h.slow && h.closedAt.IsZero() && h.held >= minHeld && (victim == nil || h.goesBefore(victim)) {
+		closable := h.connection && h.slow && h.closedAt.IsZero() && h.held >= minHeld && (address == "" || h.address == address)
+		if closable && (victim == nil || h.goesBefore(victim)) {
 			victim = h
 		}
 	}
@@ -278,7 +292,7 @@
 	}
 	victim.closedAt = now
 	c.leaving += victim.held
-	c.connections--
+	c.countConnection(victim.address, -1)
 	c.decisions = append(c.decisions, Decision{Kind: Close, Holder: victim.id, Held: victim.held, Rate: victim.rate, State: victim.state})
 	return true
 }
--- a/policy/mesh/memory/core_test.go
+++ b/policy/mesh/memory/core_test.go
@@ -10,7 +10,10 @@
 
 const mib = 1 << 20
 
-var testLimits = Limits{Bytes: 96 * mib, Connections: 10, ConnectionBytes: 32 << 10}
+var testLimits = Limits{Bytes: 96 * mib, Connections: 10, AddressConnections: 8, ConnectionBytes: 32 << 10}
+
+// addressOf returns one of two addresses.
+func addressOf(id HolderID) string { return []string{"a", "b"}[id%2] }
 
 // decide returns the kinds of the decisions about charges and the holders to close.
 func decide(c *Core) (charges map[ChargeID]Kind, closed []HolderID) {
@@ -31,12 +34,12 @@
 	now := time.Unix(1000, 0)
 	c := New(testLimits)
 	for id := HolderID(1); id <= 3; id++ {
-		assert.Assert(t, c.Open(now, id))
+		assert.Assert(t, c.Open(now, id, addressOf(id)))
 		c.Charge(now, ChargeID(id), id, 40*mib, UseBody)
 	}
 	charges, _ := decide(c)
 	assert.DeepEqual(t, charges, map[ChargeID]Kind{1: Granted}) // two would take the reserved parts
-	assert.Assert(t, c.Open(now, 4))
+	assert.Assert(t, c.Open(now, 4, "a"))
 	c.Charge(now, 4, 4, 64<<10, UseSmall)
 	c.Charge(now, 5, 4, 4*mib, UseAnswer)
 	charges, _ = decide(c)
@@ -58,7 +61,7 @@
 	now := time.Unix(1000, 0)
 	c := New(testLimits)
 	for id := HolderID(1); id <= 5; id++ {
-		assert.Assert(t, c.Open(now, id))
+		assert.Assert(t, c.Open(now, id, addressOf(id)))
 		c.Charge(now, ChargeID(id), id, 10*mib+int64(id), UseBody)
 	}
 	sample := func() {
@@ -75,7 +78,7 @@
 	c.Tick(now)
 	_, closed := decide(c)
 	assert.Equal(t, len(closed), 0, "nothing waits")
-	assert.Assert(t, c.Open(now, 6))
+	assert.Assert(t, c.Open(now, 6, "a"))
 	c.Charge(now, 6, 6, 39*mib, UseBody)
 	c.Tick(now)
 	_, closed = decide(c)
@@ -90,24 +93,43 @@
 	now := time.Unix(1000, 0)
 	c := New(testLimits)
 	for id := HolderID(1); id <= 10; id++ {
-		assert.Assert(t, c.Open(now, id))
+		assert.Assert(t, c.Open(now, id, addressOf(id)))
 		c.Sample(now, id, StateReading, 0)
 	}
-	assert.Assert(t, !c.Open(now, 11), "all may still move")
+	assert.Assert(t, !c.Open(now, 11, "c"), "all may still move")
 	now = now.Add(rateWindow)
 	for id := HolderID(1); id <= 10; id++ {
 		c.Sample(now, id, StateReading, int64(id)<<20)
 	}
-	assert.Assert(t, !c.Open(now, 11))
+	assert.Assert(t, !c.Open(now, 11, "c"))
 	now = now.Add(rateWindow)
 	c.Sample(now, 7, StateReading, 7<<20)
-	assert.Assert(t, c.Open(now, 11))
+	assert.Assert(t, c.Open(now, 11, "c"))
 	_, closed := decide(c)
 	assert.DeepEqual(t, closed, []HolderID{7})
 	c.Sample(now.Add(closeTimeout), 7, StateReading, 7<<20)
 	assert.Assert(t, c.Decisions()[0].Force)
 }
 
+// Guards against one address that takes the connections of all others, and against limits
+// that a single large body reaches on the smallest machine.
+func TestLimits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(testLimits)
+	for id := HolderID(1); id <= 8; id++ {
+		assert.Assert(t, c.Open(now, id, "a"))
+	}
+	assert.Assert(t, !c.Open(now, 9, "a"))
+	assert.Assert(t, c.Open(now, 9, "b"))
+	l := NewLimits(184*mib, 4096)
+	c = New(l)
+	assert.Assert(t, c.Open(now, 1, "a"))
+	c.Charge(now, 1, 1, (16+64)*mib, UseBody) // a body of 64 MiB in chunks, while its buffer grows
+	charges, _ := decide(c)
+	assert.DeepEqual(t, charges, map[ChargeID]Kind{1: Granted})
+	assert.Assert(t, l.Connections >= 1000, "%d connections", l.Connections)
+}
+
 // Guards against bytes that are lost or counted twice, and against charges beyond the
 // limit, in random sequences.
 func TestAccountStaysWithinLimit(t *testing.T) {
@@ -120,7 +142,7 @@
 		switch r.IntN(6) {
 		case 0:
 			if c.holders[id] == nil {
-				c.Open(now, id)
+				c.Open(now, id, addressOf(id))
 			}
 		case 1, 2:
 			c.Charge(now, ChargeID(i), id, int64(r.IntN(20*mib)), Use(r.IntN(int(useCount))))
