--- a/agent/mesh/caller_conn.go
+++ b/agent/mesh/caller_conn.go
@@ -109,15 +109,6 @@
 func (c *callerConn) setState(s memory.State)    { c.state.Store(uint32(s)) }
 func (c *callerConn) currentState() memory.State { return memory.State(c.state.Load()) }
 
-// address returns the caller's address without the port.
-func (c *callerConn) address() string {
-	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
-	if err != nil {
-		return c.RemoteAddr().String()
-	}
-	return host
-}
-
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/agent/mesh/memory.go
+++ b/agent/mesh/memory.go
@@ -113,7 +113,7 @@
 func (h *memoryHandler) handle(now time.Time, m memoryMessage) {
 	switch m := m.(type) {
 	case connOpened:
-		ok := h.core.Open(now, m.conn.held.id, m.conn.address())
+		ok := h.core.Open(now, m.conn.held.id, m.conn.LocalAddr().String())
 		if ok {
 			h.conns[m.conn.held.id] = m.conn
 		}
--- a/policy/mesh/memory/core.go
+++ b/policy/mesh/memory/core.go
@@ -3,30 +3,25 @@
 // While the account is short, it decides who waits, who is refused and whose connection is
 // closed. It needs no network; its methods get the time.
 //
-// A charge is made before the bytes are read. Bodies may use less of the account than small
-// charges, and those less than answers: a crowd that sends bodies leaves room for ordinary
-// requests, and these leave room for the answers of what has run.
+// A charge is made before the bytes are read. Bodies may use less of the account than
+// answers, and those less than small charges: a crowd that sends bodies leaves room for the
+// answers of what has run, and one that does not read its answers for ordinary requests.
 package memory
 
 import (
 	"slices"
 	"time"
+
+	"github.com/oleanderworks/oleanderworks/core/chart"
 )
 
 const (
 	// waitTime is how long a charge may wait for room. Within it, slow holders are found and
 	// closed.
 	waitTime = 1500 * time.Millisecond
-	// rateWindow is the time over which a holder's rate is measured.
-	rateWindow = 500 * time.Millisecond
 	// SampleInterval is the time between two samples of all holders while the account is
 	// short.
 	SampleInterval = 250 * time.Millisecond
-	// minBytesPerSecond is the rate below which a holder is closed if others need its room.
-	// A caller that sends a body within its deadline is far above it.
-	minBytesPerSecond = 16 << 10
-	// closeTimeout is how long a holder may take to end after it was told to.
-	closeTimeout = time.Second
 )
 
 // HolderID identifies a connection or a call that holds bytes.
@@ -41,22 +36,11 @@
 // Uses, in the order of how much of the account they may fill.
 const (
 	UseBody   Use = iota // a body that a caller sends
-	UseSmall             // a connection or a head
 	UseAnswer            // an answer, or a call that a peer has admitted
+	UseSmall             // a connection or a head
 	useCount
 )
 
-// State is what a holder waits for.
-type State uint8
-
-// States of a holder. A holder that runs waits for the node and is never closed.
-const (
-	StateRunning State = iota
-	StateIdle          // waits for the next request
-	StateReading       // waits for the caller to send
-	StateWriting       // waits for the caller to read
-)
-
 // Kind is the kind of a decision.
 type Kind uint8
 
@@ -78,19 +62,6 @@
 	Force  bool    // the holder was told before and has not ended
 }
 
-type holder struct {
-	id         HolderID
-	connection bool
-	address    string // of the caller
-	held       int64
-	state      State
-	markedAt   time.Time // begin of the rate window; zero before the first sample
-	marked     int64     // bytes moved until then
-	rate       float64   // in the latest window
-	slow       bool      // below the minimum rate in the latest window, or idle
-	closedAt   time.Time // when it was told to end
-}
-
 type charge struct {
 	id     ChargeID
 	holder *holder
@@ -102,6 +73,8 @@
 // Core is the account. It must be used by one thread.
 type Core struct {
 	limits      Limits
+	machine     *chart.Machine[*holder]
+	now         time.Time // time of the current decision
 	held        int64
 	leaving     int64 // held by holders that were told to end
 	connections int   // without those that were told to end
@@ -113,7 +86,7 @@
 
 // New returns an empty account.
 func New(l Limits) *Core {
-	return &Core{limits: l, holders: make(map[HolderID]*holder), byAddress: make(map[string]int)}
+	return &Core{limits: l, machine: newMachine(), holders: make(map[HolderID]*holder), byAddress: make(map[string]int)}
 }
 
 // limit returns how much of the account may be held after a charge.
@@ -121,7 +94,7 @@
 	switch u {
 	case UseBody:
 		return c.limits.Bytes - c.limits.Bytes/6
-	case UseSmall:
+	case UseAnswer:
 		return c.limits.Bytes - c.limits.Bytes/12
 	default:
 		return c.limits.Bytes
@@ -142,8 +115,8 @@
 	return len(c.waiting) > 0 || c.held > c.limits.Bytes/2 || c.connections > c.limits.Connections/2
 }
 
-// Open adds a connection from an address and reports whether there is room for it. If there
-// is none, the slow connection that holds most and moves least is closed.
+// Open adds a connection to an address of the node and reports whether there is room for
+// it. If there is none, the slow connection that holds most and moves least is closed.
 func (c *Core) Open(now time.Time, id HolderID, address string) bool {
 	if c.byAddress[address] >= c.limits.AddressConnections && !c.closeSlowest(now, 0, address) {
 		return false
@@ -158,7 +131,7 @@
 	if c.held-c.leaving > limit {
 		return false
 	}
-	c.holders[id] = &holder{id: id, connection: true, address: address, held: c.limits.ConnectionBytes, state: StateReading}
+	c.holders[id] = &holder{core: c, id: id, connection: true, address: address, held: c.limits.ConnectionBytes, state: StateReading}
 	c.held += c.limits.ConnectionBytes
 	c.countConnection(address, 1)
 	return true
@@ -175,7 +148,7 @@
 // is never closed.
 func (c *Core) Add(id HolderID) {
 	if c.holders[id] == nil {
-		c.holders[id] = &holder{id: id}
+		c.holders[id] = &holder{core: c, id: id}
 	}
 }
 
@@ -193,7 +166,12 @@
 // Release returns bytes of a holder.
 func (c *Core) Release(id HolderID, bytes int64) {
 	if h := c.holders[id]; h != nil {
-		c.drop(h, min(bytes, h.held))
+		bytes = min(bytes, h.held)
+		h.held -= bytes
+		c.held -= bytes
+		if h.life == leaving {
+			c.leaving -= bytes
+		}
 		c.grantWaiting()
 	}
 }
@@ -204,44 +182,17 @@
 	if h == nil {
 		return
 	}
-	c.drop(h, h.held)
+	h.step(eventRemoved)
+	c.held -= h.held
 	delete(c.holders, id)
-	if h.connection && h.closedAt.IsZero() {
-		c.countConnection(h.address, -1)
-	}
 	c.refuseWaiting(func(w charge) bool { return w.holder == h })
 	c.grantWaiting()
 }
 
-func (c *Core) drop(h *holder, bytes int64) {
-	h.held -= bytes
-	c.held -= bytes
-	if !h.closedAt.IsZero() {
-		c.leaving -= bytes
-	}
-}
-
 // Sample states what a connection waits for and how many bytes it has sent and read so far.
 func (c *Core) Sample(now time.Time, id HolderID, state State, moved int64) {
-	h := c.holders[id]
-	if h == nil {
-		return
-	}
-	if !h.closedAt.IsZero() {
-		if now.Sub(h.closedAt) >= closeTimeout {
-			h.closedAt = now
-			c.decisions = append(c.decisions, Decision{Kind: Close, Holder: id, Held: h.held, Rate: h.rate, State: h.state, Force: true})
-		}
-		return
-	}
-	if state != h.state || h.markedAt.IsZero() {
-		h.state, h.markedAt, h.marked, h.slow = state, now, moved, false
-		return
-	}
-	if elapsed := now.Sub(h.markedAt); elapsed >= rateWindow {
-		h.rate = float64(moved-h.marked) / elapsed.Seconds()
-		h.slow = state != StateRunning && h.rate < minBytesPerSecond
-		h.markedAt, h.marked = now, moved
+	if h := c.holders[id]; h != nil {
+		h.sample(now, state, moved)
 	}
 }
 
@@ -277,12 +228,12 @@
 }
 
 // closeSlowest closes the slow connection that holds most and, among equals, moves least.
-// It reports whether there is one that holds at least minHeld and comes from an address, or
-// from any if that is empty.
+// It reports whether there is one that holds at least minHeld and came to an address, or to
+// any if that is empty.
 func (c *Core) closeSlowest(now time.Time, minHeld int64, address string) bool {
 	var victim *holder
 	for _, h := range c.holders {
-		closable := h.connection && h.slow && h.closedAt.IsZero() && h.held >= minHeld && (address == "" || h.address == address)
+		closable := h.connection && h.life == slow && h.held >= minHeld && (address == "" || h.address == address)
 		if closable && (victim == nil || h.goesBefore(victim)) {
 			victim = h
 		}
@@ -290,24 +241,11 @@
 	if victim == nil {
 		return false
 	}
-	victim.closedAt = now
-	c.leaving += victim.held
-	c.countConnection(victim.address, -1)
-	c.decisions = append(c.decisions, Decision{Kind: Close, Holder: victim.id, Held: victim.held, Rate: victim.rate, State: victim.state})
+	c.now = now
+	victim.step(eventChosen)
 	return true
 }
 
-// goesBefore reports whether h is closed before another holder.
-func (h *holder) goesBefore(other *holder) bool {
-	if h.held != other.held {
-		return h.held > other.held
-	}
-	if h.rate != other.rate {
-		return h.rate < other.rate
-	}
-	return h.id < other.id
-}
-
 // grantWaiting grants the charges that find room, the least restricted use first.
 func (c *Core) grantWaiting() {
 	for use := useCount; use > 0; use-- {
@@ -317,7 +255,7 @@
 			}
 			w.holder.held += w.bytes
 			c.held += w.bytes
-			if !w.holder.closedAt.IsZero() {
+			if w.holder.life == leaving {
 				c.leaving += w.bytes
 			}
 			c.decisions = append(c.decisions, Decision{Kind: Granted, Charge: w.id, Holder: w.holder.id})
--- a/policy/mesh/memory/core_test.go
+++ b/policy/mesh/memory/core_test.go
@@ -111,8 +111,8 @@
 	assert.Assert(t, c.Decisions()[0].Force)
 }
 
-// Guards against one address that takes the connections of all others, and against limits
-// that a single large body reaches on the smallest machine.
+// Guards against one address of a node whose connections leave none for the others, and
+// against limits that a single large body reaches on the smallest machine.
 func TestLimits(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New(testLimits)
@@ -155,18 +155,18 @@
 		}
 		c.Tick(now)
 		c.Decisions()
-		var sum, leaving int64
+		var sum, leavingBytes int64
 		open := 0
 		for _, h := range c.holders {
 			sum += h.held
-			if h.closedAt.IsZero() {
+			if h.life == leaving {
+				leavingBytes += h.held
+			} else if h.connection {
 				open++
-			} else {
-				leaving += h.held
 			}
 		}
 		assert.Equal(t, c.held, sum)
-		assert.Equal(t, c.leaving, leaving)
+		assert.Equal(t, c.leaving, leavingBytes)
 		assert.Equal(t, c.connections, open)
 		assert.Assert(t, c.held-c.leaving <= testLimits.Bytes)
 	}
--- a/policy/mesh/memory/limits.go
+++ b/policy/mesh/memory/limits.go
@@ -13,8 +13,9 @@
 	// defaultBytes is the size of the account if the memory of the process is not limited.
 	defaultBytes = 256 << 20
 	// connectionShare is the part of the account and of the descriptors that connections of
-	// callers may take, and addressPercent the part of them for one address, since a caller
-	// may be alone with its node.
+	// callers may take, and addressPercent the part of them for one address of the node, so
+	// that a crowd at one leaves connections for the readiness check, the target's
+	// announcements and the callers.
 	connectionShare, addressPercent = 2, 75
 )
 
@@ -22,7 +23,7 @@
 type Limits struct {
 	Bytes              int64
 	Connections        int
-	AddressConnections int   // from one address
+	AddressConnections int   // to one address of the node
 	ConnectionBytes    int64 // charged for each connection; covers a small request and its answer
 }
 
--- a/transport/exchange/body.go
+++ b/transport/exchange/body.go
@@ -20,6 +20,9 @@
 	// since a target that sends without end would fill the memory with discarded buffers
 	// faster than these are collected.
 	chunkBytes = 256 << 10
+	// exactFromBytes is how much of a body must have come before a buffer for the announced
+	// length is taken.
+	exactFromBytes = 1 << 20
 	// fieldBytes is the memory that a header field takes besides its name and value.
 	fieldBytes = 64
 )
@@ -51,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return readIntoChunks(resp.Body, body, reservation)
+	return readIntoChunks(resp.Body, body, resp.ContentLength, reservation)
 }
 
 // readIntoBuffer reads a body, whose length is negative if it is not known, into a buffer
@@ -84,7 +87,7 @@
 }
 
 // readIntoChunks reads the rest of a body that begins with start, and returns the whole.
-func readIntoChunks(r io.Reader, start []byte, reservation *budget.Reservation) ([]byte, error) {
+func readIntoChunks(r io.Reader, start []byte, length int64, reservation *budget.Reservation) ([]byte, error) {
 	var used []*[chunkBytes]byte
 	defer func() {
 		for _, chunk := range used {
@@ -96,6 +99,12 @@
 		if size > maxAnswerBytes {
 			return nil, errBodyTooLarge
 		}
+		if free == 0 && size >= exactFromBytes && length > int64(size) {
+			if err := reservation.Acquire(int(length) - size); err != nil { // the rest; the chunks are counted
+				return nil, err
+			}
+			return readExact(r, joinChunks(start, used, size, int(length)), int(length))
+		}
 		if free == 0 {
 			if err := reservation.Acquire(chunkBytes); err != nil {
 				return nil, err
@@ -115,11 +124,25 @@
 	if size == len(start) {
 		return start, nil
 	}
-	body := append(make([]byte, 0, size), start...)
+	return joinChunks(start, used, size, size), nil
+}
+
+// joinChunks returns the first size bytes of a body in a buffer of a capacity.
+func joinChunks(start []byte, used []*[chunkBytes]byte, size, capacity int) []byte {
+	body := append(make([]byte, 0, capacity), start...)
 	for _, chunk := range used {
 		body = append(body, chunk[:min(chunkBytes, size-len(body))]...)
 	}
-	return body, nil
+	return body
+}
+
+// readExact reads the rest of a body of a length.
+func readExact(r io.Reader, body []byte, length int) ([]byte, error) {
+	n, err := io.ReadFull(r, body[len(body):length])
+	if err != nil {
+		return nil, err
+	}
+	return body[:len(body)+n], nil
 }
 
 // skipBody reads a body without keeping it. The caller closes the connection after an error.
