memory: small bodies keep a part of the account; a node that stops waits for its links

Change: a body whose holder has at most 128 KiB, with its connection, may use the part of the account that large bodies leave free. A node that stops waits until the answers on its links are written, as for those to callers. What answers hold is returned also if writing them panics.

--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -395,5 +395,9 @@
 		n.onHeldAnswer(n.settings.Instance, a, held)
 		return
 	}
-	callerLink.sendHeld(frame.Answer{Answer: a}, held)
+	n.writing.Add(1)
+	callerLink.sendThen(frame.Answer{Answer: a}, func() {
+		held.end()
+		n.writing.Add(-1)
+	})
 }
--- a/agent/mesh/link.go
+++ b/agent/mesh/link.go
@@ -39,18 +39,28 @@
 	linkWritePiece = 1 << 20
 )
 
-// heldMessage is a message with what it holds of the node's account until it is written.
-type heldMessage struct {
+// trackedMessage is a message with a function that is called once it is written or
+// discarded.
+type trackedMessage struct {
 	frame.Message
-	held *holding
+	done func()
 }
 
-// unwrap returns the message to be written and what it holds, which may be nil.
-func unwrap(m frame.Message) (frame.Message, *holding) {
-	if h, ok := m.(heldMessage); ok {
-		return h.Message, h.held
+// unwrap returns the message to be written.
+func unwrap(m frame.Message) frame.Message {
+	if tracked, ok := m.(trackedMessage); ok {
+		return tracked.Message
+	}
+	return m
+}
+
+// finish calls the functions of the messages that have them.
+func finish(batch []frame.Message) {
+	for _, m := range batch {
+		if tracked, ok := m.(trackedMessage); ok {
+			tracked.done()
+		}
 	}
-	return m, nil
 }
 
 // link is one connection between two nodes. Two nodes have two links, one opened
@@ -90,14 +100,11 @@
 // send queues a message and reports whether the ring had room.
 func (l *link) send(m frame.Message) bool { return l.queue.Offer(m) }
 
-// sendHeld queues a message that holds a part of the account until it is written or
-// discarded, and reports whether the ring had room.
-func (l *link) sendHeld(m frame.Message, held *holding) bool {
-	if !l.send(heldMessage{Message: m, held: held}) {
-		held.end()
-		return false
+// sendThen queues a message and calls done once it is written or discarded.
+func (l *link) sendThen(m frame.Message, done func()) {
+	if !l.send(trackedMessage{Message: m, done: done}) {
+		done()
 	}
-	return true
 }
 
 // takeReceived returns what the frame that onMessage handles holds of the node's account;
@@ -201,11 +208,11 @@
 		}
 		if buffer, err = l.writeBatch(batch[:n], buffer[:0]); err != nil {
 			l.close(fault.Wrap("write to link", string(l.peer.Node.Instance), err))
-			endHoldings(batch[:n])
+			finish(batch[:n])
 			l.reportUnsent(batch)
 			return
 		}
-		endHoldings(batch[:n])
+		finish(batch[:n])
 		clear(batch[:n])
 		if cap(buffer) > 1<<20 {
 			buffer = nil
@@ -213,19 +220,12 @@
 	}
 }
 
-func endHoldings(batch []frame.Message) {
-	for _, m := range batch {
-		_, held := unwrap(m)
-		held.end()
-	}
-}
-
 // writeBatch writes messages by way of a buffer, which it returns. Large bodies are written
 // from where they are.
 func (l *link) writeBatch(batch []frame.Message, buffer []byte) ([]byte, error) {
 	now := time.Now()
 	for _, queued := range batch {
-		m, _ := unwrap(queued)
+		m := unwrap(queued)
 		before := len(buffer)
 		var body []byte
 		buffer, body = frame.AppendSplit(buffer, withRemainingTime(now, m))
@@ -274,7 +274,7 @@
 		if err != nil {
 			return
 		}
-		endHoldings(batch[:n])
+		finish(batch[:n])
 		for _, m := range batch[:n] {
 			if c, ok := m.(frame.Call); ok {
 				l.onUnsent(c.Call.ID)
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -80,6 +80,7 @@
 	lastHolder atomic.Uint64
 	closing    atomic.Bool  // new requests of callers are refused unless nested, and responses tell callers to close their connections
 	serving    atomic.Int64 // requests of callers in progress, until their answers are written
+	writing    atomic.Int64 // answers that wait to be written to links
 	running    atomic.Int64 // calls that run at the target
 	queued     atomic.Int64 // calls that wait for the target
 	// requestLimits are the limits of the configuration on callers' requests; nil until it is
@@ -265,8 +266,8 @@
 	if answer == nil {
 		return false
 	}
+	defer endAll(held)
 	write(answer)
-	endAll(held)
 	return true
 }
 
--- a/agent/mesh/shutdown.go
+++ b/agent/mesh/shutdown.go
@@ -71,17 +71,17 @@
 	return n.tomb.Wait()
 }
 
-// waitWritten waits until the answers to all requests are written.
+// waitWritten waits until the answers to all requests and calls are written.
 func (n *Node) waitWritten(ctx context.Context) {
-	for ctx.Err() == nil && n.serving.Load() > 0 {
+	for ctx.Err() == nil && n.serving.Load()+n.writing.Load() > 0 {
 		sleep(ctx, idleCheckInterval)
 	}
 }
 
 // waitIdle waits until no request of a caller and no call at the target is in
-// progress.
+// progress, and the answers to all are written.
 func (n *Node) waitIdle(ctx context.Context) {
-	for ctx.Err() == nil && (n.serving.Load() > 0 || !n.idle.Load()) {
+	for ctx.Err() == nil && (n.serving.Load()+n.writing.Load() > 0 || !n.idle.Load()) {
 		sleep(ctx, idleCheckInterval)
 	}
 }
--- a/policy/mesh/memory/core.go
+++ b/policy/mesh/memory/core.go
@@ -19,6 +19,9 @@
 	// waitTime is how long a charge may wait for room. Within it, slow holders are found and
 	// closed.
 	waitTime = 1500 * time.Millisecond
+	// smallBytes is how much a holder may have for its body to count as small. Its connection
+	// and two buffers, of which one is copied to the other, are included.
+	smallBytes = 128 << 10
 	// SampleInterval is the time between two samples of all holders while the account is
 	// short.
 	SampleInterval = 250 * time.Millisecond
@@ -35,7 +38,7 @@
 
 // Uses, in the order of how much of the account they may fill.
 const (
-	UseBody   Use = iota // a body that a caller sends
+	UseBody   Use = iota // a body that a caller sends; a small one counts as UseAnswer
 	UseAnswer            // an answer, or a call that a peer has admitted
 	UseSmall             // a connection or a head
 	useCount
@@ -155,6 +158,9 @@
 // Charge asks for bytes for a holder. The decision follows in Decisions, at once or later.
 func (c *Core) Charge(now time.Time, id ChargeID, holderID HolderID, bytes int64, use Use) {
 	h := c.holders[holderID]
+	if h != nil && use == UseBody && h.held+bytes <= smallBytes {
+		use = UseAnswer
+	}
 	if h == nil || h.held+bytes > c.limit(use) { // it can never be granted
 		c.decisions = append(c.decisions, Decision{Kind: Refused, Charge: id, Holder: holderID})
 		return
--- a/policy/mesh/memory/core_test.go
+++ b/policy/mesh/memory/core_test.go
@@ -38,12 +38,14 @@
 		c.Charge(now, ChargeID(id), id, 40*mib, UseBody)
 	}
 	charges, _ := decide(c)
-	assert.DeepEqual(t, charges, map[ChargeID]Kind{1: Granted}) // two would take the reserved parts
+	assert.DeepEqual(t, charges, map[ChargeID]Kind{1: Granted}) // two would take the reserved part
 	assert.Assert(t, c.Open(now, 4, "a"))
 	c.Charge(now, 4, 4, 64<<10, UseSmall)
 	c.Charge(now, 5, 4, 4*mib, UseAnswer)
+	assert.Assert(t, c.Open(now, 5, "a"))
+	c.Charge(now, 7, 5, 64<<10, UseBody) // small
 	charges, _ = decide(c)
-	assert.DeepEqual(t, charges, map[ChargeID]Kind{4: Granted, 5: Granted})
+	assert.DeepEqual(t, charges, map[ChargeID]Kind{4: Granted, 5: Granted, 7: Granted})
 	c.Remove(1)
 	charges, _ = decide(c)
 	assert.DeepEqual(t, charges, map[ChargeID]Kind{2: Granted})
