memory: an answer counts for the connection that reads it

Cause: the bytes of an answer were held by its call. A caller that did not read its answers held only its connection by the account, and was not the first to go.

Change: what answers hold passes to the caller's connection when they are written there.

--- a/agent/mesh/memory.go
+++ b/agent/mesh/memory.go
@@ -46,6 +46,8 @@
 		id    memory.HolderID
 		bytes int64
 	}
+	// holdingMoved passes what a call holds to the connection of its caller.
+	holdingMoved struct{ from, to memory.HolderID }
 	// holderRemoved reports that a holder holds nothing any more.
 	holderRemoved struct{ id memory.HolderID }
 )
@@ -53,6 +55,7 @@
 func (connOpened) memoryMessage()    {}
 func (charged) memoryMessage()       {}
 func (bytesReleased) memoryMessage() {}
+func (holdingMoved) memoryMessage()  {}
 func (holderRemoved) memoryMessage() {}
 
 // memoryHandler handles the messages of the memory duty, which runs the memory policy.
@@ -127,6 +130,8 @@
 		h.core.Charge(now, h.lastCharge, m.holding.id, m.bytes, m.use)
 	case bytesReleased:
 		h.core.Release(m.id, m.bytes)
+	case holdingMoved:
+		h.core.Move(m.from, m.to)
 	case holderRemoved:
 		delete(h.conns, m.id)
 		h.core.Remove(m.id)
@@ -244,6 +249,18 @@
 // reset returns all bytes. The holding can be used again.
 func (h *holding) reset() { h.release(h.used.Load()) }
 
+// adopt takes over what answers hold, so that it counts for the caller that reads them.
+func (h *holding) adopt(list []*holding) {
+	for _, other := range list {
+		if other.charged.Load() == 0 {
+			continue
+		}
+		h.used.Add(other.used.Load())
+		h.charged.Add(other.charged.Load())
+		_ = h.node.memory.Ring().Put(context.Background(), holdingMoved{from: other.id, to: h.id})
+	}
+}
+
 // end returns all bytes of a holding that is not used again.
 func (h *holding) end() {
 	if h != nil && (h.connection || h.charged.Load() > 0) {
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -266,7 +266,11 @@
 	if answer == nil {
 		return false
 	}
-	defer endAll(held)
+	if c := connOf(ctx); c != nil {
+		c.held.adopt(held) // returned when the answer has been written
+	} else {
+		defer endAll(held)
+	}
 	write(answer)
 	return true
 }
--- a/policy/mesh/memory/core.go
+++ b/policy/mesh/memory/core.go
@@ -195,6 +195,22 @@
 	c.grantWaiting()
 }
 
+// Move passes what a holder has to a connection and removes it: an answer is now held for
+// the caller that reads it. Without the connection the bytes are returned.
+func (c *Core) Move(from, to HolderID) {
+	f, t := c.holders[from], c.holders[to]
+	if f == nil || t == nil || f == t {
+		c.Remove(from)
+		return
+	}
+	t.held += f.held
+	c.held += f.held // Remove subtracts it
+	if t.life == leaving {
+		c.leaving += f.held
+	}
+	c.Remove(from)
+}
+
 // Sample states what a connection waits for and how many bytes it has sent and read so far.
 func (c *Core) Sample(now time.Time, id HolderID, state State, moved int64) {
 	if h := c.holders[id]; h != nil {
--- a/policy/mesh/memory/core_test.go
+++ b/policy/mesh/memory/core_test.go
@@ -90,6 +90,34 @@
 	assert.DeepEqual(t, charges, map[ChargeID]Kind{6: Granted})
 }
 
+// Guards against answers that nobody reads and that are not held against the connection of
+// their caller.
+func TestUnreadAnswerCountsForItsConnection(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(testLimits)
+	assert.Assert(t, c.Open(now, 1, "a"))
+	assert.Assert(t, c.Open(now, 2, "a"))
+	for id := HolderID(3); id <= 4; id++ {
+		c.Add(id)
+		c.Charge(now, ChargeID(id), id, 40*mib, UseAnswer)
+	}
+	c.Move(3, 1)
+	c.Move(4, 9) // its caller has gone
+	assert.Equal(t, c.Held(), 40*mib+2*testLimits.ConnectionBytes)
+	for range 2 {
+		now = now.Add(rateWindow)
+		c.Sample(now, 1, StateWriting, 0)
+		c.Sample(now, 2, StateWriting, 0)
+	}
+	c.Charge(now, 5, 2, 60*mib, UseAnswer)
+	c.Tick(now)
+	_, closed := decide(c)
+	assert.DeepEqual(t, closed, []HolderID{1})
+	c.Remove(1)
+	charges, _ := decide(c)
+	assert.DeepEqual(t, charges, map[ChargeID]Kind{5: Granted})
+}
+
 // Guards against connections that stop halfway and take the place of new callers.
 func TestConnectionLimitClosesSlowOnes(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -141,7 +169,7 @@
 	for i := range 20000 {
 		now = now.Add(time.Duration(r.IntN(100)) * time.Millisecond)
 		id := HolderID(r.IntN(20))
-		switch r.IntN(6) {
+		switch r.IntN(7) {
 		case 0:
 			if c.holders[id] == nil {
 				c.Open(now, id, addressOf(id))
@@ -154,6 +182,10 @@
 			c.Sample(now, id, State(r.IntN(4)), int64(i)*int64(r.IntN(3))*mib)
 		case 5:
 			c.Remove(id)
+		case 6:
+			c.Add(id + 100)
+			c.Charge(now, ChargeID(i), id+100, int64(r.IntN(mib)), UseAnswer)
+			c.Move(id+100, id)
 		}
 		c.Tick(now)
 		c.Decisions()
