--- a/policy/node/routing/retry_after.go
+++ b/policy/node/routing/retry_after.go
@@ -27,6 +27,7 @@
 	model.ReasonInProgress:       time.Second,
 	model.ReasonNoTarget:         time.Second,
 	model.ReasonShed:             500 * time.Millisecond,
+	model.ReasonOverload:         500 * time.Millisecond,
 	model.ReasonDeadline:         500 * time.Millisecond,
 	model.ReasonZoneOut:          time.Second,
 	model.ReasonTargetOut:        time.Second,
--- a/transport/caller/status.go
+++ b/transport/caller/status.go
@@ -36,6 +36,7 @@
 	model.ReasonClaimUnavailable: http.StatusServiceUnavailable,
 	model.ReasonNoTarget:         http.StatusServiceUnavailable,
 	model.ReasonShed:             http.StatusServiceUnavailable,
+	model.ReasonOverload:         http.StatusServiceUnavailable,
 	model.ReasonZoneOut:          http.StatusServiceUnavailable,
 	model.ReasonTargetOut:        http.StatusServiceUnavailable,
 	model.ReasonTargetLeaving:    http.StatusServiceUnavailable,
