rollout: a version that was rolled back gets no calls after its order

Cause: an order that ended as rolled_back and was then withdrawn, replaced by an invalid document or superseded by an order for another version left its version unrestricted. The targets drain only some seconds after rolled_back, so a bad version became a usual one and got its part of the calls again. Only versions of orders that had not ended were kept from calls.

Ruled out: a completed order's version must stay usual, and a new order for the same version still begins with the canary share, since begin lifts the restriction.

Change: every order that is not complete when it is replaced leaves its version without calls while others serve.

--- a/policy/mesh/rollout/census.go
+++ b/policy/mesh/rollout/census.go
@@ -47,7 +47,7 @@
 	classBase   class = iota // serves as usual
 	classNew                 // has the ordered version
 	classFresh               // appeared a moment ago, without an order
-	classFormer              // the version of an order that was superseded before its end
+	classFormer              // the version of an order that was superseded without being complete
 	classBanned              // must not get calls
 )
 
--- a/policy/mesh/rollout/service.go
+++ b/policy/mesh/rollout/service.go
@@ -53,8 +53,8 @@
 	name   model.Service
 	census census
 	order  *order // nil if there is none
-	// former holds the versions of orders that were superseded before their end. They get
-	// no calls while others serve.
+	// former holds the versions of orders that were superseded or withdrawn without being
+	// complete. They get no calls while others serve.
 	former  map[string]bool
 	history []model.RolloutOrder // earlier orders, the latest last
 	share   *shareCounter
@@ -98,7 +98,7 @@
 // end ends the current order, because the operator has written another one or withdrawn it.
 func (s *service) end() {
 	o := s.order
-	if !o.ended() {
+	if o.phase() != model.RolloutComplete { // also after rolled_back: its targets drain for some seconds
 		s.former[o.Version] = true
 	}
 	o.step(o.now, eventReplaced)
--- a/policy/mesh/rollout/status_test.go
+++ b/policy/mesh/rollout/status_test.go
@@ -111,3 +111,32 @@
 	c.OnStatusRead(s.now, c.TakeTasks()[0], nil, model.LogPosition{Era: 1}, nil)
 	assert.Equal(t, c.Phases()[simService], model.RolloutCanary)
 }
+
+// Guards against calls to a version that was rolled back and whose targets still serve when
+// the operator writes another order, withdraws this one or replaces it by an invalid one.
+func TestRolledBackVersionGetsNoCallsAfterItsOrder(t *testing.T) {
+	for name, next := range map[string]func(s *simulation) []model.RolloutOrder{
+		"another order": func(s *simulation) []model.RolloutOrder { return []model.RolloutOrder{s.order("v3", 2)} },
+		"withdrawn":     func(*simulation) []model.RolloutOrder { return nil },
+	} {
+		s := newSimulation(t, 1, 4, 0)
+		s.addTargets("v2", 4)
+		s.give(s.order("v2", 1))
+		s.run(time.Second)
+		c := s.nodes[0].core
+		c.OnPeerReport(s.now, model.RolloutReport{
+			Node: model.NodeID{Instance: "p:1", Incarnation: 1}, Order: s.order("v2", 1), Phase: model.RolloutRolledBack,
+		})
+		assert.Equal(t, c.Phases()[simService], model.RolloutRolledBack)
+		c.OnOrders(s.now, next(s), s.end())
+		s.run(3 * time.Second)
+		for peer, target := range c.services[simService].census.targets {
+			for _, filter := range c.Filters(s.now, simService) {
+				assert.Assert(t, target.version != "v2" || !filter(peer), name)
+			}
+			if target.version == "v2" {
+				assert.Assert(t, !c.Carries(s.now, simService, peer), name)
+			}
+		}
+	}
+}
