rollout: a late status of an earlier order does not keep the final one from the log

Cause: when two orders cross, a node that still knows only the first one may append its status running after the status running of the second. A node that then wanted to write the second order's final status read a status of another version, took it for that of a newer order and wrote nothing, for good: the order stayed in the move.

Ruled out: ignoring every status of another version, since a node that is late must not write over the complete of a newer order back to the earlier version.

Change: a status of a version that an earlier order of the service had, and that is not complete, does not settle the write.

--- a/policy/mesh/rollout/service.go
+++ b/policy/mesh/rollout/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
@@ -120,6 +121,14 @@
 	return false
 }
 
+// isLateStatus reports whether a status is that of an earlier order, written by a node that
+// learned late of the current one. One that is complete may also be that of a newer order
+// back to the earlier version, whose targets must not be stopped by a status written over it.
+func (s *service) isLateStatus(status model.RolloutStatus) bool {
+	return status.State != model.RolloutStateComplete &&
+		slices.ContainsFunc(s.history, func(h model.RolloutOrder) bool { return h.Version == status.Version })
+}
+
 // restricted reports whether targets of the service may not be chosen freely.
 func (s *service) restricted(now time.Time) bool {
 	if len(s.former) > 0 || s.order != nil && !s.order.released(now) {
--- a/policy/mesh/rollout/status.go
+++ b/policy/mesh/rollout/status.go
@@ -194,7 +194,7 @@
 			o.stepRecorder(now, eventLogSettled)
 			return
 		}
-	case !own && o.recorded && status.State != "":
+	case !own && o.recorded && status.State != "" && !o.service.isLateStatus(status):
 		// The log has a status of a newer order, which this node will learn of.
 		o.stepRecorder(now, eventLogSettled)
 		return
--- a/policy/mesh/rollout/status_test.go
+++ b/policy/mesh/rollout/status_test.go
@@ -140,3 +140,22 @@
 		}
 	}
 }
+
+// Guards against an order that never gets a final status: a node that learns late of it has
+// written the status of the order before it, which must not count as that of a later one.
+func TestLateStatusOfSupersededOrderIsReplaced(t *testing.T) {
+	s := newSimulation(t, 1, 4, 0)
+	s.store.down = true
+	s.give(s.order("v2", 1))
+	s.run(500 * time.Millisecond)
+	s.store.down = false
+	s.give(s.order("v3", 2))
+	s.run(100 * time.Millisecond)
+	s.addTargets("v3", 4)
+	s.run(5 * time.Second)
+	assert.Equal(t, s.store.status[simService], model.RolloutStatus{Service: simService, Version: "v3", State: model.RolloutStateRunning})
+	s.append(model.RolloutStatus{Service: simService, Version: "v2", State: model.RolloutStateRunning})
+	s.run(10 * time.Second)
+	assert.Equal(t, s.finalState(), model.RolloutStateComplete)
+	assert.Equal(t, s.store.status[simService].Version, "v3")
+}
