memory: a connection whose request runs is not closed by force

Cause: a connection is chosen by its latest sample, up to 250 ms old when a new caller connects. If its caller has sent a request meanwhile, the connection was told to end nevertheless: at once if the sample said that it was writing, otherwise by force one second later, whatever it was doing then. The pending answer was lost. Idle connections of ordinary callers that hold no more than those of a crowd, and are older, were chosen first.

Ruled out: samples at each new connection, which narrow the race and do not end it.

Change: a holder that was told to end and whose request runs goes back to moving, by an event of the chart; a connection is closed only in the state by which it was chosen.

--- a/agent/mesh/caller_conn.go
+++ b/agent/mesh/caller_conn.go
@@ -175,13 +175,14 @@
 	return nil
 }
 
-// interrupt makes the connection end if it is still in a state. A caller that sends its
-// body too slowly can then still be answered.
+// interrupt makes the connection end if it is still in a state: a request may have come after
+// the sample in which it was. A caller that sends its body too slowly can still be answered.
 func (c *callerConn) interrupt(s memory.State, force bool) {
 	switch {
+	case c.currentState() != s:
 	case force || s == memory.StateWriting:
 		c.Conn.Close()
-	case c.currentState() == s:
+	default:
 		_ = c.SetReadDeadline(time.Now()) // an error means that the connection has ended
 	}
 }
--- /dev/null
+++ b/agent/mesh/memory_test.go
@@ -0,0 +1,33 @@
+package mesh
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/policy/mesh/memory"
+)
+
+func newMemoryNode(t *testing.T, bytes int64) *Node {
+	n := New(&Settings{Instance: "10.0.0.1:7000", Service: "s", Zone: "z", TargetAddress: "127.0.0.1:1", MemoryBytes: bytes},
+		nil, versionDecoder{}, plainCodec{}, hclog.NewNullLogger())
+	t.Cleanup(func() { n.tomb.Kill(nil) })
+	return n
+}
+
+// Guards against closing a connection that was chosen while its caller read an answer slowly,
+// and whose next request runs by the time it is told to end.
+func TestInterruptSparesConnectionThatHasMovedOn(t *testing.T) {
+	caller, accepted := net.Pipe()
+	defer caller.Close()
+	c := newCallerConn(newMemoryNode(t, 64<<20), accepted)
+	c.setState(memory.StateRunning)
+	c.interrupt(memory.StateWriting, false)
+	go func() { _, _ = caller.Read(make([]byte, 1)) }()
+	_ = accepted.SetDeadline(time.Now().Add(time.Second))
+	_, err := accepted.Write([]byte{'x'})
+	assert.NilError(t, err)
+}
--- a/policy/mesh/memory/core_test.go
+++ b/policy/mesh/memory/core_test.go
@@ -141,6 +141,32 @@
 	assert.Assert(t, c.Decisions()[0].Force)
 }
 
+// Guards against closing a connection by force whose caller sent a request between the sample
+// by which it was chosen and its end: the request runs, and its answer is pending.
+func TestConnectionWithRequestIsNotClosedByForce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(testLimits)
+	for id := HolderID(1); id <= 10; id++ {
+		assert.Assert(t, c.Open(now, id, addressOf(id)))
+	}
+	for range 2 {
+		c.Sample(now, 7, StateIdle, 0)
+		now = now.Add(rateWindow)
+	}
+	assert.Assert(t, c.Open(now, 11, "c"))
+	_, closed := decide(c)
+	assert.DeepEqual(t, closed, []HolderID{7})
+	for range 10 {
+		c.Sample(now, 7, StateRunning, 100)
+		now = now.Add(closeTimeout / 2)
+	}
+	assert.Equal(t, len(c.Decisions()), 0)
+	assert.Equal(t, c.Connections(), 11) // it has not left
+	c.Remove(7)
+	assert.Equal(t, c.Connections(), 10)
+	assert.Equal(t, c.leaving, int64(0))
+}
+
 // Guards against one address of a node whose connections leave none for the others, and
 // against limits that a single large body reaches on the smallest machine.
 func TestLimits(t *testing.T) {
--- a/policy/mesh/memory/holder.go
+++ b/policy/mesh/memory/holder.go
@@ -48,6 +48,7 @@
 	eventTurned chart.EventID = iota
 	eventMeasured
 	eventChosen
+	eventResumed
 	eventOverdue
 	eventRemoved
 )
@@ -73,7 +74,7 @@
 func newMachine() *chart.Machine[*holder] {
 	return chart.MustCompile(charts.MustRead("memory_holder"), chart.Binding[*holder]{
 		States: []string{"moving", "slow", "leaving", "gone"},
-		Events: []string{"turned", "measured", "chosen", "overdue", "removed"},
+		Events: []string{"turned", "measured", "chosen", "resumed", "overdue", "removed"},
 		Guards: map[string]func(*holder) bool{
 			"below_minimum_rate": func(h *holder) bool { return h.state != StateRunning && h.rate < minBytesPerSecond },
 		},
@@ -83,6 +84,7 @@
 			"close":          (*holder).close,
 			"close_by_force": (*holder).closeByForce,
 			"count_off":      func(h *holder) { h.core.leaving -= h.held },
+			"count_in":       func(h *holder) { h.core.countConnection(h.address, 1) },
 		},
 	})
 }
@@ -94,7 +96,9 @@
 	h.sampled, h.moved = now, moved
 	switch {
 	case h.life == leaving:
-		if now.Sub(h.closedAt) >= closeTimeout {
+		if h.state = state; state == StateRunning {
+			h.step(eventResumed)
+		} else if now.Sub(h.closedAt) >= closeTimeout {
 			h.step(eventOverdue)
 		}
 	case state != h.state || now.Sub(h.markedAt) > maxRateWindow: // also before the first sample
