memory: a holder that was refused or has returned its bytes is forgotten

Cause: each large frame of a link and each call's answer has a holder of its own. The account adds the holder with its first charge, but it was removed at its end only if bytes were still charged. A refused charge, or bytes returned earlier, left an entry in the account for good: one for each large frame while memory was short. The same holds for a charge that was granted after its holder had given up the wait, as after a pause of the process; its bytes were never returned.

Ruled out: removal of empty holders in the policy, which cannot see a holder that has given up.

Change: a holder remembers that it has asked for bytes, and is removed at its end.

--- a/agent/mesh/memory.go
+++ b/agent/mesh/memory.go
@@ -193,6 +193,7 @@
 	node       *Node
 	id         memory.HolderID
 	connection bool
+	known      atomic.Bool // to the memory duty, also if it has granted nothing
 	used       atomic.Int64
 	charged    atomic.Int64 // beyond coveredBytes
 }
@@ -232,6 +233,7 @@
 	if !h.node.memory.Ring().Offer(m) {
 		return false
 	}
+	h.known.Store(true)
 	granted, err := m.reply.Wait(ctx)
 	return granted && err == nil
 }
@@ -252,7 +254,7 @@
 // adopt takes over what answers hold, so that it counts for the caller that reads them.
 func (h *holding) adopt(list []*holding) {
 	for _, other := range list {
-		if other.charged.Load() == 0 {
+		if !other.known.Load() {
 			continue
 		}
 		h.used.Add(other.used.Load())
@@ -263,7 +265,7 @@
 
 // end returns all bytes of a holding that is not used again.
 func (h *holding) end() {
-	if h != nil && (h.connection || h.charged.Load() > 0) {
+	if h != nil && (h.connection || h.known.Load()) {
 		_ = h.node.memory.Ring().Put(context.Background(), holderRemoved{id: h.id})
 	}
 }
--- a/agent/mesh/memory_test.go
+++ b/agent/mesh/memory_test.go
@@ -31,3 +31,30 @@
 	_, err := accepted.Write([]byte{'x'})
 	assert.NilError(t, err)
 }
+
+// Guards against holders that the account keeps for good: each large frame of a link has one,
+// also if there is no room for it, or if its bytes are returned before it ends.
+func TestHoldingWithoutBytesIsRemoved(t *testing.T) {
+	for _, granted := range []bool{false, true} {
+		n := newMemoryNode(t, 64<<20)
+		take := func() memoryMessage {
+			batch := make([]memoryMessage, 1)
+			_, _ = n.memory.Ring().Take(batch, time.After(time.Second), nil)
+			return batch[0] // nil if there was no message
+		}
+		held := n.newHolding()
+		go func() {
+			if m, ok := take().(charged); ok {
+				m.reply.Send(granted)
+			}
+		}()
+		err := held.acquire(1<<20, memory.UseAnswer)
+		assert.Equal(t, err == nil, granted)
+		if granted {
+			held.reset()
+			assert.Equal(t, take(), memoryMessage(bytesReleased{id: held.id, bytes: 1<<20 - coveredBytes}))
+		}
+		held.end()
+		assert.Equal(t, take(), memoryMessage(holderRemoved{id: held.id}))
+	}
+}
