memory: lines of a body are not counted as fields of the head

Cause: the limit on fields counted every line end that was read before the handler began. A read often brings the begin of the body together with the head, up to the 4 KiB of the server's buffer, so that an ordinary request with a body of short lines was answered 431, also without load.

Ruled out: a margin on the limit, since 4 KiB may hold 4096 line ends.

Change: lines count up to the empty one that ends the head, which is where the server's parser ends it too.

Result: the new test fails before (431 for 1500 lines in a body) and passes after.

--- a/agent/mesh/caller_conn.go
+++ b/agent/mesh/caller_conn.go
@@ -92,8 +92,10 @@
 
 	inHead     atomic.Bool // the head of a request is being read, or awaited
 	headBytes  int64       // of the current head; used by the reading goroutine in the head only
-	headFields int
-	headHeld   int64 // bytes acquired for it
+	headFields int         // lines
+	headLine   int         // bytes of the last line so far, without a carriage return
+	headEnded  bool        // what follows belongs to the body
+	headHeld   int64       // bytes acquired for it
 
 	closeOnce sync.Once
 }
@@ -125,7 +127,7 @@
 // countHead counts the bytes and fields of a head and acquires its memory.
 func (c *callerConn) countHead(p []byte) error {
 	c.headBytes += int64(len(p))
-	c.headFields += bytes.Count(p, []byte{'\n'})
+	c.countFields(p)
 	if c.headBytes > c.node.maxHeadBytes() || c.headFields > maxFields {
 		_, _ = c.Conn.Write([]byte(headTooLargeAnswer)) // the connection is closed anyway
 		c.node.metrics.limits.Add("head_too_large", 1)
@@ -144,6 +146,21 @@
 	return nil
 }
 
+// countFields counts the lines of a head up to the empty one that ends it. The begin of the
+// body may come together with the head.
+func (c *callerConn) countFields(p []byte) {
+	for !c.headEnded {
+		line, rest, ended := bytes.Cut(p, []byte{'\n'})
+		c.headLine += len(bytes.TrimSuffix(line, []byte{'\r'}))
+		if !ended {
+			return
+		}
+		c.headEnded = c.headLine == 0
+		c.headFields++
+		c.headLine, p = 0, rest
+	}
+}
+
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
 	before := c.currentState()
@@ -190,7 +207,7 @@
 // beginHead returns what the last request held.
 func (c *callerConn) beginHead() {
 	c.held.reset()
-	c.headBytes, c.headFields, c.headHeld = 0, 0, 0
+	c.headBytes, c.headFields, c.headLine, c.headEnded, c.headHeld = 0, 0, 0, false, 0
 	c.setState(memory.StateIdle)
 	c.inHead.Store(true)
 }
--- a/agent/mesh/memory_test.go
+++ b/agent/mesh/memory_test.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,3 +60,33 @@
 		assert.Equal(t, take(), memoryMessage(holderRemoved{id: held.id}))
 	}
 }
+
+// Guards against a refusal of an ordinary request whose body has many lines: the begin of a
+// body often comes together with the head, and its lines are no fields.
+func TestLinesOfBodyAreNoFields(t *testing.T) {
+	n := newMemoryNode(t, 64<<20)
+	n.memory.Start(&n.tomb)
+	body := strings.Repeat("1\n", 1500)
+	fields := strings.Repeat("a: b\r\n", maxFields)
+	for _, test := range []struct {
+		reads []string
+		want  error
+	}{
+		{[]string{"POST / HTTP/1.1\r\nHost: a\r\n\r\n" + body}, nil},
+		{[]string{"POST / HTTP/1.1\r\nHost: a\r\n\r", "\n" + body}, nil},
+		{[]string{"POST / HTTP/1.1\nHost: a\n\n" + body}, nil},
+		{[]string{"POST / HTTP/1.1\r\nHo", "st: a\r\n", fields + "\r\n"}, errHeadTooLarge},
+	} {
+		caller, accepted := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, caller) }()
+		c := newCallerConn(n, accepted)
+		var err error
+		for _, read := range test.reads {
+			if err = c.countHead([]byte(read)); err != nil {
+				break
+			}
+		}
+		assert.Equal(t, err, test.want, "%.40q", test.reads)
+		c.Close()
+	}
+}
