command: config check-mesh checks the configuration of mesh nodes

Prints one line for each finding and ends with 0 to 3 for scripts. operator.ExitError carries a subcommand's own exit code to the root command; other errors still end with 1.

Ruled out: the name "config check", which checks questionnaires and keeps its meaning and its arguments; telling the formats apart by content, since JSON is also valid YAML.

An unknown flag ends with 1, as for every subcommand, and prints nothing to the standard output.

--- a/command/config/config.go
+++ b/command/config/config.go
@@ -21,11 +21,12 @@
 func New(stdout io.Writer) *ff.Command {
 	return &ff.Command{
 		Name:      "config",
-		Usage:     "oleanderworks config new|check|generate|publish|show|history ...",
+		Usage:     "oleanderworks config new|check|check-mesh|generate|publish|show|history ...",
 		ShortHelp: "write, check and publish questionnaires; read the configuration",
 		Subcommands: []*ff.Command{
 			newCommand(stdout),
 			checkCommand(stdout),
+			checkMeshCommand(stdout),
 			generateCommand(stdout),
 			publishCommand(stdout),
 			showCommand(stdout),
--- a/command/root.go
+++ b/command/root.go
@@ -15,6 +15,7 @@
 	"github.com/oleanderworks/oleanderworks/command/config"
 	"github.com/oleanderworks/oleanderworks/command/dev"
 	"github.com/oleanderworks/oleanderworks/command/events"
+	"github.com/oleanderworks/oleanderworks/command/internal/operator"
 	"github.com/oleanderworks/oleanderworks/command/key"
 	"github.com/oleanderworks/oleanderworks/command/mesh"
 	"github.com/oleanderworks/oleanderworks/command/node"
@@ -58,9 +59,15 @@
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	root := newRoot(stdout, stderr)
 	err := root.ParseAndRun(ctx, flagsFirst(root, args))
+	var exit operator.ExitError
 	switch {
 	case err == nil:
 		return exitOK
+	case errors.As(err, &exit):
+		if exit.Err != nil {
+			fmt.Fprintf(stderr, "oleanderworks: %v\n", exit.Err)
+		}
+		return exit.Code
 	case errors.Is(err, ff.ErrHelp), errors.Is(err, ff.ErrNoExec):
 		fmt.Fprintln(stdout, ffhelp.Command(root.GetSelected()))
 		return helpExitCode(err)
