chain: a request that one limit refuses keeps its credit at the others

Admit asked the limits of all services on a route's path and charged the credit of each that admitted the request, also if another one refused it. With two limits the admitted requests were the product of the fractions, or none at all: while both are at the smallest fraction, each admits every twentieth request of a customer, and the two need not be the same ones.

The credit at the admitting limits is now returned, up to one request beyond the share, so that the requests begun are those of the lower fraction. A random draw at each limit was ruled out: it still gives the product.

--- a/policy/mesh/chain/chain_test.go
+++ b/policy/mesh/chain/chain_test.go
@@ -227,3 +227,27 @@
 	}
 	assert.Assert(t, len(times) > 100)
 }
+
+// Guards against customers that are never served while two services on the path are limited,
+// because the two limits admit different ones of their requests.
+func TestTwoLimitsAdmitTheSameRequests(t *testing.T) {
+	load := ServiceLoad{Targets: 1, Running: 100, Limit: 100, ShedFraction: 1}
+	c := New(func(time.Time, model.Service) ServiceLoad { return load }, rand.New(rand.NewPCG(1, 1)))
+	c.OnCompleted("view", "front", []model.ServiceWork{
+		{Service: "front", SlotTime: time.Second}, {Service: "rates", SlotTime: time.Second}, {Service: testService, SlotTime: time.Second},
+	})
+	now, begun := time.Unix(0, 0), map[model.Customer]int{}
+	customers := []model.Customer{"a", "b", "c", "d", "e", "f", "g", "h"}
+	const rounds = 4000
+	for range rounds {
+		now = now.Add(10 * time.Millisecond)
+		for _, name := range customers {
+			if c.Admit(now, Request{Route: "view", Customer: name}) == nil {
+				begun[name]++
+			}
+		}
+	}
+	for _, name := range customers {
+		assert.Check(t, begun[name] >= rounds*minFraction*9/10 && begun[name] <= rounds*minFraction*12/10, "%s: %v", name, begun)
+	}
+}
--- a/policy/mesh/chain/core.go
+++ b/policy/mesh/chain/core.go
@@ -84,22 +84,34 @@
 	}
 }
 
-// Admit decides whether a request is begun. It returns nil if it is.
+// Admit decides whether a request is begun. It returns nil if it is. A request that only some
+// of the services on its path can take keeps its credit there: the admissions of two limits
+// need not coincide, and a customer would otherwise get only their product or nothing.
 func (c *Core) Admit(now time.Time, r Request) *Refusal {
 	p := c.profiles[r.Route]
 	if p == nil {
 		return nil
 	}
-	var refusal *Refusal
+	var refusing *limit
+	var admitting []*limit
 	for i := range p.services {
 		need := &p.services[i]
 		l := c.limitFor(now, need.service)
 		l.update(now)
-		if !l.offer(now, r, need.slotTime) && refusal == nil {
-			refusal = l.refusal(now)
+		switch {
+		case l.offer(now, r, need.slotTime):
+			admitting = append(admitting, l)
+		case refusing == nil:
+			refusing = l
 		}
 	}
-	return refusal
+	if refusing == nil {
+		return nil
+	}
+	for _, l := range admitting {
+		l.refund(r)
+	}
+	return refusing.refusal(now)
 }
 
 // OnCompleted learns from a request that ended successfully. first is the service that it
--- a/policy/mesh/chain/demand.go
+++ b/policy/mesh/chain/demand.go
@@ -19,6 +19,9 @@
 	guaranteedShare = 0.3
 	// minDemand is the demand in seconds of slot time below which a customer is forgotten.
 	minDemand = 0.001
+	// maxCredit bounds the credit that a customer keeps at one service while another service
+	// limits its requests: one request more than its share is admitted later.
+	maxCredit = 2 // requests
 )
 
 // demand is the demand for one service at one node: the slot time that the requests of each
@@ -75,6 +78,14 @@
 	return true
 }
 
+// refund returns the credit of a request that was admitted here but is not begun, since
+// another service cannot take its calls.
+func (d *demand) refund(r Request) {
+	if c := d.levelFor(r.Priority).customers[r.Customer]; c != nil {
+		c.credit = min(c.credit+1, maxCredit)
+	}
+}
+
 // divide lets past requests decay and divides the admitted fraction of the demand: each
 // priority gets guaranteedShare of the fraction of its own demand, the rest goes to the
 // highest priorities first. Within a priority the customers get equal amounts of slot time,
--- a/policy/mesh/chain/limit.go
+++ b/policy/mesh/chain/limit.go
@@ -162,6 +162,13 @@
 	return l.demand.offer(now, l.core.rng, r, slotTime.Seconds(), l.fraction)
 }
 
+// refund takes back the admission of a request that another limit refuses.
+func (l *limit) refund(r Request) {
+	if l.fraction < 1 {
+		l.demand.refund(r)
+	}
+}
+
 // refusal returns the refusal of a request. Callers are asked to return one after the other
 // in the order in which they were refused.
 func (l *limit) refusal(now time.Time) *Refusal {
