dispatch: the retry budget counts a wanted retry once, and only if it may be made

The budget keeps tokens for retries of higher priority as far as these want them. It counted a retry as wanted before the attempts of the route and the deadline were checked, and twice after a target's 500, since the event was chosen with the guard's own test. Requests of a route with one attempt that fail could so keep half of the bucket from lower priorities without use.

The attempts and the deadline are now checked first, and a 500 goes to the chart as failed; the chart's guard alone decides, and answers otherwise. An answer no longer says that the budget denied a retry where none was left.

The new test failed before with one wanted retry of a route with one attempt; the tests of the package pass.

--- a/policy/mesh/dispatch/budget_test.go
+++ b/policy/mesh/dispatch/budget_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/model/graph"
 )
 
 // playBudget counts rate requests a second for a period, of which each asks for a retry with
@@ -89,3 +91,22 @@
 	assert.Assert(t, granted[3] >= 20, "%v", granted)
 	assert.Assert(t, granted[0]+granted[1]+granted[2]+granted[3] <= 600+60)
 }
+
+// Guards against tokens that are kept for retries of a higher priority which cannot be made,
+// or that count several times.
+func TestWantedRetriesAreThoseThatMayBeMade(t *testing.T) {
+	for attempts, want := range map[int]int{1: 0, 2: 1} {
+		c := newCore(t)
+		c.OnConfig(start, config(t, 2, func(r *graph.Route) { r.MaxAttempts = attempts }), nil)
+		r := newRequest("/tags/1")
+		c.OnRequest(start, r)
+		sent := onlyDecision(t, c)
+		c.OnAnswer(start, sent.Peer, &model.Answer{ID: r.ID, Run: model.Completed, Status: http.StatusInternalServerError})
+		wanted := 0
+		for _, w := range c.budgetFor(service).wanted {
+			wanted += w.total()
+		}
+		assert.Equal(t, wanted, want, "with %d attempts", attempts)
+		assert.Equal(t, onlyDecision(t, c).Answer == nil, attempts > 1)
+	}
+}
--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -295,7 +295,7 @@
 	switch {
 	case a.Run == model.NotRun:
 		r.step(now, eventNotRun)
-	case a.FromNode() || r.mayRetryServerError(a):
+	case a.FromNode() || isRetryableError(a):
 		r.step(now, eventFailed)
 	default:
 		r.step(now, eventAnswered)
--- a/policy/mesh/dispatch/request.go
+++ b/policy/mesh/dispatch/request.go
@@ -249,7 +249,7 @@
 	if r.moves >= maxMoves || r.answer.Reason == model.ReasonDeadline {
 		return false
 	}
-	if refusedByTarget(r.answer) && !r.retryAvailable() {
+	if !r.attemptsLeft() || refusedByTarget(r.answer) && !r.retryAvailable() {
 		return false
 	}
 	return r.chooseNextTarget()
@@ -270,24 +270,27 @@
 // mayRetry reports whether a request that may have run may be retried, and chooses the
 // target.
 func (r *request) mayRetry() bool {
-	if !r.call.Idempotent || !r.retryAvailable() {
+	if !r.call.Idempotent || !r.attemptsLeft() || !r.retryAvailable() {
 		return false
 	}
 	return r.chooseNextTarget()
 }
 
-// chooseNextTarget chooses a target that has not been tried. It returns false if there
-// is none, if the deadline has passed, or if the request has reached as many targets as
-// its route allows.
-func (r *request) chooseNextTarget() bool {
+// attemptsLeft reports whether the deadline has not passed and the request has not reached as
+// many targets as its route allows. It is asked before the retry budget, so that the budget
+// keeps nothing for requests that may not be sent again.
+func (r *request) attemptsLeft() bool {
 	reached := r.reached
 	// Guards run before actions, so endAttempt has not yet subtracted the attempt.
 	if r.answer.Run == model.NotRun && !refusedByTarget(r.answer) {
 		reached--
 	}
-	if !r.now.Before(r.call.Deadline) || reached >= r.route.MaxAttempts {
-		return false
-	}
+	return r.now.Before(r.call.Deadline) && reached < r.route.MaxAttempts
+}
+
+// chooseNextTarget chooses a target that has not been tried. It returns false if there
+// is none.
+func (r *request) chooseNextTarget() bool {
 	r.next = r.core.chooseTarget(r.now, r.call, r.tried)
 	return r.next != nil && r.core.mayEndInTime(r.now, r.next)
 }
@@ -375,12 +378,10 @@
 	return after + time.Duration(r.core.rng.Float64()*retryAfterJitter*float64(after))
 }
 
-// mayRetryServerError reports whether a request may be retried because the target
-// answered with an internal server error. The guard may_retry then chooses the target. If
-// a nested call has failed, only the node that sent that one repeats it: if each level of a
-// chain repeated what a level below cannot serve, the last service would get the repeats of
-// all.
-func (r *request) mayRetryServerError(a *model.Answer) bool {
-	return a.Status == http.StatusInternalServerError && !a.NestedFailed && r.call.Idempotent &&
-		r.mayRetry()
+// isRetryableError reports whether an answer of the target is an internal server error after
+// which the request may be retried. If a nested call has failed, only the node that sent that
+// one repeats it: if each level of a chain repeated what a level below cannot serve, the last
+// service would get the repeats of all.
+func isRetryableError(a *model.Answer) bool {
+	return a.Status == http.StatusInternalServerError && !a.NestedFailed
 }
