gate: nested calls of lower priorities do not exclude long external calls

A long external call takes a slot only if nested calls of its own and higher priorities did not need it recently. All other running calls count as taken, also nested calls of lower priorities, which themselves wait for no such slot. While the higher priorities need nearly all slots, one running nested call of a lower priority kept long calls of a higher one out, and the next free slot went to the lower priority again.

The smallest number of slots for external calls is now open to long calls in any case, as its constant says. Not counting the lower nested calls at all was ruled out: long calls would then take slots that nested calls of higher priority needed. Without nested calls of lower priorities nothing changes.

The new test failed before: the slot went to the nested call of priority 5 and not to the long call of priority 2.

--- a/policy/mesh/gate/queue_test.go
+++ b/policy/mesh/gate/queue_test.go
@@ -174,3 +174,30 @@
 		assert.Equal(t, int(slots), want, "priority %d", priority)
 	}
 }
+
+// Guards against nested calls of a lower priority that keep a long call from the slots that
+// are open to external calls in any case.
+func TestLowerPrioritiesDoNotExcludeLongCalls(t *testing.T) {
+	c := newCore(t)
+	c.runTimes.nested.add(start, 80*time.Millisecond)
+	c.runTimes.external[2] = &meanTime{mean: 1300 * time.Millisecond, sampledAt: start}
+	add := func(call *model.Call, priority int) model.CallID {
+		call.Priority = priority
+		c.OnCall(start, call)
+		return call.ID
+	}
+	var running []model.CallID
+	for range c.limit() - 1 {
+		running = append(running, add(nestedCall(start, "herders", 0), 0))
+	}
+	add(nestedCall(start, "greedy", 0), 5)
+	long := newCall(start)
+	long.SLODeadline, long.Deadline = start.Add(8*time.Second), start.Add(15*time.Second)
+	add(long, 2)
+	add(nestedCall(start, "greedy", 0), 5)
+	c.Decisions()
+	c.OnFinished(start.Add(80*time.Millisecond), running[0], model.OutcomeAnswered, 200)
+	d := c.Decisions()
+	assert.Equal(t, len(d), 1)
+	assert.Equal(t, d[0].ID, long.ID)
+}
--- a/policy/mesh/gate/window.go
+++ b/policy/mesh/gate/window.go
@@ -93,9 +93,11 @@
 
 // mayRunExternal reports whether the window of a priority allows another external call
 // and, if these calls are long, one of the slots that nested calls did not need recently is
-// free.
+// free. The smallest number of slots is open to them also if nested calls of lower priorities
+// run there, which do not wait for the slots that others needed.
 func (c *Core) mayRunExternal(now time.Time, priority int) bool {
-	if c.runTimes.long(now, priority) {
+	external := c.running - c.nested.running
+	if float64(external) >= math.Floor(c.minExternalSlots()) && c.runTimes.long(now, priority) {
 		if slots, taken := c.slotsForLong(now, priority); float64(taken) >= math.Floor(slots) {
 			return false
 		}
