dispatch: the shares that leave the zone are sorted

The order of the external and nested shares of one service was that of the map, since the comparison never said that one comes first. Status and logs listed them in another order each time.

--- a/policy/mesh/dispatch/zones.go
+++ b/policy/mesh/dispatch/zones.go
@@ -42,17 +42,21 @@
 	return changes
 }
 
-// ZoneShares returns all shares, in the order of their services.
+// ZoneShares returns all shares, in the order of their services, those of external calls first.
 func (c *Core) ZoneShares() []ZoneShare {
 	var all []ZoneShare
 	for key, share := range c.targets.shares {
 		all = append(all, newZoneShare(key, share))
 	}
 	slices.SortFunc(all, func(a, b ZoneShare) int {
-		if a.Service == b.Service && a.Nested {
+		switch {
+		case a.Service != b.Service:
+			return cmp.Compare(a.Service, b.Service)
+		case a.Nested:
 			return 1
+		default:
+			return -1
 		}
-		return cmp.Compare(a.Service, b.Service)
 	})
 	return all
 }
--- a/policy/mesh/dispatch/zones_test.go
+++ b/policy/mesh/dispatch/zones_test.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/zoneshare"
 )
 
 // newUnevenSim returns a simulation in which one availability zone has 4 of the 21 targets
@@ -93,3 +95,18 @@
 		f.nodes[0].choose(f.now, call, nil, nil)
 	}
 }
+
+// Guards against shares that are listed in an order that changes.
+func TestZoneSharesAreSorted(t *testing.T) {
+	c := newCore(t)
+	for _, s := range []model.Service{service, "other"} {
+		for _, nested := range []bool{true, false} {
+			c.targets.shares[shareKey{s, nested}] = zoneshare.New()
+		}
+	}
+	var listed []shareKey
+	for _, share := range c.ZoneShares() {
+		listed = append(listed, shareKey{share.Service, share.Nested})
+	}
+	assert.Assert(t, slices.Equal(listed, []shareKey{{"other", false}, {"other", true}, {service, false}, {service, true}}), "%v", listed)
+}
