dispatch: shares of services that are no longer configured are removed

The shares of calls that leave the zone were kept for each service that had ever been called. With a configuration that renames services the map grew for the life of the node, and status listed shares of services that are gone. A new configuration now removes them, as it does the retry budgets. The test failed before.

--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -167,6 +167,7 @@
 	clear(c.splitters)
 	c.profiles.retain(config)
 	c.retainBudgets(config)
+	c.targets.retainShares(config)
 	routes := make(map[string]bool, len(config.Routes))
 	for _, r := range config.Routes {
 		routes[r.Name] = true
--- a/policy/mesh/dispatch/zones.go
+++ b/policy/mesh/dispatch/zones.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/model"
+	"github.com/oleanderworks/oleanderworks/model/graph"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/zoneshare"
 )
 
@@ -61,6 +62,15 @@
 	return all
 }
 
+// retainShares removes the shares of services that the configuration does not have.
+func (s *targetSet) retainShares(config *graph.Config) {
+	for key := range s.shares {
+		if config.Services[key.service] == nil {
+			delete(s.shares, key)
+		}
+	}
+}
+
 func newZoneShare(key shareKey, share *zoneshare.Share) ZoneShare {
 	return ZoneShare{Service: key.service, Nested: key.nested, Leaving: share.Leaving(), Reason: share.Reason(), Input: share.Input()}
 }
--- a/policy/mesh/dispatch/zones_test.go
+++ b/policy/mesh/dispatch/zones_test.go
@@ -110,3 +110,13 @@
 	}
 	assert.Assert(t, slices.Equal(listed, []shareKey{{"other", false}, {"other", true}, {service, false}, {service, true}}), "%v", listed)
 }
+
+// Guards against shares of services that the configuration no longer has, which would stay
+// for the life of the node.
+func TestZoneSharesFollowConfiguration(t *testing.T) {
+	c := newCore(t)
+	c.targets.shares[shareKey{"retired", true}], c.targets.shares[shareKey{service, true}] = zoneshare.New(), zoneshare.New()
+	c.OnConfig(start, config(t, 2, nil), nil)
+	shares := c.ZoneShares()
+	assert.Assert(t, len(shares) == 1 && shares[0].Service == service, "%v", shares)
+}
