dispatch: core.go and request.go are split by duty

By moves alone: parent.go has the calls that run at the own target, crashes.go what is known of requests that crash targets, admission.go the check of a new request, retry.go what follows an attempt. The sorted lines of the files before and after differ only in package clauses, imports and the head comments of the new files.

--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -6,8 +6,6 @@
 
 import (
 	"math/rand/v2"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/oleanderworks/oleanderworks/charts"
@@ -45,33 +43,6 @@
 	RetryDenied   bool          // with Answer: the retry budget allowed no further attempt
 }
 
-// Parent is a call that runs at the node's own target and may make nested calls.
-type Parent struct {
-	Call *model.Call
-	// NestedFailed is set when a nested call has failed. The thread that waits for the
-	// target's answer reads it.
-	NestedFailed atomic.Bool
-
-	endedCalls int // nested calls that have ended; only used by the thread that owns the Core
-
-	mu   sync.Mutex
-	work []model.ServiceWork // of the nested calls that have ended
-}
-
-// AddWork adds the work of a nested call.
-func (p *Parent) AddWork(work []model.ServiceWork) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.work = model.AddWork(p.work, work...)
-}
-
-// Work returns the work of the nested calls together with own, that of the call itself.
-func (p *Parent) Work(own model.ServiceWork) []model.ServiceWork {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return model.AddWork([]model.ServiceWork{own}, p.work...)
-}
-
 // Core holds the requests in progress from one node's callers and the known state of
 // the targets. It is not safe for concurrent use: the duty that owns it calls all
 // methods from its thread.
@@ -211,57 +182,6 @@
 	c.OnUsage(now, r.Node, r.Usage)
 }
 
-// OnPeerCrashes handles what a peer knows of requests that crash targets.
-func (c *Core) OnPeerCrashes(now time.Time, reports []model.CrashReport) {
-	c.onCrashReports(now, reports, false)
-}
-
-// onCrashReports handles reports of crashes. own tells that they come from the node's own
-// target.
-func (c *Core) onCrashReports(now time.Time, reports []model.CrashReport, own bool) {
-	for _, report := range reports {
-		c.suspicions.OnCrashReport(now, report)
-	}
-	c.archiveChanges(now, own)
-}
-
-func (c *Core) archiveChanges(now time.Time, own bool) {
-	for _, change := range c.suspicions.TakeChanges() {
-		c.archive.OnChange(now, change, own)
-	}
-}
-
-// OnPoisonRecords handles records of refused requests in the log: the complete list if
-// loaded, otherwise changes.
-func (c *Core) OnPoisonRecords(now time.Time, records []poison.Record, loaded bool) {
-	for _, record := range records {
-		c.suspicions.OnRecord(now, record, loaded)
-		c.archiveChanges(now, false)
-		c.archive.OnRecord(now, record)
-	}
-	if loaded {
-		c.archive.OnLoaded(now, records)
-	}
-}
-
-// OnPoisonRecordWritten handles the end of a write that TakePoisonWrites requested. The log
-// has the record if it was successful.
-func (c *Core) OnPoisonRecordWritten(now time.Time, record poison.Record) {
-	c.archive.OnRecord(now, record)
-}
-
-// TakePoisonWrites returns and clears the records of refused requests that the node must
-// write to the log.
-func (c *Core) TakePoisonWrites() []poison.Record { return c.archive.TakeWrites() }
-
-// CrashReports returns what the node knows of requests that crash targets, for a peer
-// that may lack it.
-func (c *Core) CrashReports(now time.Time) []model.CrashReport { return c.suspicions.Reports(now) }
-
-// SuspectedRequests returns the number of requests that are suspected of crashing
-// targets, including the refused ones.
-func (c *Core) SuspectedRequests() int { return c.suspicions.Len() }
-
 // OnUsage handles another node's usage of the customers' rates.
 func (c *Core) OnUsage(now time.Time, node model.NodeID, usage []model.CustomerUsage) {
 	if node.Instance != c.self {
@@ -317,21 +237,6 @@
 	}
 }
 
-// OnParentStarted registers a call that the node's own target is about to run. Calls
-// nested in it get its priority and are queued on behalf of its customer, since refusing
-// them would waste the work already done for it. They are charged like other requests, to
-// the customer that holds their key, if the route needs a key.
-func (c *Core) OnParentStarted(p *Parent) { c.parents[p.Call.AttemptID] = p }
-
-// OnParentEnded removes a call that has ended at the node's own target, and learns from it how
-// many nested calls its route makes.
-func (c *Core) OnParentEnded(call *model.Call) {
-	if p := c.parents[call.AttemptID]; p != nil && p.Call == call {
-		delete(c.parents, call.AttemptID)
-		c.learnProfile(p)
-	}
-}
-
 // OnCanceled handles the cancellation of a request whose caller has disconnected.
 func (c *Core) OnCanceled(now time.Time, id model.CallID) {
 	if r := c.requests[id]; r != nil {
