dispatch: the share that leaves the zone falls while other zones are unknown

A share was updated only by calls for which both the own and another zone had targets. While the links to the other zones were broken it stayed as it was before, and status showed it with its old reason. When they were back, up to 0.9 of the calls left a zone that could by then be idle. The reason other_zones_unknown could not occur.

Calls that find targets in the own zone only now update a share that exists. Without one nothing is done, so that a deployment with one zone has no shares, as before. Calls whose targets an order to move the service limits change no share in this way, since they may not see all targets.

The new test failed before: the share was 0.88 after 5 s without a link and without load; it is 0 now.

--- a/policy/mesh/dispatch/placement.go
+++ b/policy/mesh/dispatch/placement.go
@@ -83,7 +83,11 @@
 func (s *targetSet) choose(now time.Time, call *model.Call, tried []*target, zonesOut map[model.Zone]bool) *target {
 	zonePenalty := s.groupTargets(now, call, tried, zonesOut)
 	var best *candidate
-	if len(tried) == 0 && len(s.groups[nearGroup]) > 0 && len(s.groups[farGroup]) > 0 {
+	first, near, far := len(tried) == 0, len(s.groups[nearGroup]) > 0, len(s.groups[farGroup]) > 0
+	if first && near && !far {
+		s.lowerShare(now, call)
+	}
+	if first && near && far {
 		best = s.drawByZone(now, call, zonePenalty)
 	} else {
 		best = cheaper(s.draw(s.groups[nearGroup]), s.draw(s.groups[farGroup]))
--- a/policy/mesh/dispatch/zones.go
+++ b/policy/mesh/dispatch/zones.go
@@ -113,7 +113,7 @@
 	if own := zoneLoads(now, near); len(own) > 0 {
 		in.Own = own[0]
 	}
-	if zonePenalty > 0 {
+	if zonePenalty > 0 && len(far) > 0 {
 		in.Gain = (lowestCost(near) - meanCost(far)) / zonePenalty
 	}
 	share.Update(now, in)
@@ -123,6 +123,17 @@
 	return share
 }
 
+// lowerShare updates the share of calls like this one, if there is one, while no target of
+// another zone may get them. A share that stayed as it was would apply when the other zones
+// are back, whatever the load is then. An order to move the service hides targets from some
+// calls only, and changes no share.
+func (s *targetSet) lowerShare(now time.Time, call *model.Call) {
+	share := s.shares[shareKey{call.Service, call.Nested}]
+	if share != nil && s.allowed == nil {
+		s.updatedShare(now, call, 0)
+	}
+}
+
 // zoneLoads returns what the candidates can bear and what is asked of them, by zone.
 func zoneLoads(now time.Time, candidates []candidate) []zoneshare.Load {
 	var loads []zoneshare.Load
--- a/policy/mesh/dispatch/zones_test.go
+++ b/policy/mesh/dispatch/zones_test.go
@@ -120,3 +120,33 @@
 	shares := c.ZoneShares()
 	assert.Assert(t, len(shares) == 1 && shares[0].Service == service, "%v", shares)
 }
+
+// Guards against a share that stays as it was while the links to other zones are broken, and
+// sends calls out of an idle zone when they are back.
+func TestZoneShareFallsWhileOtherZonesAreUnknown(t *testing.T) {
+	c := newCore(t)
+	now := start
+	play := func(running int, links bool) ZoneShare {
+		for range 100 {
+			now = now.Add(50 * time.Millisecond)
+			for _, peer := range []model.Instance{local1, local2} {
+				r := report(peer, "north", model.TargetServing)
+				r.Running = running
+				c.OnReport(now, r)
+			}
+			if links {
+				c.OnReport(now, report(remote, "south", model.TargetServing))
+			}
+			r := newRequest("/tags/1")
+			c.OnRequest(now, r)
+			c.OnAnswer(now, onlyDecision(t, c).Peer, completedAnswer(r.ID))
+			c.Decisions()
+		}
+		return c.ZoneShares()[0]
+	}
+	assert.Assert(t, play(150, true).Leaving > 0.2)
+	c.OnLinkLost(now, remote)
+	share := play(10, false)
+	assert.Equal(t, share.Leaving, 0.0)
+	assert.Equal(t, share.Reason, zoneshare.OtherUnknown)
+}
