gate: rejections and failures are no sample of the shortest run

A window reopens beyond the present rate of ends while runs take about as long as the shortest recent one. Each end was a sample, also a rejection by the target or a failure after a millisecond. The shortest run then doubles only once a minute, so that after a target had rejected calls although it was not full, no run passed for one without a wait for several minutes, and runs that take half of their objective could not reopen the window.

Only timely runs are samples now. The new test failed before: a rejection after 1 ms set the shortest run.

--- a/policy/mesh/gate/window.go
+++ b/policy/mesh/gate/window.go
@@ -63,8 +63,8 @@
 	ended     int       // calls that have ended
 	reopensAt time.Time // latest reopening, or the end of the pause after a late end
 
-	shortestRun time.Duration // of recent calls
-	endedAt     time.Time     // latest end of a call
+	shortestRun time.Duration // of recent timely calls
+	endedAt     time.Time     // latest end of a timely call
 }
 
 func (c *Core) windowFor(priority int) *window {
@@ -115,7 +115,9 @@
 	used := float64(w.running) >= windowUsedFraction*w.size
 	w.running--
 	w.ended++
-	w.observeRun(now, run)
+	if signal == signalTimely { // rejections and failures are shorter than any run
+		w.observeRun(now, run)
+	}
 	switch {
 	case signal == signalLate:
 		c.pauseReopening(now, tc.call.Priority, run)
--- a/policy/mesh/gate/window_test.go
+++ b/policy/mesh/gate/window_test.go
@@ -125,3 +125,22 @@
 	}
 	assert.Assert(t, low.size <= size, "%.1f", low.size)
 }
+
+// Guards against windows that stay small for minutes after a target that is not full has
+// rejected calls: its quick rejections would pass for the shortest run.
+func TestRejectionsAreNoShortRuns(t *testing.T) {
+	c := newCore(t)
+	for _, run := range []struct {
+		took    time.Duration
+		outcome model.RunOutcome
+		status  int
+	}{
+		{100 * time.Millisecond, model.OutcomeAnswered, 200}, {time.Millisecond, model.OutcomeTargetFull, 429},
+		{time.Millisecond, model.OutcomeAnswered, 500},
+	} {
+		call := newCall(start)
+		c.OnCall(start, call)
+		c.OnFinished(start.Add(run.took), call.ID, run.outcome, run.status)
+		assert.Assert(t, c.windowFor(call.Priority).shortestRun >= 100*time.Millisecond, "%v", run)
+	}
+}
