dispatch: the least retry budgets of many nodes stay within the rule

A node may make two retries in 10 s however few requests it has. With 88 nodes that each have two or three requests in 10 s these are 176 retries for 180 to 260 requests; the operators' rule allows 0.2 of the requests and 118, that is 154 to 170.

A node's least allowance is now 1.25 retries, its part of the rule's slack, and 0.15 of its requests, up to the two of before. A node has two again from five requests in 10 s on. The size of the bucket was left as it is: it bounds bursts, and a smaller one would cost nodes with more requests theirs.

--- a/policy/mesh/dispatch/budget.go
+++ b/policy/mesh/dispatch/budget.go
@@ -20,6 +20,10 @@
 	// and maxRetryDebt bounds how far calls nested in retried requests can overdraw it.
 	maxRetryTokens = 2  // retries
 	maxRetryDebt   = 20 // retries
+	// nodeSlack bounds the retries that a node may make in the rule's window beyond retryRatio
+	// of its requests. The requirement's slack is 1.25 to 1.44 for each node (50 for 40 nodes,
+	// 118 for 88, 102 for 71).
+	nodeSlack = 1.25 // retries
 	// initialRetryTokens is small, since the budgets of all nodes that start add up.
 	initialRetryTokens = 1 // retries
 	// budgetStep is the resolution of the counts of requests and retries.
@@ -140,7 +144,8 @@
 func (b *retryBudget) left() float64 {
 	requests := max(b.sum(0, ruleSteps).requests, b.sum(ruleSteps, 2*ruleSteps).requests,
 		b.sum(ruleSteps/2, ruleSteps*3/2).requests)
-	return max(retryRatio*float64(requests), maxRetryTokens) - float64(b.sum(0, ruleSteps+1).retries)
+	earned := retryRatio * float64(requests)
+	return max(earned, min(earned+nodeSlack, maxRetryTokens)) - float64(b.sum(0, ruleSteps+1).retries)
 }
 
 // onFirstAttempt adds the first attempt of a request to the budget. A request that is
--- a/policy/mesh/dispatch/fleet_budget_test.go
+++ b/policy/mesh/dispatch/fleet_budget_test.go
@@ -293,3 +293,18 @@
 		t.Logf("%s: at most %.3f repeats for each request", c.name, f.checkRule(t, c.name, slack))
 	}
 }
+
+// Guards against more retries than the rule allows when each of many nodes has few requests:
+// the least budgets of the nodes add up.
+func TestRepeatsStayWithinRuleWithFewRequests(t *testing.T) {
+	const nodes, slack = 88, 118
+	for _, rate := range []float64{5, 18, 26, 44} {
+		f := newChainFleet(t, 3, nodes, 0, 0, 0, 0)
+		next := 0
+		inTurn := func() int { next++; return next % nodes }
+		f.play(time.Minute, rate, inTurn, func() {})
+		f.failures[0] = 1
+		f.play(10*time.Second, rate, inTurn, func() {})
+		t.Logf("%.0f requests/s: at most %.3f repeats for each request", rate, f.checkRule(t, "few requests", slack))
+	}
+}
