dispatch: the customer's rate is checked before the chain limit

Cause: the chain limit was asked first, so that the requests of a customer at six times its rate counted as demand for the services behind, although the rate refused them afterwards. A customer of high priority took the share of lower priorities with requests that never ran.

Ruled out: leaving refused requests out of the demand, since those that the chain limit refuses are demand.

--- a/policy/mesh/dispatch/admission.go
+++ b/policy/mesh/dispatch/admission.go
@@ -33,9 +33,6 @@
 	if !c.mayEndInTime(r.now, r.target) {
 		return model.NewRefusal(r.id, model.ReasonNodeBusy, "the node of the caller stops before the request can be expected to end")
 	}
-	if a := r.refuseOverloaded(); a != nil {
-		return a
-	}
 	if customer != nil {
 		grant, after := c.rates.Take(r.now, customer.Name)
 		if grant == quota.Refused {
@@ -46,7 +43,8 @@
 		}
 		r.grant = grant
 	}
-	return nil
+	// After the rate: requests beyond it must not count as demand for the services behind.
+	return r.refuseOverloaded()
 }
 
 // authenticate returns the customer that holds the request's key, or a refusal. Both
--- a/policy/mesh/dispatch/chain.go
+++ b/policy/mesh/dispatch/chain.go
@@ -15,7 +15,8 @@
 func (c *Core) ChainLimits() []chain.Limit { return c.chain.Limits() }
 
 // serviceLoad returns the load of a service by the reports of its targets that are not
-// stale and that an order to move the service does not keep from its calls. Fractions and delays are weighted by the calls that a target runs.
+// stale and that an order to move the service does not keep from its calls. Fractions and
+// delays are weighted by the calls that a target runs.
 func (c *Core) serviceLoad(now time.Time, s model.Service) chain.ServiceLoad {
 	var load chain.ServiceLoad
 	var weight, shed, delay float64
