dispatch: routes of one name have their own split

Cause: the state of a route's split was found by the route's name, and a configuration may give two routes the same name. With splits of different lengths a request panicked (index out of range in pickService).

Change: the state is found by the route.

--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -60,7 +60,7 @@
 	rates      *quota.Limiter
 	budgets    map[model.Service]*retryBudget
 	profiles   callProfiles
-	splitters  map[string]*splitter
+	splitters  map[*graph.Route]*splitter
 	chain      *chain.Core
 	parents    map[string]*Parent // calls that run at the node's own target, by AttemptID; nested requests name it in Parent
 	suspicions *poison.Table
@@ -88,7 +88,7 @@
 		rates:      quota.New(),
 		budgets:    make(map[model.Service]*retryBudget),
 		profiles:   make(callProfiles),
-		splitters:  make(map[string]*splitter),
+		splitters:  make(map[*graph.Route]*splitter),
 		parents:    make(map[string]*Parent),
 		suspicions: poison.NewTable(),
 		archive:    poison.NewArchive(rng),
--- a/policy/mesh/dispatch/splitter.go
+++ b/policy/mesh/dispatch/splitter.go
@@ -15,10 +15,10 @@
 	if len(r.Split) == 1 {
 		return r.Split[0].Service
 	}
-	s := c.splitters[r.Name]
+	s := c.splitters[r]
 	if s == nil {
 		s = c.newSplitter(r)
-		c.splitters[r.Name] = s
+		c.splitters[r] = s
 	}
 	var total float64
 	best := 0
