gate: a target of another service at a reused address gets no requests

Cause: the gate took the id that a health answer names for its own target's, though a health answer names no service. Once a target is known, another id is served only after a heartbeat has named it with the node's service (state unconfirmed). A heartbeat of another service for an id that only a probe has shown ends the service to it.

Ruled out: waiting for a heartbeat also after a start of the node, which would make restarts slower; reading the service from the settings again, which may be written later than the new target serves.

TestBrokenAndRefusedConnections asserted the fault: that another id in a health answer is served. It names the known id now; TestReusedAddressGetsNoCalls asserts the opposite for another id.

--- /dev/null
+++ b/policy/mesh/gate/announcement_test.go
@@ -0,0 +1,91 @@
+package gate
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderworks/oleanderworks/model"
+)
+
+// lostCore returns a core whose target has refused a connection.
+func lostCore(t *testing.T) *Core {
+	t.Helper()
+	c := newCore(t)
+	call := newCall(start)
+	c.OnCall(start, call)
+	c.OnFinished(start, call.ID, model.OutcomeConnectionRefused, 0)
+	assert.Equal(t, c.State(), "lost")
+	return c
+}
+
+func assertRefused(t *testing.T, c *Core) {
+	t.Helper()
+	call := newCall(start)
+	c.OnCall(start, call)
+	assert.Equal(t, refusalReason(decisionFor(t, c, call.ID)), model.ReasonNoTarget)
+}
+
+// Guards against sending calls to a target of another service that uses the address of a
+// target that has ended: a health answer names the instance, but not its service.
+func TestReusedAddressGetsNoCalls(t *testing.T) {
+	c := lostCore(t)
+	c.OnProbeResult(start, model.Health{OK: true, Target: "t2"})
+	assertRefused(t, c)
+	other := announcement(1)
+	other.ID, other.Service, other.StartedAtMs = "t2", "tally", 200
+	assert.Assert(t, !c.OnAnnouncement(start, other))
+	c.OnProbeResult(start, model.Health{OK: true, Target: "t2"})
+	assertRefused(t, c)
+}
+
+// Guards against a target that restarts under a new id and gets no calls after it has
+// announced itself, also when its clock was set back, or after a late announcement of the
+// incarnation before it.
+func TestRestartedTargetServesOnceAnnounced(t *testing.T) {
+	for _, startedAtMs := range []int64{0, 50, 200} {
+		c := lostCore(t)
+		c.OnProbeResult(start, model.Health{OK: true, Target: "t2"})
+		assert.Assert(t, !c.OnAnnouncement(start, announcement(9)), "a late announcement was accepted")
+		next := announcement(1)
+		next.ID, next.StartedAtMs = "t2", startedAtMs
+		assert.Assert(t, c.OnAnnouncement(start, next), "start %d", startedAtMs)
+		call := newCall(start)
+		c.OnCall(start, call)
+		assert.Equal(t, decisionFor(t, c, call.ID).Target, model.Instance("t2"))
+	}
+}
+
+// Guards against a serving target that gets no calls any more after the answer to a probe
+// of the target before it has arrived late.
+func TestLateHealthAnswerOfEarlierTarget(t *testing.T) {
+	c := newCore(t)
+	c.OnProbeResult(start, model.Health{OK: true, Target: "t0"})
+	assert.Equal(t, c.State(), "unconfirmed")
+	now := start.Add(minProbeInterval)
+	c.Tick(now)
+	assert.Assert(t, c.TakeProbeDue())
+	c.OnProbeResult(now, model.Health{OK: true, Target: "t1"})
+	assert.Equal(t, c.State(), "serving")
+}
+
+// Guards against a node that starts after the address has been reused, and goes on to send
+// calls to the first instance it has seen although that announces another service.
+func TestOtherServiceAfterStart(t *testing.T) {
+	other := announcement(1)
+	other.Service = "tally"
+	probed := model.Health{OK: true, Target: "t1"}
+	c := New(service, "north")
+	c.OnProbeResult(start, probed)
+	assert.Equal(t, c.State(), "serving")
+	assert.Assert(t, !c.OnAnnouncement(start, other))
+	c.OnProbeResult(start, probed)
+	assertRefused(t, c)
+
+	c = New(service, "north")
+	assert.Assert(t, !c.OnAnnouncement(start, other))
+	c.OnProbeResult(start, probed)
+	assertRefused(t, c)
+	assert.Assert(t, c.OnAnnouncement(start, announcement(2)))
+	assert.Equal(t, c.State(), "serving")
+}
--- a/policy/mesh/gate/core_test.go
+++ b/policy/mesh/gate/core_test.go
@@ -313,7 +313,7 @@
 	assert.Assert(t, c.TakeProbeDue())
 	c.OnFinished(start, refused.ID, model.OutcomeConnectionRefused, 0)
 	assert.Equal(t, c.State(), "lost")
-	c.OnProbeResult(start, model.Health{OK: true, Target: "t2"})
+	c.OnProbeResult(start, model.Health{OK: true, Target: "t1"})
 	assert.Equal(t, c.State(), "serving")
 }
 
--- a/policy/mesh/gate/target.go
+++ b/policy/mesh/gate/target.go
@@ -15,6 +15,7 @@
 	stateServing
 	stateLeaving
 	stateLost
+	stateUnconfirmed
 	stateOut
 	stateStopping
 )
@@ -27,6 +28,7 @@
 	eventDeregistered
 	eventProbePassed
 	eventProbeFailed
+	eventOtherTarget
 	eventTargetUnreachable
 	eventZoneOut
 	eventZoneRestored
@@ -40,35 +42,11 @@
 	// minProbeInterval is the minimum time between two probes of a serving target,
 	// since a probe occupies a slot.
 	minProbeInterval = time.Second
-	// sequenceWindow is how far an announcement's sequence may be behind the latest one
-	// for the announcement to count as overtaken.
-	sequenceWindow = 10_000
-	// maxSlots is the largest number of slots of a target. A call needs a connection, and
-	// there are fewer ports than this on the node's side.
-	maxSlots = 1 << 16
-	// maxStartedAtMs is the latest start of a target, 2200-01-01 as Unix time in ms. It
-	// does not depend on the node's clock, which may be wrong. A later start would make
-	// all true announcements look as if they came from an earlier incarnation.
-	maxStartedAtMs = 7_258_118_400_000
 	// maxMissedAnnouncements is the number of announcement intervals that a serving
 	// target may be silent before it is probed.
 	maxMissedAnnouncements = 3
 )
 
-// Announcement is a message in which a target announces its state.
-type Announcement struct {
-	ID          model.Instance
-	Service     model.Service
-	Version     string // of the target's software
-	Address     string
-	StartedAtMs int64 // start of the target, Unix time in ms; 0 if not given
-	Sequence    uint64
-	Leaving     bool
-	Slots       int
-	ColdLeft    time.Duration // how long the target stays cold
-	Interval    time.Duration // usual time between two announcements; 0 if not given
-}
-
 // probe is the only item of the timer queue, since at most one probe is scheduled.
 type probe struct{}
 
@@ -81,6 +59,8 @@
 	zoneOut           bool      // the availability zone is out of service
 
 	id          model.Instance
+	announced   bool           // the id was announced with this node's service
+	shownID     model.Instance // id at the address whose service is not known or another one; "" if none
 	replacedID  model.Instance // id before the one that a probe has shown; "" if none
 	startedAtMs int64          // 0 if announcements give no start
 	sequence    uint64
@@ -102,14 +82,15 @@
 
 func newTargetMachine() *chart.Machine[*target] {
 	return chart.MustCompile(charts.MustRead("gate_target"), chart.Binding[*target]{
-		States: []string{"unknown", "serving", "leaving", "lost", "out", "stopping"},
+		States: []string{"unknown", "serving", "leaving", "lost", "unconfirmed", "out", "stopping"},
 		Events: []string{"announced", "announced_leaving", "new_incarnation", "deregistered", "probe_passed", "probe_failed",
-			"target_unreachable", "zone_out", "zone_restored", "stop"},
+			"other_target", "target_unreachable", "zone_out", "zone_restored", "stop"},
 		Guards: map[string]func(*target) bool{"zone_out": func(t *target) bool { return t.zoneOut }},
 		Actions: map[string]func(*target){
 			"refuse_waiting": func(t *target) { t.mustRefuseWaiting = true },
 			"probe_now":      func(t *target) { t.probes.Set(probe{}, t.now) },
 			"probe_later":    func(t *target) { t.probes.Set(probe{}, t.now.Add(probeRetryInterval)) },
+			"probe_again":    func(t *target) { t.probes.Set(probe{}, t.now.Add(minProbeInterval)) },
 			"report_change":  func(t *target) { t.core.reportDue = true },
 			"report_crash":   func(t *target) { t.core.crashes.OnTargetLost(t.now) },
 		},
@@ -157,72 +138,13 @@
 		return model.ReasonZoneOut, "the availability zone is out of service"
 	case stateLost:
 		return model.ReasonTargetFailed, "the target does not answer"
+	case stateUnconfirmed:
+		return model.ReasonNoTarget, "the target at the address has not announced that it is of this service"
 	default:
 		return model.ReasonNoTarget, "the target's node has not heard of it yet"
 	}
 }
 
-// OnAnnouncement handles an announcement of the target and reports whether it is
-// valid: it must name an instance, this node's service and from 1 to maxSlots slots, must
-// not come from an incarnation before the known one, and its start must be at most
-// maxStartedAtMs.
-func (c *Core) OnAnnouncement(now time.Time, a Announcement) bool {
-	t := &c.target
-	if a.ID == "" || a.Service != c.service || a.Slots <= 0 || a.Slots > maxSlots {
-		return false
-	}
-	if a.StartedAtMs < t.startedAtMs || a.StartedAtMs > maxStartedAtMs {
-		return false
-	}
-	if a.StartedAtMs == 0 && a.ID == t.replacedID {
-		return false // without a start, only the id tells that the announcement is late
-	}
-	newIncarnation := t.id != "" && (a.StartedAtMs > t.startedAtMs && t.startedAtMs != 0 || a.ID != t.id)
-	if !newIncarnation && a.ID == t.id && a.StartedAtMs == t.startedAtMs && t.overtaken(a.Sequence) {
-		return true
-	}
-	t.lastHeardAt, t.announceInterval = now, a.Interval
-	oldLimit := c.limit()
-	t.id, t.startedAtMs, t.sequence, t.slots = a.ID, a.StartedAtMs, a.Sequence, a.Slots
-	t.version = a.Version
-	c.resizeWindows(oldLimit)
-	t.setCold(now, a.ColdLeft)
-	switch {
-	case a.Leaving:
-		t.step(now, eventAnnouncedLeaving)
-	case newIncarnation:
-		t.step(now, eventNewIncarnation)
-	default:
-		t.step(now, eventAnnounced)
-	}
-	c.admitWaiting(now)
-	return true
-}
-
-// overtaken reports whether an announcement of the target is a duplicate, or was sent
-// before the latest one. A sequence far behind the latest one is not: the latest one was
-// invalid then.
-func (t *target) overtaken(sequence uint64) bool {
-	return sequence <= t.sequence && t.sequence-sequence < sequenceWindow
-}
-
-// OnDeregistered handles the deregistration of a target and reports whether it is valid:
-// its start must be at most maxStartedAtMs. It is ignored if it is from an instance other
-// than the known one, or from an earlier incarnation.
-func (c *Core) OnDeregistered(now time.Time, id model.Instance, startedAtMs int64) bool {
-	t := &c.target
-	if startedAtMs > maxStartedAtMs {
-		return false
-	}
-	if (t.id != "" && id != t.id) || (startedAtMs != 0 && startedAtMs < t.startedAtMs) {
-		return true
-	}
-	t.id = id
-	t.startedAtMs = max(t.startedAtMs, startedAtMs)
-	t.step(now, eventDeregistered)
-	return true
-}
-
 // OnProbeResult handles the result of a probe that TakeProbeDue requested.
 func (c *Core) OnProbeResult(now time.Time, r model.Health) {
 	t := &c.target
@@ -232,12 +154,10 @@
 		return
 	}
 	t.lastHeardAt = now
-	if r.Target != "" && r.Target != t.id {
-		t.replacedID = t.id
-		if t.startedAtMs > 0 {
-			t.startedAtMs++ // rejects late announcements of the previous incarnation
-		}
-		t.id, t.sequence, t.version = r.Target, 0, ""
+	if !t.identify(r.Target) {
+		t.shownID = r.Target
+		t.step(now, eventOtherTarget)
+		return
 	}
 	t.setCold(now, r.ColdLeft)
 	t.step(now, eventProbePassed)
