gate: a node that restarts still knows that its target leaves

Cause: what the node acknowledged was in its memory only, and a node that starts took a passed probe for proof that the target serves. A target may pass its probes while it leaves, and one that has deregistered sends no heartbeat.

Change: peers hold which target of a node leaves, by its reports (policy/mesh/departure), and tell it when it opens a link (frame departed; nodes of earlier builds skip it). A departure that is acknowledged during a shutdown is reported; the report stated stopping before.

Ruled out: a file, since a node has no disk to rely on; a record in the log, which may be down and wakes all nodes; waiting for a heartbeat at each start, which makes restarts slower.

TestNewLinkGetsKnownCrashes expects the new frame as well: it is sent on each new link, also when no target leaves, and the test names all frames that are sent.

--- a/agent/mesh/entry.go
+++ b/agent/mesh/entry.go
@@ -8,6 +8,7 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/departure"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/dispatch"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/poison"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/rollout"
@@ -142,6 +143,7 @@
 	core        *dispatch.Core
 	pending     map[model.CallID]*pendingRequest
 	links       map[model.Instance]*link
+	departures  *departure.Table
 	nextUsageAt time.Time
 }
 
@@ -155,10 +157,11 @@
 func newEntryDuty(n *Node) *duty.Duty[entryMessage] {
 	s := n.settings
 	h := &entryHandler{
-		node:    n,
-		core:    dispatch.New(s.Instance, s.Zone, s.Service, newRand()),
-		pending: make(map[model.CallID]*pendingRequest),
-		links:   make(map[model.Instance]*link),
+		node:       n,
+		core:       dispatch.New(s.Instance, s.Zone, s.Service, newRand()),
+		pending:    make(map[model.CallID]*pendingRequest),
+		links:      make(map[model.Instance]*link),
+		departures: departure.New(),
 	}
 	if s.Rollouts != nil {
 		h.core.EnableRollouts(n.id, *s.Rollouts)
@@ -245,11 +248,13 @@
 		h.core.OnParentEnded(m.call)
 	case reportReceived:
 		h.core.OnReport(now, m.report)
+		h.departures.OnReport(m.report.NodeInfo)
 		h.node.metrics.crashReports.Add(int64(len(m.report.Crashes)))
 	case crashesReceived:
 		h.onCrashesReceived(now, m)
 	case peerConnected:
 		h.sendCrashes(now, m.link)
+		h.sendDeparture(m.link)
 		h.sendRollouts(now, m.link)
 	case poisonRecordsRead:
 		h.core.OnPoisonRecords(now, m.records, m.loaded)
@@ -273,6 +278,7 @@
 		h.core.FailAll(now)
 	case peersChanged:
 		h.core.SetPeers(m.peers)
+		h.departures.Retain(m.peers)
 	case entryConfigChanged:
 		h.core.OnConfig(now, m.config, m.zonesOut)
 		h.onRolloutOrders(now, m)
@@ -311,6 +317,14 @@
 	}
 }
 
+// sendDeparture tells a peer which target of it leaves, in case the peer has started since it
+// reported that. A peer that starts waits for the answer also if there is none. If that fails, the link is closed, as in sendCrashes.
+func (h *entryHandler) sendDeparture(l *link) {
+	if !l.send(frame.Departed{Target: h.departures.Target(l.peer.Node.Instance)}) {
+		l.close(errLinkBusy)
+	}
+}
+
 // applyDecisions applies the core's decisions. A call that cannot be queued counts
 // as refused, which may lead to further decisions.
 func (h *entryHandler) applyDecisions(now time.Time) {
--- a/agent/mesh/entry_test.go
+++ b/agent/mesh/entry_test.go
@@ -13,6 +13,7 @@
 	"github.com/oleanderworks/oleanderworks/core/ring"
 	"github.com/oleanderworks/oleanderworks/model"
 	"github.com/oleanderworks/oleanderworks/model/graph"
+	"github.com/oleanderworks/oleanderworks/policy/mesh/departure"
 	"github.com/oleanderworks/oleanderworks/policy/mesh/dispatch"
 	"github.com/oleanderworks/oleanderworks/transport/frame"
 )
@@ -24,7 +25,7 @@
 	n, _ := newIdleNode()
 	h := &entryHandler{
 		node: n, core: dispatch.New(n.settings.Instance, "z", "s", rand.New(rand.NewPCG(1, 1))),
-		pending: make(map[model.CallID]*pendingRequest), links: make(map[model.Instance]*link),
+		pending: make(map[model.CallID]*pendingRequest), links: make(map[model.Instance]*link), departures: departure.New(),
 	}
 	route := &graph.Route{
 		Name: "r", Host: "h", Prefix: "/", Open: true, Timeout: time.Second, LatencyObjective: time.Second, MaxAttempts: 2,
@@ -111,10 +112,28 @@
 	later := now.Add(time.Second)
 	knowing.Handle(later, []entryMessage{peerConnected{link: l}})
 	sent := drain(t, l.queue)
-	assert.DeepEqual(t, sent, []frame.Message{frame.Crashes{Reports: []model.CrashReport{{Fingerprint: 7, Count: 3, Age: time.Second}}}})
+	assert.DeepEqual(t, sent, []frame.Message{frame.Crashes{Reports: []model.CrashReport{{Fingerprint: 7, Count: 3, Age: time.Second}}}, frame.Departed{}})
 
 	started, _ := newEntryHandler(t, now)
 	started.node.onOutgoingFrame(l, sent[0])
 	started.Handle(later, drain(t, started.node.entry.Ring()))
 	assert.Equal(t, started.core.SuspectedRequests(), 1)
 }
+
+// Guards against a node that restarts and is not told that its target leaves.
+func TestNewLinkGetsDeparture(t *testing.T) {
+	now := time.Now()
+	knowing, _ := newEntryHandler(t, now)
+	l := newQueueLink()
+	info := model.NodeInfo{Node: l.peer.Node, Target: "t1", State: model.TargetLeaving}
+	knowing.Handle(now, []entryMessage{reportReceived{report: &model.NodeReport{NodeInfo: info}}})
+	knowing.Handle(now, []entryMessage{peerConnected{link: l}})
+	sent := drain(t, l.queue)
+	assert.DeepEqual(t, sent, []frame.Message{frame.Departed{Target: "t1"}})
+
+	started, _ := newEntryHandler(t, now)
+	started.node.onOutgoingFrame(l, sent[0])
+	told := drain(t, started.node.gate.Ring())
+	assert.Equal(t, len(told), 1)
+	assert.Equal(t, told[0], gateMessage(targetDeparted{id: "t1"}))
+}
--- a/agent/mesh/gate.go
+++ b/agent/mesh/gate.go
@@ -62,6 +62,9 @@
 		startedAtMs int64
 		reply       ring.Reply[bool]
 	}
+	// targetDeparted reports that this node told a peer, before it started, that its
+	// target leaves.
+	targetDeparted struct{ id model.Instance }
 	// probeDone is the result of a health probe.
 	probeDone struct {
 		result model.Health
@@ -85,6 +88,7 @@
 func (announcementReceived) gateMessage()   {}
 func (deregistrationReceived) gateMessage() {}
 func (probeDone) gateMessage()              {}
+func (targetDeparted) gateMessage()         {}
 func (gateConfigChanged) gateMessage()      {}
 func (refuseCalls) gateMessage()            {}
 
@@ -173,6 +177,8 @@
 		m.reply.Send(h.onAnnouncement(now, m.announcement))
 	case deregistrationReceived:
 		m.reply.Send(h.onDeregistration(now, m))
+	case targetDeparted:
+		h.core.OnDeparted(now, m.id)
 	case probeDone:
 		h.logProbe(m)
 		h.core.OnProbeResult(now, m.result)
--- a/agent/mesh/node.go
+++ b/agent/mesh/node.go
@@ -418,6 +418,8 @@
 		}
 	case frame.Crashes:
 		_ = n.entry.Ring().Put(context.Background(), crashesReceived{peer: l.peer.Node.Instance, reports: m.Reports})
+	case frame.Departed:
+		_ = n.gate.Ring().Put(context.Background(), targetDeparted{id: m.Target})
 	case frame.Documents:
 		_ = n.peers.Ring().Put(context.Background(), peerDocuments{documents: m})
 	}
--- a/policy/mesh/gate/announcement.go
+++ b/policy/mesh/gate/announcement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oleanderworks/oleanderworks/core/chart"
 	"github.com/oleanderworks/oleanderworks/model"
 )
 
@@ -48,7 +49,7 @@
 	if t.late(a) || a.StartedAtMs > maxStartedAtMs {
 		return false
 	}
-	newIncarnation := t.id != "" && (a.StartedAtMs > t.startedAtMs && t.startedAtMs != 0 || a.ID != t.id)
+	newIncarnation := t.id != "" && (a.StartedAtMs > t.startedAtMs && t.startedAtMs != 0 || a.ID != t.id || a.ID == t.departedID)
 	if !newIncarnation && a.ID == t.id && a.StartedAtMs == t.startedAtMs && t.overtaken(a.Sequence) {
 		return true
 	}
@@ -57,15 +58,16 @@
 	if a.ID == t.shownID {
 		t.replacedID = t.id
 	}
-	t.announced, t.shownID = true, ""
+	t.announced, t.shownID, t.departedID = true, "", ""
 	t.id, t.startedAtMs, t.sequence, t.slots = a.ID, a.StartedAtMs, a.Sequence, a.Slots
 	t.version = a.Version
 	c.resizeWindows(oldLimit)
 	t.setCold(now, a.ColdLeft)
 	switch {
 	case a.Leaving:
-		t.step(now, eventAnnouncedLeaving)
+		t.leave(now, eventAnnouncedLeaving)
 	case newIncarnation:
+		t.left = false
 		t.step(now, eventNewIncarnation)
 	default:
 		t.step(now, eventAnnounced)
@@ -123,10 +125,43 @@
 	}
 	t.id = id
 	t.startedAtMs = max(t.startedAtMs, startedAtMs)
-	t.step(now, eventDeregistered)
+	t.leave(now, eventDeregistered)
 	return true
 }
 
+// leave notes that the target leaves. The node's peers must hear of it also while the node
+// shuts down, since the node has acknowledged it.
+func (t *target) leave(now time.Time, event chart.EventID) {
+	if !t.left {
+		t.left, t.core.reportDue = true, true
+	}
+	t.step(now, event)
+}
+
+// awaitsPeers reports whether a target that passes its probes is not served yet, since this
+// node may have acknowledged before it started that the target leaves.
+func (t *target) awaitsPeers(now time.Time) bool {
+	return !t.announced && !t.peerAnswered && now.Before(t.askedUntil)
+}
+
+// OnDeparted handles a peer's statement that, by a report of this node before it started, the
+// target with the id leaves, or that it knows of none if the id is empty. A target that has announced itself to this incarnation of the
+// node is known better. A target that leaves may pass its probes all the same.
+func (c *Core) OnDeparted(now time.Time, id model.Instance) {
+	t := &c.target
+	if t.awaitsPeers(now) && !t.probing {
+		t.probes.Set(probe{}, now)
+	}
+	t.peerAnswered = true
+	if id == "" || t.announced || t.left {
+		return
+	}
+	t.departedID = id
+	if t.id == id {
+		t.leave(now, eventDeregistered)
+	}
+}
+
 // identify reports whether a health answer that names the id is from the known target, and
 // adopts the first id. A health answer names no service, and the address of a target that
 // has ended may belong to one of another service: an id other than the known one is not
--- a/policy/mesh/gate/announcement_test.go
+++ b/policy/mesh/gate/announcement_test.go
@@ -89,3 +89,75 @@
 	assert.Assert(t, c.OnAnnouncement(start, announcement(2)))
 	assert.Equal(t, c.State(), "serving")
 }
+
+// Guards against a node that restarts beside a target that leaves, and sends calls to it
+// since its probes pass, and against refusing the target that follows.
+func TestDepartedTargetGetsNoCallsAfterRestart(t *testing.T) {
+	probed := model.Health{OK: true, Target: "t1"}
+	for _, probedFirst := range []bool{true, false} {
+		c := New(service, "north")
+		if probedFirst {
+			c.OnProbeResult(start, probed)
+		}
+		c.OnDeparted(start, "t1")
+		c.OnProbeResult(start, probed)
+		assert.Equal(t, c.State(), "leaving")
+		assert.Assert(t, c.OnAnnouncement(start, announcement(1)))
+		assert.Equal(t, c.State(), "serving", "started again with the same id")
+	}
+	c := New(service, "north")
+	c.OnDeparted(start, "t0")
+	c.OnProbeResult(start, probed)
+	assert.Equal(t, c.State(), "serving")
+}
+
+// Guards against a node that acknowledges a departure while it shuts down, or before, and
+// does not report it to its peers any more.
+func TestDepartureIsReportedDuringShutdown(t *testing.T) {
+	for _, stopFirst := range []bool{true, false} {
+		c := newCore(t)
+		if stopFirst {
+			c.Stop(start)
+			c.TakeReportDue()
+		}
+		assert.Assert(t, c.OnDeregistered(start, "t1", 100))
+		assert.Assert(t, c.TakeReportDue())
+		c.Stop(start)
+		var r model.NodeReport
+		c.FillReport(start, &r)
+		assert.Equal(t, r.State, model.TargetLeaving)
+	}
+}
+
+// Guards against calls to a target that leaves in the time from the first probe after a
+// start of the node until its peers answer, and against waiting for peers that do not.
+func TestStartedNodeAwaitsPeers(t *testing.T) {
+	probed := model.Health{OK: true, Target: "t1"}
+	begin := func() *Core {
+		c := New(service, "north")
+		c.StartProbing(start)
+		c.Tick(start)
+		assert.Assert(t, c.TakeProbeDue())
+		c.OnProbeResult(start, probed)
+		assertRefused(t, c)
+		return c
+	}
+	c := begin()
+	c.OnDeparted(start, "t1")
+	assert.Equal(t, c.State(), "leaving")
+
+	c = begin()
+	c.OnDeparted(start, "")
+	c.Tick(start)
+	assert.Assert(t, c.TakeProbeDue())
+	c.OnProbeResult(start, probed)
+	assert.Equal(t, c.State(), "serving")
+
+	c = begin()
+	end := start.Add(askTimeout)
+	c.Tick(end)
+	assert.Assert(t, c.TakeProbeDue())
+	c.OnProbeResult(end, probed)
+	assert.Equal(t, c.State(), "serving")
+	assert.Assert(t, begin().OnAnnouncement(start, announcement(1)), "an announcement needs no peer")
+}
--- a/policy/mesh/gate/target.go
+++ b/policy/mesh/gate/target.go
@@ -42,6 +42,9 @@
 	// minProbeInterval is the minimum time between two probes of a serving target,
 	// since a probe occupies a slot.
 	minProbeInterval = time.Second
+	// askTimeout is how long a node that starts waits for a peer to say whether its target
+	// leaves. It is the delay of a first probe that fails.
+	askTimeout = probeRetryInterval
 	// maxMissedAnnouncements is the number of announcement intervals that a serving
 	// target may be silent before it is probed.
 	maxMissedAnnouncements = 3
@@ -58,14 +61,18 @@
 	mustRefuseWaiting bool      // set by an action: refuse the waiting calls after the step
 	zoneOut           bool      // the availability zone is out of service
 
-	id          model.Instance
-	announced   bool           // the id was announced with this node's service
-	shownID     model.Instance // id at the address whose service is not known or another one; "" if none
-	replacedID  model.Instance // id before the one that a probe has shown; "" if none
-	startedAtMs int64          // 0 if announcements give no start
-	sequence    uint64
-	slots       int
-	version     string
+	id           model.Instance
+	announced    bool           // the id was announced with this node's service
+	shownID      model.Instance // id at the address whose service is not known or another one; "" if none
+	departedID   model.Instance // id that leaves, by a report of this node before it started; "" if none
+	askedUntil   time.Time      // a peer may say until then that the target leaves; zero if probing has not started
+	peerAnswered bool           // a peer has said whether the target leaves
+	left         bool           // the target has announced that it leaves
+	replacedID   model.Instance // id before the one that a probe has shown; "" if none
+	startedAtMs  int64          // 0 if announcements give no start
+	sequence     uint64
+	slots        int
+	version      string
 
 	coldUntil      time.Time
 	coldRate       float64 // requests per second
@@ -120,6 +127,9 @@
 	case stateLost:
 		return model.TargetLost
 	case stateStopping:
+		if t.left {
+			return model.TargetLeaving // peers tell it to the next incarnation of this node
+		}
 		return model.TargetStopping
 	default:
 		return model.TargetUnknown
@@ -160,6 +170,14 @@
 		return
 	}
 	t.setCold(now, r.ColdLeft)
+	if t.id != "" && t.id == t.departedID {
+		t.leave(now, eventDeregistered)
+		return
+	}
+	if t.awaitsPeers(now) {
+		t.probes.Set(probe{}, t.askedUntil)
+		return
+	}
 	t.step(now, eventProbePassed)
 	c.admitWaiting(now)
 }
@@ -172,8 +190,12 @@
 	return due
 }
 
-// StartProbing schedules the first probe of the target.
-func (c *Core) StartProbing(now time.Time) { c.target.probes.Set(probe{}, now) }
+// StartProbing schedules the first probe of the target, and lets peers say for askTimeout
+// that it leaves.
+func (c *Core) StartProbing(now time.Time) {
+	c.target.probes.Set(probe{}, now)
+	c.target.askedUntil = now.Add(askTimeout)
+}
 
 // SetZoneOut sets whether the target's availability zone is out of service.
 func (c *Core) SetZoneOut(now time.Time, out bool) {
--- a/transport/frame/frame.go
+++ b/transport/frame/frame.go
@@ -39,6 +39,7 @@
 	KindUsage                            // how much of the customers' rates a node's callers use
 	KindCrashes                          // the requests that the sender knows to have crashed targets
 	KindRollout                          // a node's state of an order to move a service to another version
+	KindDeparted                         // the receiver's target that leaves, as known to the sender
 )
 
 const (
@@ -57,7 +58,7 @@
 var kindNames = map[Kind]string{
 	KindHello: "hello", KindCall: "call", KindCancel: "cancel", KindAnswer: "answer", KindReport: "report",
 	KindDocumentsRequest: "want", KindDocuments: "documents", KindPing: "ping", KindUsage: "usage",
-	KindCrashes: "crashes", KindRollout: "rollout",
+	KindCrashes: "crashes", KindRollout: "rollout", KindDeparted: "departed",
 }
 
 // String returns the name used in metrics.
@@ -67,7 +68,7 @@
 func KindOf(m Message) Kind { return m.kind() }
 
 // Message is the content of a frame: Hello, Call, Cancel, Answer, Report,
-// DocumentsRequest, Documents, Ping, Usage, Crashes or Rollout.
+// DocumentsRequest, Documents, Ping, Usage, Crashes, Rollout or Departed.
 type Message interface {
 	kind() Kind
 	append(b []byte) []byte
@@ -132,6 +133,11 @@
 // that receives it from another availability zone forwards it to the peers in its own zone.
 type Rollout struct{ Report model.RolloutReport }
 
+// Departed names the receiver's target that leaves, by a report that the receiver made
+// before it started again; it is empty if the sender knows of none. It is sent when a link
+// opens.
+type Departed struct{ Target model.Instance }
+
 func (Hello) kind() Kind            { return KindHello }
 func (Call) kind() Kind             { return KindCall }
 func (Cancel) kind() Kind           { return KindCancel }
@@ -143,6 +149,7 @@
 func (Usage) kind() Kind            { return KindUsage }
 func (Crashes) kind() Kind          { return KindCrashes }
 func (Rollout) kind() Kind          { return KindRollout }
+func (Departed) kind() Kind         { return KindDeparted }
 
 // Append appends the frame of m to b.
 func Append(b []byte, m Message) []byte {
@@ -192,6 +199,8 @@
 		return decodeUsage(b)
 	case KindCrashes:
 		return decodeCrashes(b)
+	case KindDeparted:
+		return decodeDeparted(b)
 	case KindRollout:
 		return decodeRollout(b)
 	default:
--- a/transport/frame/frame_test.go
+++ b/transport/frame/frame_test.go
@@ -63,6 +63,7 @@
 				{Route: "browse", RolloutCounts: model.RolloutCounts{Responses: 300}},
 			},
 		}},
+		Departed{Target: "t1"},
 		Crashes{Reports: []model.CrashReport{{Fingerprint: 1 << 60, Count: 3, Age: 1500 * time.Millisecond}, {Fingerprint: 5}}},
 	}
 }
--- a/transport/frame/messages.go
+++ b/transport/frame/messages.go
@@ -430,6 +430,19 @@
 	return m, err
 }
 
+func (m Departed) append(b []byte) []byte { return appendString(b, 1, string(m.Target)) }
+
+func decodeDeparted(b []byte) (Message, error) {
+	var m Departed
+	err := forEachField(b, func(f field) error {
+		if f.number == 1 {
+			m.Target = model.Instance(f.asString())
+		}
+		return nil
+	})
+	return m, err
+}
+
 func (m DocumentsRequest) append(b []byte) []byte {
 	b = appendUint(b, 1, uint64(m.Known.End.Offset))
 	b = appendUint(b, 2, m.Known.End.Era)
