gate: a cold target of a service without a cold rate gets its slots

Cause: a service whose configuration has no rate for cold targets kept the default of 10 requests a second, which is meant for the time before the first configuration.

Change: a rate of 0 in the configuration means no limit. Until the first configuration the default holds. Services with a rate are served as before.

Ruled out: the windows of external calls (they start at the limit) and chain admission (its limits were open until 34 s, event 1045).

TestColdTargetOfServiceWithoutColdRateGetsItsSlots failed before.

--- a/policy/mesh/gate/expected_wait.go
+++ b/policy/mesh/gate/expected_wait.go
@@ -20,7 +20,7 @@
 	} else {
 		ahead, wait = c.waitOfExternal(now, tc)
 	}
-	if c.target.cold(now) {
+	if c.target.cold(now) && c.target.coldRate > 0 {
 		wait = max(wait, time.Duration(ahead/c.target.coldRate*float64(time.Second)))
 	}
 	return wait
--- a/policy/mesh/gate/target.go
+++ b/policy/mesh/gate/target.go
@@ -75,7 +75,7 @@
 	version      string
 
 	coldUntil      time.Time
-	coldRate       float64 // requests per second
+	coldRate       float64 // requests per second; 0 for no limit
 	coldTokens     float64
 	coldRefilledAt time.Time
 
@@ -211,12 +211,8 @@
 }
 
 // SetColdRate sets the rate of calls to the target while it is cold, in requests per
-// second. A rate of 0 changes nothing.
-func (c *Core) SetColdRate(coldRate float64) {
-	if coldRate > 0 {
-		c.target.coldRate = coldRate
-	}
-}
+// second; 0 means that its service has no such limit.
+func (c *Core) SetColdRate(coldRate float64) { c.target.coldRate = max(coldRate, 0) }
 
 // Stop starts the shutdown: new and waiting calls are refused.
 func (c *Core) Stop(now time.Time) { c.target.step(now, eventStop) }
@@ -265,9 +261,10 @@
 func (t *target) cold(now time.Time) bool { return now.Before(t.coldUntil) }
 
 // coldRateAllows refills the token bucket of a cold target and reports whether it
-// allows another call. A warm target has no rate limit.
+// allows another call. A target that is warm, or whose service has no rate for cold ones, has
+// no rate limit.
 func (t *target) coldRateAllows(now time.Time) bool {
-	if !t.cold(now) {
+	if !t.cold(now) || t.coldRate == 0 {
 		return true
 	}
 	t.coldTokens = min(t.coldTokens+now.Sub(t.coldRefilledAt).Seconds()*coldRateFactor*t.coldRate, max(coldBurstSeconds*t.coldRate, 1))
