dispatch: the names of the configured routes are collected once

Found when reading the change again: OnConfig built the set of route names for the limits of chains, and callProfiles.retain built it once more. Both get it from routeNames now. Behaviour is the same. Ruled out: joining the profiles of progress and of chains, which learn from different ends (own targets' runs, and callers' requests).

go vet, staticcheck and the tests of policy/mesh/dispatch pass.

--- a/policy/mesh/dispatch/core.go
+++ b/policy/mesh/dispatch/core.go
@@ -136,14 +136,11 @@
 	}
 	c.config = config
 	clear(c.splitters)
-	c.profiles.retain(config)
+	routes := routeNames(config)
+	c.profiles.retain(routes)
+	c.chain.Retain(func(route string) bool { return routes[route] })
 	c.retainBudgets(config)
 	c.targets.retainShares(config)
-	routes := make(map[string]bool, len(config.Routes))
-	for _, r := range config.Routes {
-		routes[r.Name] = true
-	}
-	c.chain.Retain(func(route string) bool { return routes[route] })
 	for name, customer := range config.Customers {
 		c.rates.SetLimit(now, name, customer.Rate, customer.Burst)
 	}
--- a/policy/mesh/dispatch/progress.go
+++ b/policy/mesh/dispatch/progress.go
@@ -13,12 +13,17 @@
 // at the node's own target. From it follows how much of a run is done when it makes a call.
 type callProfiles map[string]float64 // by name of the route
 
-// retain removes the profiles of routes that the configuration does not have.
-func (p callProfiles) retain(config *graph.Config) {
-	configured := make(map[string]bool, len(config.Routes))
+// routeNames returns the names of the routes of a configuration.
+func routeNames(config *graph.Config) map[string]bool {
+	names := make(map[string]bool, len(config.Routes))
 	for _, r := range config.Routes {
-		configured[r.Name] = true
+		names[r.Name] = true
 	}
+	return names
+}
+
+// retain removes the profiles of routes that are not configured.
+func (p callProfiles) retain(configured map[string]bool) {
 	for name := range p {
 		if !configured[name] {
 			delete(p, name)
