--- a/review/rig2/upstream.go
+++ b/review/rig2/upstream.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -40,6 +41,9 @@
 	rec   *record
 	slots int
 	work  time.Duration // time that a request takes
+	tail  float64       // share of the requests that take nestedTailFactor times as long
+	// job runs a request in place of work, unless it is nil, and reports whether it succeeded.
+	job func(ctx context.Context, attempt string) bool
 
 	mu       sync.Mutex
 	id       string
@@ -190,7 +194,7 @@
 	u.running++
 	current := &run{id: attempt, upstream: id, began: time.Now()}
 	u.runs = append(u.runs, current)
-	work := u.work
+	work := u.workTime()
 	u.mu.Unlock()
 	u.rec.addAt(current.began, "upstream %s runs %s %s %s (deadline %s)", id, attempt, r.Method, r.URL.Path, r.Header.Get(headerDeadline))
 	how := "answered"
@@ -200,6 +204,13 @@
 	if ms, err := strconv.Atoi(r.Header.Get(headerDeadline)); err == nil {
 		work = min(work, time.Duration(ms)*time.Millisecond)
 	}
+	status := http.StatusOK
+	if u.job != nil {
+		work = 0
+		if !u.job(r.Context(), attempt) {
+			status = http.StatusInternalServerError
+		}
+	}
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
@@ -217,6 +228,7 @@
 	w.Header().Set(headerAttempt, attempt)
 	w.Header().Set(headerSignature, id+"."+attempt)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	w.WriteHeader(status)
 	_, _ = w.Write(answer)
 }
 
