--- a/review/rig2/case_nested.go
+++ b/review/rig2/case_nested.go
@@ -107,9 +107,11 @@
 	term time.Time
 }
 
-// runJob makes calls one after the other for jobTime. It reports whether all were served.
+// runJob makes calls one after the other for jobTime, with the deadline of the job. It reports
+// whether all were served.
 func runJob(ctx context.Context, m *machine, attempt string, made func(*call)) bool {
-	for i, until := 0, time.Now().Add(jobTime); time.Now().Before(until); i++ {
+	began := time.Now()
+	for i := 0; time.Since(began) < jobTime; i++ {
 		c := &call{id: fmt.Sprintf("%s.%d", attempt, i), m: m, sent: time.Now()}
 		made(c)
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.address(portOutbound)+"/stock/"+c.id, nil)
@@ -118,7 +120,7 @@
 		}
 		req.Host = routeHost
 		req.Header.Set(headerAttempt, c.id)
-		req.Header.Set(headerDeadline, fmt.Sprint(max(time.Until(until), time.Second).Milliseconds()))
+		req.Header.Set(headerDeadline, fmt.Sprint((jobTimeout - time.Since(began)).Milliseconds()))
 		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
